--- /dev/null
+++ b/src/main/java/ringspindle/Main.java
@@ -0,0 +1,100 @@
+package ringspindle;
+
+import com.beust.jcommander.*;
+import com.google.common.flogger.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.logging.*;
+import ringspindle.conf.*;
+import ringspindle.cp.*;
+import ringspindle.dp.*;
+import ringspindle.log.*;
+
+/** The program: {@code data-plane}, {@code control-plane}, and the operator's command line. */
+public final class Main {
+    /** Bad usage or settings. */
+    static final int USAGE = 2;
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Options of a daemon. */
+    static final class Daemon {
+        @Parameter(names = "--settings", description = "the settings file (default: the file named by RINGSPINDLE_SETTINGS)")
+        String settings = System.getenv("RINGSPINDLE_SETTINGS");
+
+        @Parameter(names = "--log", description = "log level: FINE, INFO, WARNING")
+        String level = "INFO";
+
+        @Parameter(names = {"--help", "-h"}, help = true, description = "this text")
+        boolean help;
+    }
+
+    private Main() {
+    }
+
+    /** {@code java -jar ringspindle.jar control-plane --settings node.conf}. */
+    public static void main(String[] args) {
+        System.exit(run(args));
+    }
+
+    static int run(String[] args) {
+        Daemon data = new Daemon();
+        Daemon control = new Daemon();
+        JCommander cli = JCommander.newBuilder().programName("ringspindle").addCommand("data-plane", data)
+                .addCommand("control-plane", control).build();
+        try {
+            cli.parse(args);
+        } catch (ParameterException x) {
+            System.err.println(x.getMessage());
+            return USAGE;
+        }
+        String command = cli.getParsedCommand();
+        Daemon d = "data-plane".equals(command) ? data : control;
+        if (command == null || d.help) {
+            cli.usage();
+            return command == null ? USAGE : 0;
+        }
+        return daemon(command, d);
+    }
+
+    private static int daemon(String command, Daemon d) {
+        try {
+            JsonLines.install(Level.parse(d.level));
+        } catch (IllegalArgumentException x) {
+            System.err.println("unknown log level " + d.level);
+            return USAGE;
+        }
+        if (d.settings == null || d.settings.isEmpty()) {
+            LOG.atSevere().log("no settings file: give --settings or RINGSPINDLE_SETTINGS");
+            return USAGE;
+        }
+        Checked<NodeConfig> c = NodeConfig.read(Path.of(d.settings));
+        if (c instanceof Checked.Refused<NodeConfig> bad) {
+            bad.problems().forEach(p -> LOG.atSevere().log("settings: %s", p.text()));
+            return USAGE;
+        }
+        NodeConfig config = ((Checked.Good<NodeConfig>) c).value();
+        CountDownLatch term = new CountDownLatch(1);
+        sun.misc.Signal.handle(new sun.misc.Signal("TERM"), s -> term.countDown());
+        sun.misc.Signal.handle(new sun.misc.Signal("INT"), s -> term.countDown());
+        sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> {
+            Checked<NodeConfig> again = NodeConfig.read(Path.of(d.settings));
+            if (again instanceof Checked.Refused<NodeConfig> bad) {
+                bad.problems().forEach(p -> LOG.atWarning().log("settings, kept as they were: %s", p.text()));
+            } else {
+                LOG.atInfo().log("settings read again; what a running node can take over is its seeds");
+            }
+        });
+        try {
+            if (command.equals("data-plane")) {
+                DataPlane.run(config, term);
+            } else {
+                ControlPlane.run(config, term);
+            }
+            return 0;
+        } catch (Exception x) {
+            LOG.atSevere().withCause(x).log("%s fails", command);
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -0,0 +1,90 @@
+package ringspindle.chain;
+
+import java.util.*;
+import ringspindle.api.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** The replicated control state of one node: a state machine without clock, socket, disk or chance. */
+public interface Chain {
+
+    /** What the owner is to do. */
+    sealed interface Out {
+        record Send(NodeId to, Msg m) implements Out {
+        }
+
+        /** Write and sync in order, then call {@link Chain#stored}. */
+        record Store(long token, List<Msg> records, boolean image) implements Out {
+        }
+
+        /** The answer to a call that came in at this node. */
+        record Answer(long call, Outcome outcome, byte[] body) implements Out {
+        }
+
+        /** The committed state moved. */
+        record Committed(State state) implements Out {
+        }
+
+        record Viewed(View view) implements Out {
+        }
+    }
+
+    /** Who is in touch with whom, as this node knows it. */
+    interface Reach {
+        /** True while both sides heard each other lately. */
+        boolean linked(NodeId a, NodeId b);
+
+        /** Control nodes that this node is in touch with. */
+        Collection<NodeId> live();
+    }
+
+    /** Kinds of calls and ops. */
+    int PUT = 1;
+    int PATCH = 2;
+    int EVACUATE = 3;
+    int RESTORE = 4;
+    int DRAIN = 5;
+    int GONE = 6;
+    int READ = 7;
+    int ROLLOUT = 8;
+
+    /** Kinds of marks. */
+    int MARK_EVACUATED = 1;
+    int MARK_LEAVING = 2;
+    int MARK_ROLLOUT = 3;
+
+    /** A message came. */
+    List<Out> on(NodeId from, Msg m, long nowMs);
+
+    /** A new wire to that node stands; what was sent on an older one may be lost. */
+    List<Out> opened(NodeId peer, long nowMs);
+
+    /** Time went on. */
+    List<Out> beat(long nowMs, Reach reach);
+
+    /** A call came in at this node; the answer comes as {@link Out.Answer} with its id. */
+    List<Out> call(Call c, long nowMs);
+
+    /** The records of that token are synced. */
+    List<Out> stored(long token, long nowMs);
+
+    /** The newest view, null if unknown. */
+    View view();
+
+    /** The committed state, null while unknown. */
+    State committed();
+
+    /** True while this node hears of all that is committed. */
+    boolean current(long nowMs);
+
+    /** All that must not be forgotten, for an image of the disk. */
+    List<Msg> durable();
+
+    /**
+     * {@code Chain.create(me, seeds, true, disk.load(), 7)}: the first start of a system; with records on disk,
+     * {@code bootstrap} does not count.
+     */
+    static Chain create(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck) {
+        return new ChainMachine(me, seeds, bootstrap, found, luck);
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/chain/Content.java
@@ -0,0 +1,174 @@
+package ringspindle.chain;
+
+import com.google.common.hash.*;
+import java.util.*;
+import ringspindle.api.*;
+import ringspindle.conf.*;
+import ringspindle.wire.Msg.*;
+
+import static java.nio.charset.StandardCharsets.*;
+import static ringspindle.chain.Chain.*;
+
+/** What the control state holds and how calls change it. Pure. */
+final class Content {
+    private static final int PAST_MAX = 256;
+    private static final int LEAVING_MAX = 400;
+
+    /** What a call comes to: an op to commit, or an outcome at once. */
+    record Decision(Op op, Outcome outcome, byte[] body) {
+    }
+
+    private FleetConfig parsed;
+
+    Decision decide(State s, Call c) {
+        switch (c.kind()) {
+            case PUT:
+            case PATCH:
+                return decideConfig(s, c);
+            case EVACUATE:
+            case RESTORE: {
+                boolean on = c.kind() == EVACUATE;
+                Mark m = mark(s, MARK_EVACUATED, c.arg());
+                if ((m != null && m.value().equals("on")) == on) {
+                    return outcome(Outcome.TAKEN);
+                }
+                return op(c, 0, 0, c.body());
+            }
+            case DRAIN:
+            case GONE: {
+                Mark m = mark(s, MARK_LEAVING, c.arg());
+                if (m != null && (m.value().equals("gone") || c.kind() == DRAIN)) {
+                    return outcome(Outcome.TAKEN);
+                }
+                return op(c, 0, 0, c.body());
+            }
+            case ROLLOUT:
+                return Rollouts.decide(s, c);
+            default:
+                return outcome(Outcome.NO_SUCH);
+        }
+    }
+
+    static Decision outcome(Outcome o) {
+        return new Decision(null, o, new byte[0]);
+    }
+
+    static Decision op(Call c, long revision, long digest, byte[] body) {
+        return new Decision(new Op(c.kind(), c.base(), revision, digest, c.arg(), body), null, null);
+    }
+
+    private Decision decideConfig(State s, Call c) {
+        long digest = Hashing.sha256().newHasher().putInt(c.kind()).putLong(c.base()).putBytes(c.body()).hash().asLong();
+        for (long[] p : s.past()) {
+            if (p[1] == digest) {
+                return outcome(Outcome.TAKEN);
+            }
+        }
+        Checked<FleetConfig> checked;
+        if (c.kind() == PUT) {
+            checked = FleetConfig.read(c.body());
+        } else {
+            Checked<jakarta.json.JsonObject> patch = FleetConfig.json(c.body());
+            if (patch instanceof Checked.Refused<jakarta.json.JsonObject> bad) {
+                return invalid(bad.problems());
+            }
+            if (s.config().length == 0 || c.base() != s.revision()) {
+                return outcome(Outcome.OTHER_VERSION);
+            }
+            checked = current(s).patched(((Checked.Good<jakarta.json.JsonObject>) patch).value());
+        }
+        if (checked instanceof Checked.Refused<FleetConfig> bad) {
+            return invalid(bad.problems());
+        }
+        FleetConfig next = ((Checked.Good<FleetConfig>) checked).value();
+        if (c.base() != s.revision()) {
+            return outcome(Outcome.OTHER_VERSION);
+        }
+        if (next.revision() <= s.revision()) {
+            return invalid(List.of(new Problem.OldRevision(next.revision(), s.revision())));
+        }
+        return op(c, next.revision(), digest, next.packed());
+    }
+
+    private FleetConfig current(State s) {
+        if (parsed == null || parsed.revision() != s.revision()) {
+            parsed = ((Checked.Good<FleetConfig>) FleetConfig.read(FleetConfig.unpack(s.config()))).value();
+        }
+        return parsed;
+    }
+
+    private static Decision invalid(List<Problem> problems) {
+        StringBuilder b = new StringBuilder();
+        problems.forEach(p -> b.append(b.length() == 0 ? "" : "; ").append(p.text()));
+        return new Decision(null, Outcome.INVALID, b.toString().getBytes(UTF_8));
+    }
+
+    static Mark mark(State s, int kind, String key) {
+        for (Mark m : s.marks()) {
+            if (m.kind() == kind && m.key().equals(key)) {
+                return m;
+            }
+        }
+        return null;
+    }
+
+    /** The state after an op; the same on every member. */
+    static State apply(State s, Op op) {
+        long seq = s.seq() + 1;
+        List<long[]> past = s.past();
+        List<Mark> marks = s.marks();
+        byte[] config = s.config();
+        long revision = s.revision();
+        switch (op.kind()) {
+            case PUT:
+            case PATCH:
+                past = new ArrayList<>(past);
+                past.add(new long[] {op.revision(), op.digest()});
+                if (past.size() > PAST_MAX) {
+                    past.remove(0);
+                }
+                config = op.body();
+                revision = op.revision();
+                break;
+            case EVACUATE:
+                marks = marked(marks, new Mark(MARK_EVACUATED, op.arg(), seq, "on"));
+                break;
+            case RESTORE:
+                marks = marked(marks, new Mark(MARK_EVACUATED, op.arg(), seq, "off"));
+                break;
+            case DRAIN:
+                marks = marked(marks, new Mark(MARK_LEAVING, op.arg(), seq, "draining"));
+                break;
+            case GONE:
+                marks = marked(marks, new Mark(MARK_LEAVING, op.arg(), seq, "gone"));
+                break;
+            case ROLLOUT:
+                marks = marked(marks, new Mark(MARK_ROLLOUT, op.arg(), seq, new String(op.body(), UTF_8)));
+                break;
+            default:
+                break;
+        }
+        return new State(s.lineage(), seq, revision, past, marks, config);
+    }
+
+    private static List<Mark> marked(List<Mark> marks, Mark m) {
+        List<Mark> out = new ArrayList<>(marks.size() + 1);
+        int leaving = 0;
+        for (Mark o : marks) {
+            if (o.kind() != m.kind() || !o.key().equals(m.key())) {
+                out.add(o);
+                leaving += o.kind() == MARK_LEAVING ? 1 : 0;
+            }
+        }
+        out.add(m);
+        for (int i = 0; leaving > LEAVING_MAX && i < out.size();) {
+            if (out.get(i).kind() == MARK_LEAVING) {
+                out.remove(i);
+                leaving--;
+            } else {
+                i++;
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -0,0 +1,69 @@
+package ringspindle.cp;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import jakarta.json.*;
+import jakarta.json.spi.*;
+import java.util.*;
+import ringspindle.chain.*;
+import ringspindle.know.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** What a control node tells the operator of the fleet, as JSON. */
+final class Fleet {
+    private static final JsonProvider JSON = JsonProvider.provider();
+
+    private Fleet() {
+    }
+
+    static JsonObject status(Control c) {
+        JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name()).add("quorate", c.quorate());
+        View v = c.view();
+        if (v != null) {
+            JsonArrayBuilder voters = JSON.createArrayBuilder();
+            v.voters().forEach(n -> voters.add(n.toString()));
+            JsonArrayBuilder chain = JSON.createArrayBuilder();
+            v.chain().forEach(n -> chain.add(n.toString()));
+            out.add("view", JSON.createObjectBuilder().add("epoch", v.epoch()).add("voters", voters).add("chain", chain));
+            out.add("duties", JSON.createObjectBuilder().add("licences",
+                    JSON.createObjectBuilder().add("holder", v.head().toString()).add("epoch", v.epoch())));
+        }
+        State s = c.committed();
+        if (s != null) {
+            out.add("seq", s.seq()).add("revision", s.revision());
+            JsonArrayBuilder evacuated = JSON.createArrayBuilder();
+            for (Mark m : s.marks()) {
+                if (m.kind() == Chain.MARK_EVACUATED && m.value().equals("on")) {
+                    evacuated.add(m.key());
+                }
+            }
+            out.add("evacuated", evacuated);
+        }
+        JsonArrayBuilder sessions = JSON.createArrayBuilder();
+        c.sessions().forEach(row -> sessions.add(JSON.createObjectBuilder(row)));
+        out.add("sessions", sessions);
+        JsonArrayBuilder nodes = JSON.createArrayBuilder();
+        for (Item i : c.book(b -> new ArrayList<>(b.all(Book.NODE)))) {
+            Hello h = Control.hello(i);
+            nodes.add(JSON.createObjectBuilder().add("name", h.name()).add("zone", h.zone())
+                    .add("frontend", new NodeId(h.front()).toString()).add("ready", (i.value()[0] & Pulse.READY) != 0)
+                    .add("leaving", (i.value()[0] & Pulse.LEAVING) != 0));
+        }
+        return out.add("nodes", nodes).build();
+    }
+
+    static JsonObject engines(Control c) {
+        JsonArrayBuilder out = JSON.createArrayBuilder();
+        for (Item i : c.book(b -> new ArrayList<>(b.all(Book.ENGINE)))) {
+            Engine e = (Engine) Codec.decode(i.value());
+            Item leaving = c.book(b -> b.get(Book.LEAVING, i.key()));
+            long ageMs = c.ageMs(Book.ENGINE, i.key());
+            out.add(JSON.createObjectBuilder().add("id", i.key()).add("service", e.service()).add("address", e.address())
+                    .add("zone", e.zone()).add("revision", e.revision()).add("weights", e.weights())
+                    .add("state", leaving == null ? "ready" : new String(leaving.value(), UTF_8)).add("beatAgeMs", ageMs)
+                    .add("callSeq", i.version()));
+        }
+        return JSON.createObjectBuilder().add("engines", out).build();
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -0,0 +1,196 @@
+package ringspindle.cp;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import com.google.common.flogger.*;
+import jakarta.json.*;
+import jakarta.json.spi.*;
+import java.nio.*;
+import java.util.*;
+import org.eclipse.jetty.http.*;
+import org.eclipse.jetty.io.*;
+import org.eclipse.jetty.server.*;
+import org.eclipse.jetty.util.*;
+import ringspindle.api.*;
+import ringspindle.chain.*;
+import ringspindle.conf.*;
+import ringspindle.conf.Checked.*;
+import ringspindle.know.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** The calls of engines, operators and consumers on a control node. */
+final class Gate extends Handler.Abstract {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final JsonProvider JSON = JsonProvider.provider();
+    private static final int BODY_MAX = 16 << 20;
+    private static final int INSTANCE_MAX = 64 << 10;
+    private static final byte[] NONE = {};
+
+    private final Control control;
+
+    Gate(Control control) {
+        this.control = control;
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = request.getHttpURI().getPath();
+        String method = request.getMethod();
+        if (!path.startsWith("/ringspindle/")) {
+            return end(response, callback, Outcome.NO_SUCH, NONE);
+        }
+        String[] part = path.substring("/ringspindle/".length()).split("/");
+        String what = part[0];
+        String arg = part.length > 1 ? part[1] : "";
+        if (part.length > 2) {
+            return end(response, callback, Outcome.NO_SUCH, NONE);
+        }
+        switch (method + " " + what) {
+            case "GET resolution":
+                return resolve(request, response, callback);
+            case "GET configuration":
+                control.call(Chain.READ, 0, "", NONE, (o, body) -> end(response, callback, o,
+                        o == Outcome.TAKEN ? FleetConfig.unpack(body) : NONE));
+                return true;
+            case "PUT configuration":
+            case "PATCH configuration":
+                return configuration(request, response, callback, method.equals("PUT") ? Chain.PUT : Chain.PATCH);
+            case "POST evacuation":
+            case "DELETE evacuation":
+                if (!control.config().regionOfZone().containsKey(arg)) {
+                    return end(response, callback, Outcome.NO_SUCH, NONE);
+                }
+                control.call(method.equals("POST") ? Chain.EVACUATE : Chain.RESTORE, 0, arg, NONE,
+                        (o, body) -> end(response, callback, o, NONE));
+                return true;
+            case "PUT instances":
+                return instance(request, response, callback, arg);
+            case "DELETE instances":
+                control.call(Chain.GONE, 0, arg, NONE, (o, body) -> end(response, callback, o, NONE));
+                return true;
+            case "GET status":
+                return end(response, callback, Outcome.TAKEN, Fleet.status(control).toString().getBytes(UTF_8));
+            case "GET engines":
+                return end(response, callback, Outcome.TAKEN, Fleet.engines(control).toString().getBytes(UTF_8));
+            default:
+                return end(response, callback, Outcome.NO_SUCH, NONE);
+        }
+    }
+
+    private boolean resolve(Request request, Response response, Callback callback) {
+        Fields q = Request.extractQueryParameters(request);
+        List<String> addresses = control.frontends(value(q, "region"), value(q, "zone"));
+        if (addresses.isEmpty()) {
+            return end(response, callback, Outcome.UNCLEAR, NONE);
+        }
+        JsonArrayBuilder a = JSON.createArrayBuilder();
+        addresses.forEach(a::add);
+        JsonObject o = JSON.createObjectBuilder().add("addresses", a).add("ttlS", Math.min(2, control.config().ttlS())).build();
+        return end(response, callback, Outcome.TAKEN, o.toString().getBytes(UTF_8));
+    }
+
+    private static String value(Fields q, String name) {
+        Fields.Field f = q.get(name);
+        return f == null ? "" : f.getValue();
+    }
+
+    private boolean configuration(Request request, Response response, Callback callback, int kind) {
+        long base;
+        try {
+            String m = request.getHeaders().get(HttpHeader.IF_MATCH);
+            base = m == null ? 0 : Long.parseLong(m.replace("\"", "").trim());
+        } catch (NumberFormatException x) {
+            return end(response, callback, Outcome.MALFORMED, NONE);
+        }
+        body(request, BODY_MAX, response, callback,
+                b -> control.call(kind, base, "", b, (o, text) -> end(response, callback, o, text)));
+        return true;
+    }
+
+    private interface Body {
+        void take(byte[] body);
+    }
+
+    private void body(Request request, int most, Response response, Callback callback, Body then) {
+        if (request.getLength() > most) {
+            end(response, callback, Outcome.TOO_LARGE, NONE);
+            return;
+        }
+        Content.Source.asByteBuffer(request, new Promise.Invocable.NonBlocking<>() {
+            @Override
+            public void succeeded(ByteBuffer b) {
+                if (b.remaining() > most) {
+                    end(response, callback, Outcome.TOO_LARGE, NONE);
+                    return;
+                }
+                byte[] bytes = new byte[b.remaining()];
+                b.get(bytes);
+                then.take(bytes);
+            }
+
+            @Override
+            public void failed(Throwable x) {
+                end(response, callback, Outcome.MALFORMED, NONE);
+            }
+        });
+    }
+
+    private boolean instance(Request request, Response response, Callback callback, String id) {
+        body(request, INSTANCE_MAX, response, callback, b -> {
+            if (!control.quorate()) {
+                end(response, callback, Outcome.UNCLEAR, NONE);
+                return;
+            }
+            Checked<JsonObject> j = FleetConfig.json(b);
+            if (!(j instanceof Good<JsonObject> good)) {
+                end(response, callback, Outcome.MALFORMED, NONE);
+                return;
+            }
+            JsonObject o = good.value();
+            boolean draining;
+            try {
+                long weights = -1;
+                if (o.get("models") instanceof JsonArray a && !a.isEmpty()) {
+                    weights = a.getJsonObject(0).getInt("revision", -1);
+                }
+                draining = o.getString("state", "ready").equals("draining");
+                Engine e = new Engine(o.getInt("capacity", 1), o.get("warmupLeftMs") instanceof JsonNumber n ? n.intValue() : 0, draining,
+                        o.get("remainingMs") instanceof JsonNumber n ? n.intValue() : -1, weights, o.getString("service"),
+                        NodeId.of(o.getString("address")).toString(), o.getString("zone", ""), o.getString("revision", ""));
+                long seq = o.get("callSeq") instanceof JsonNumber n ? n.longValue() : 0;
+                control.tell(new Item(Book.ENGINE, id, 0, seq, Codec.encode(e)));
+            } catch (RuntimeException x) {
+                LOG.atInfo().log("engine %s registers badly: %s", id, x.toString());
+                end(response, callback, Outcome.MALFORMED, NONE);
+                return;
+            }
+            if (!draining) {
+                end(response, callback, Outcome.TAKEN, "{}".getBytes(UTF_8));
+                return;
+            }
+            control.call(Chain.DRAIN, 0, id, NONE,
+                    (out, text) -> end(response, callback, out, out == Outcome.TAKEN ? "{}".getBytes(UTF_8) : NONE));
+        });
+        return true;
+    }
+
+    /** Writes the answer for an outcome; problems go out as JSON. */
+    static boolean end(Response response, Callback callback, Outcome o, byte[] body) {
+        response.setStatus(o.status());
+        byte[] out = body;
+        if (o != Outcome.TAKEN) {
+            out = JSON.createObjectBuilder().add("error", o.name()).add("text", new String(body, UTF_8)).build().toString()
+                    .getBytes(UTF_8);
+        }
+        if (o.status() == 503) {
+            response.getHeaders().put("Retry-After", "0.2");
+        }
+        if (out.length > 0) {
+            response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
+        }
+        response.getHeaders().put(HttpHeader.CONTENT_LENGTH, out.length);
+        response.write(true, ByteBuffer.wrap(out), callback);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/know/Book.java
@@ -0,0 +1,55 @@
+package ringspindle.know;
+
+import java.util.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** What a node knows: facts by kind and key, the newer (life, version) wins. Pure; not thread safe. */
+public interface Book {
+    int CONFIG = 1;
+    int EVACUATED = 2;
+    int LEAVING = 3;
+    int ENGINE = 4;
+    int NODE = 5;
+    int LICENCE = 6;
+    int ROLLOUT = 7;
+    int RANGES = 16;
+
+    /** Takes what is newer; returns just that. {@code book.merge(news.items())}. */
+    List<Item> merge(List<Item> items);
+
+    /** The fact, null if there is none; {@code book.get(Book.CONFIG, "")}. */
+    Item get(int kind, String key);
+
+    /** All facts of a kind; {@code book.all(Book.ENGINE)}. */
+    Collection<Item> all(int kind);
+
+    /** Takes a fact out, without trace; {@code book.forget(Book.NODE, "10.0.0.1:7721")}. */
+    void forget(int kind, String key);
+
+    /** What a peer has not been sent yet, at most so many; marks it as sent. {@code book.pending(peer, 64)}. */
+    List<Item> pending(NodeId peer, int most);
+
+    /** Forgets what a peer was sent, so that all goes again; {@code book.reset(peer)} on a new wire. */
+    void reset(NodeId peer);
+
+    /** The peer is gone. */
+    void drop(NodeId peer);
+
+    /** Notes that the peer itself told us these, so that they need not go back; {@code book.told(peer, items)}. */
+    void told(NodeId peer, List<Item> items);
+
+    /** Digest of all; equal books have equal digests. */
+    long digest();
+
+    /** Digests by range. */
+    long[] ranges();
+
+    /** All facts in the ranges that differ from those digests; {@code book.differing(digest.ranges())}. */
+    List<Item> differing(long[] theirs);
+
+    /** {@code Book.create()} is empty. */
+    static Book create() {
+        return new TableBook();
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/know/TableBook.java
@@ -0,0 +1,163 @@
+package ringspindle.know;
+
+import it.unimi.dsi.fastutil.longs.*;
+import java.util.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** Facts in one table, in the order in which they came in; each peer has a mark up to which it was told. */
+final class TableBook implements Book {
+    private static final class Row {
+        Item item;
+        long stamp;
+        long hash;
+    }
+
+    private final Map<String, Row> rows = new HashMap<>();
+    private final Long2ObjectSortedMap<Row> byStamp = new Long2ObjectRBTreeMap<>();
+    private final Map<NodeId, long[]> marks = new HashMap<>();
+    private final Map<NodeId, Set<String>> known = new HashMap<>();
+    private final long[] ranges = new long[RANGES];
+    private long stamp;
+
+    private static String id(int kind, String key) {
+        return kind + " " + key;
+    }
+
+    @Override
+    public List<Item> merge(List<Item> items) {
+        List<Item> fresh = new ArrayList<>();
+        for (Item i : items) {
+            String id = id(i.kind(), i.key());
+            Row r = rows.get(id);
+            if (r != null && (r.item.life() > i.life() || r.item.life() == i.life() && r.item.version() >= i.version())) {
+                continue;
+            }
+            if (r == null) {
+                r = new Row();
+                rows.put(id, r);
+            } else {
+                ranges[range(id)] ^= r.hash;
+                byStamp.remove(r.stamp);
+            }
+            r.item = i;
+            r.hash = hash(id, i);
+            r.stamp = ++stamp;
+            ranges[range(id)] ^= r.hash;
+            byStamp.put(r.stamp, r);
+            fresh.add(i);
+        }
+        return fresh;
+    }
+
+    private static int range(String id) {
+        return (id.hashCode() * 0x9E3779B9 >>> 16) % RANGES;
+    }
+
+    private static long hash(String id, Item i) {
+        if (i.kind() == NODE || i.kind() == ENGINE || i.kind() == LICENCE) {
+            // these move with every beat; only whether they are there counts for repair
+            return mix(id.hashCode() * 31L + i.life());
+        }
+        return mix(id.hashCode() * 31L + i.life() * 1000003L + i.version());
+    }
+
+    private static long mix(long z) {
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
+    @Override
+    public Item get(int kind, String key) {
+        Row r = rows.get(id(kind, key));
+        return r == null ? null : r.item;
+    }
+
+    @Override
+    public Collection<Item> all(int kind) {
+        List<Item> out = new ArrayList<>();
+        for (Row r : byStamp.values()) {
+            if (r.item.kind() == kind) {
+                out.add(r.item);
+            }
+        }
+        return out;
+    }
+
+    @Override
+    public void forget(int kind, String key) {
+        String id = id(kind, key);
+        Row r = rows.remove(id);
+        if (r != null) {
+            ranges[range(id)] ^= r.hash;
+            byStamp.remove(r.stamp);
+        }
+    }
+
+    @Override
+    public List<Item> pending(NodeId peer, int most) {
+        long[] mark = marks.computeIfAbsent(peer, k -> new long[1]);
+        Set<String> has = known.computeIfAbsent(peer, k -> new HashSet<>());
+        List<Item> out = new ArrayList<>();
+        for (Row r : byStamp.tailMap(mark[0] + 1).values()) {
+            if (out.size() >= most) {
+                return out;
+            }
+            mark[0] = r.stamp;
+            if (!has.remove(id(r.item.kind(), r.item.key()) + "@" + r.item.life() + "." + r.item.version())) {
+                out.add(r.item);
+            }
+        }
+        return out;
+    }
+
+    @Override
+    public void reset(NodeId peer) {
+        marks.put(peer, new long[1]);
+        known.put(peer, new HashSet<>());
+    }
+
+    @Override
+    public void drop(NodeId peer) {
+        marks.remove(peer);
+        known.remove(peer);
+    }
+
+    @Override
+    public void told(NodeId peer, List<Item> items) {
+        Set<String> has = known.computeIfAbsent(peer, k -> new HashSet<>());
+        if (has.size() > 4096) {
+            has.clear();
+        }
+        for (Item i : items) {
+            has.add(id(i.kind(), i.key()) + "@" + i.life() + "." + i.version());
+        }
+    }
+
+    @Override
+    public long digest() {
+        long d = 0;
+        for (long r : ranges) {
+            d = mix(d + r);
+        }
+        return d;
+    }
+
+    @Override
+    public long[] ranges() {
+        return ranges.clone();
+    }
+
+    @Override
+    public List<Item> differing(long[] theirs) {
+        List<Item> out = new ArrayList<>();
+        for (Row r : byStamp.values()) {
+            int n = range(id(r.item.kind(), r.item.key()));
+            if (n >= theirs.length || theirs[n] != ranges[n]) {
+                out.add(r.item);
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -0,0 +1,353 @@
+package ringspindle.wire;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import java.util.*;
+import org.agrona.*;
+import org.agrona.concurrent.*;
+import ringspindle.sbe.*;
+import ringspindle.wire.Msg.*;
+
+/** Messages to SBE bytes and back. */
+public final class Codec {
+    private static final byte[] NONE = {};
+
+    private Codec() {
+    }
+
+    /** Encodes; {@code Codec.decode(Codec.encode(m)).equals(m)} for messages without arrays. */
+    public static byte[] encode(Msg m) {
+        MutableDirectBuffer b = new ExpandableArrayBuffer(512);
+        MessageHeaderEncoder h = new MessageHeaderEncoder();
+        int end;
+        if (m instanceof Hello x) {
+            HelloEncoder e = new HelloEncoder().wrapAndApplyHeader(b, 0, h).node(x.node().bits()).life(x.life())
+                    .kind((short) x.kind()).front(x.front());
+            put(x.name(), e::putName);
+            put(x.zone(), e::putZone);
+            put(x.region(), e::putRegion);
+            end = e.limit();
+        } else if (m instanceof Pulse x) {
+            PulseEncoder e = new PulseEncoder().wrapAndApplyHeader(b, 0, h).n(x.n()).echo(x.echo())
+                    .flags((short) x.flags()).epoch(x.epoch()).seq(x.seq()).digest(x.digest());
+            PulseEncoder.HeardEncoder g = e.heardCount(x.heard().size());
+            x.heard().forEach(n -> g.next().node(n.bits()));
+            end = e.limit();
+        } else if (m instanceof View x) {
+            ViewEncoder e = new ViewEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch());
+            ViewEncoder.VotersEncoder v = e.votersCount(x.voters().size());
+            x.voters().forEach(n -> v.next().node(n.bits()));
+            ViewEncoder.ChainEncoder c = e.chainCount(x.chain().size());
+            x.chain().forEach(n -> c.next().node(n.bits()));
+            end = e.limit();
+        } else if (m instanceof Prepare x) {
+            PrepareEncoder e = new PrepareEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot());
+            put(x.view(), e::putView);
+            end = e.limit();
+        } else if (m instanceof Promise x) {
+            PromiseEncoder e = new PromiseEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot())
+                    .granted(bit(x.granted())).promised(x.promised()).acceptedBallot(x.acceptedBallot())
+                    .lineage(x.lineage()).seq(x.seq());
+            put(x.accepted(), e::putAccepted);
+            put(x.view(), e::putView);
+            end = e.limit();
+        } else if (m instanceof Accept x) {
+            AcceptEncoder e = new AcceptEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot());
+            put(x.view(), e::putView);
+            end = e.limit();
+        } else if (m instanceof Accepted x) {
+            end = new AcceptedEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot())
+                    .granted(bit(x.granted())).promised(x.promised()).limit();
+        } else if (m instanceof Decided x) {
+            DecidedEncoder e = new DecidedEncoder().wrapAndApplyHeader(b, 0, h);
+            put(x.view(), e::putView);
+            end = e.limit();
+        } else if (m instanceof Install x) {
+            InstallEncoder e = new InstallEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).seq(x.seq());
+            put(x.image(), e::putImage);
+            end = e.limit();
+        } else if (m instanceof Entry x) {
+            EntryEncoder e = new EntryEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).seq(x.seq());
+            put(x.op(), e::putOp);
+            end = e.limit();
+        } else if (m instanceof Synced x) {
+            end = new SyncedEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).seq(x.seq()).limit();
+        } else if (m instanceof Confirm x) {
+            end = new ConfirmEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).id(x.id()).limit();
+        } else if (m instanceof Confirmed x) {
+            end = new ConfirmedEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).id(x.id()).ok(bit(x.ok())).limit();
+        } else if (m instanceof Relearn x) {
+            end = new RelearnEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).limit();
+        } else if (m instanceof Relearned x) {
+            RelearnedEncoder e = new RelearnedEncoder().wrapAndApplyHeader(b, 0, h).id(x.id())
+                    .promisedEpoch(x.promisedEpoch()).promised(x.promised()).acceptedBallot(x.acceptedBallot());
+            put(x.accepted(), e::putAccepted);
+            put(x.view(), e::putView);
+            end = e.limit();
+        } else if (m instanceof Call x) {
+            CallEncoder e = new CallEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).kind((short) x.kind()).base(x.base());
+            put(x.arg(), e::putArg);
+            put(x.body(), e::putBody);
+            end = e.limit();
+        } else if (m instanceof Reply x) {
+            ReplyEncoder e = new ReplyEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).outcome((short) x.outcome());
+            put(x.body(), e::putBody);
+            end = e.limit();
+        } else if (m instanceof News x) {
+            NewsEncoder e = new NewsEncoder().wrapAndApplyHeader(b, 0, h).full(bit(x.full()));
+            NewsEncoder.ItemsEncoder g = e.itemsCount(x.items().size());
+            for (Item i : x.items()) {
+                NewsEncoder.ItemsEncoder n = g.next().kind((short) i.kind()).life(i.life()).version(i.version());
+                put(i.key(), n::putKey);
+                put(i.value(), n::putValue);
+            }
+            end = e.limit();
+        } else if (m instanceof Digest x) {
+            DigestEncoder e = new DigestEncoder().wrapAndApplyHeader(b, 0, h);
+            DigestEncoder.RangesEncoder g = e.rangesCount(x.ranges().length);
+            for (long r : x.ranges()) {
+                g.next().hash(r);
+            }
+            end = e.limit();
+        } else if (m instanceof Licence x) {
+            end = new LicenceEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).nodes(x.nodes()).ttlMs(x.ttlMs())
+                    .regionNodes(x.regionNodes()).limit();
+        } else if (m instanceof Op x) {
+            OpEncoder e = new OpEncoder().wrapAndApplyHeader(b, 0, h).kind((short) x.kind()).base(x.base())
+                    .revision(x.revision()).digest(x.digest());
+            put(x.arg(), e::putArg);
+            put(x.body(), e::putBody);
+            end = e.limit();
+        } else if (m instanceof State x) {
+            StateEncoder e = new StateEncoder().wrapAndApplyHeader(b, 0, h).lineage(x.lineage()).seq(x.seq())
+                    .revision(x.revision());
+            StateEncoder.PastEncoder p = e.pastCount(x.past().size());
+            x.past().forEach(v -> p.next().revision(v[0]).digest(v[1]));
+            StateEncoder.MarksEncoder g = e.marksCount(x.marks().size());
+            for (Mark i : x.marks()) {
+                StateEncoder.MarksEncoder n = g.next().kind((short) i.kind()).version(i.version());
+                put(i.key(), n::putKey);
+                put(i.value(), n::putValue);
+            }
+            put(x.config(), e::putConfig);
+            end = e.limit();
+        } else if (m instanceof Vote x) {
+            VoteEncoder e = new VoteEncoder().wrapAndApplyHeader(b, 0, h).promisedEpoch(x.promisedEpoch())
+                    .promised(x.promised()).acceptedBallot(x.acceptedBallot());
+            put(x.accepted(), e::putAccepted);
+            put(x.view(), e::putView);
+            end = e.limit();
+        } else if (m instanceof Engine x) {
+            EngineEncoder e = new EngineEncoder().wrapAndApplyHeader(b, 0, h).capacity(x.capacity()).coldMs(x.coldMs())
+                    .draining(bit(x.draining())).remainingMs(x.remainingMs()).weights(x.weights());
+            put(x.service(), e::putService);
+            put(x.address(), e::putAddress);
+            put(x.zone(), e::putZone);
+            put(x.revision(), e::putRevision);
+            end = e.limit();
+        } else {
+            throw new IllegalArgumentException("unknown message " + m.getClass());
+        }
+        byte[] out = new byte[end];
+        b.getBytes(0, out);
+        return out;
+    }
+
+    /** Decodes what {@link #encode} wrote; throws {@link IllegalArgumentException} on anything else. */
+    public static Msg decode(byte[] bytes) {
+        try {
+            return read(bytes);
+        } catch (IndexOutOfBoundsException | NegativeArraySizeException e) {
+            throw new IllegalArgumentException("not a whole message", e);
+        }
+    }
+
+    private static Msg read(byte[] bytes) {
+        DirectBuffer b = new UnsafeBuffer(bytes);
+        MessageHeaderDecoder h = new MessageHeaderDecoder().wrap(b, 0);
+        if (h.schemaId() != MessageHeaderDecoder.SCHEMA_ID) {
+            throw new IllegalArgumentException("foreign schema " + h.schemaId());
+        }
+        switch (h.templateId()) {
+            case HelloDecoder.TEMPLATE_ID: {
+                HelloDecoder d = new HelloDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Hello(new NodeId(d.node()), d.life(), d.kind(), d.front(), text(d.nameLength(), d::getName),
+                        text(d.zoneLength(), d::getZone), text(d.regionLength(), d::getRegion));
+            }
+            case PulseDecoder.TEMPLATE_ID: {
+                PulseDecoder d = new PulseDecoder().wrapAndApplyHeader(b, 0, h);
+                List<NodeId> heard = new ArrayList<>();
+                for (PulseDecoder.HeardDecoder g : d.heard()) {
+                    heard.add(new NodeId(g.node()));
+                }
+                return new Pulse(d.n(), d.echo(), d.flags(), d.epoch(), d.seq(), d.digest(), heard);
+            }
+            case ViewDecoder.TEMPLATE_ID: {
+                ViewDecoder d = new ViewDecoder().wrapAndApplyHeader(b, 0, h);
+                List<NodeId> voters = new ArrayList<>();
+                for (ViewDecoder.VotersDecoder g : d.voters()) {
+                    voters.add(new NodeId(g.node()));
+                }
+                List<NodeId> chain = new ArrayList<>();
+                for (ViewDecoder.ChainDecoder g : d.chain()) {
+                    chain.add(new NodeId(g.node()));
+                }
+                return new View(d.epoch(), voters, chain);
+            }
+            case PrepareDecoder.TEMPLATE_ID: {
+                PrepareDecoder d = new PrepareDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Prepare(d.epoch(), d.ballot(), view(d.viewLength(), d::getView));
+            }
+            case PromiseDecoder.TEMPLATE_ID: {
+                PromiseDecoder d = new PromiseDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Promise(d.epoch(), d.ballot(), d.granted() == 1, d.promised(), d.acceptedBallot(), d.lineage(),
+                        d.seq(), view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
+            }
+            case AcceptDecoder.TEMPLATE_ID: {
+                AcceptDecoder d = new AcceptDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Accept(d.epoch(), d.ballot(), view(d.viewLength(), d::getView));
+            }
+            case AcceptedDecoder.TEMPLATE_ID: {
+                AcceptedDecoder d = new AcceptedDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Accepted(d.epoch(), d.ballot(), d.granted() == 1, d.promised());
+            }
+            case DecidedDecoder.TEMPLATE_ID: {
+                DecidedDecoder d = new DecidedDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Decided(view(d.viewLength(), d::getView));
+            }
+            case InstallDecoder.TEMPLATE_ID: {
+                InstallDecoder d = new InstallDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Install(d.epoch(), d.seq(), raw(d.imageLength(), d::getImage));
+            }
+            case EntryDecoder.TEMPLATE_ID: {
+                EntryDecoder d = new EntryDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Entry(d.epoch(), d.seq(), raw(d.opLength(), d::getOp));
+            }
+            case SyncedDecoder.TEMPLATE_ID: {
+                SyncedDecoder d = new SyncedDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Synced(d.epoch(), d.seq());
+            }
+            case ConfirmDecoder.TEMPLATE_ID: {
+                ConfirmDecoder d = new ConfirmDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Confirm(d.epoch(), d.id());
+            }
+            case ConfirmedDecoder.TEMPLATE_ID: {
+                ConfirmedDecoder d = new ConfirmedDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Confirmed(d.epoch(), d.id(), d.ok() == 1);
+            }
+            case RelearnDecoder.TEMPLATE_ID:
+                return new Relearn(new RelearnDecoder().wrapAndApplyHeader(b, 0, h).id());
+            case RelearnedDecoder.TEMPLATE_ID: {
+                RelearnedDecoder d = new RelearnedDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Relearned(d.id(), d.promisedEpoch(), d.promised(), d.acceptedBallot(),
+                        view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
+            }
+            case CallDecoder.TEMPLATE_ID: {
+                CallDecoder d = new CallDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Call(d.id(), d.kind(), d.base(), text(d.argLength(), d::getArg),
+                        raw(d.bodyLength(), d::getBody));
+            }
+            case ReplyDecoder.TEMPLATE_ID: {
+                ReplyDecoder d = new ReplyDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Reply(d.id(), d.outcome(), raw(d.bodyLength(), d::getBody));
+            }
+            case NewsDecoder.TEMPLATE_ID: {
+                NewsDecoder d = new NewsDecoder().wrapAndApplyHeader(b, 0, h);
+                boolean full = d.full() == 1;
+                List<Item> items = new ArrayList<>();
+                for (NewsDecoder.ItemsDecoder g : d.items()) {
+                    int kind = g.kind();
+                    long life = g.life();
+                    long version = g.version();
+                    items.add(new Item(kind, text(g.keyLength(), g::getKey), life, version,
+                            raw(g.valueLength(), g::getValue)));
+                }
+                return new News(full, items);
+            }
+            case DigestDecoder.TEMPLATE_ID: {
+                DigestDecoder d = new DigestDecoder().wrapAndApplyHeader(b, 0, h);
+                DigestDecoder.RangesDecoder g = d.ranges();
+                long[] ranges = new long[g.count()];
+                for (int i = 0; i < ranges.length; i++) {
+                    ranges[i] = g.next().hash();
+                }
+                return new Digest(ranges);
+            }
+            case LicenceDecoder.TEMPLATE_ID: {
+                LicenceDecoder d = new LicenceDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Licence(d.epoch(), d.nodes(), d.ttlMs(), d.regionNodes());
+            }
+            case OpDecoder.TEMPLATE_ID: {
+                OpDecoder d = new OpDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Op(d.kind(), d.base(), d.revision(), d.digest(), text(d.argLength(), d::getArg),
+                        raw(d.bodyLength(), d::getBody));
+            }
+            case StateDecoder.TEMPLATE_ID: {
+                StateDecoder d = new StateDecoder().wrapAndApplyHeader(b, 0, h);
+                List<long[]> past = new ArrayList<>();
+                for (StateDecoder.PastDecoder g : d.past()) {
+                    past.add(new long[] {g.revision(), g.digest()});
+                }
+                List<Mark> marks = new ArrayList<>();
+                for (StateDecoder.MarksDecoder g : d.marks()) {
+                    int kind = g.kind();
+                    long version = g.version();
+                    marks.add(new Mark(kind, text(g.keyLength(), g::getKey), version, text(g.valueLength(), g::getValue)));
+                }
+                return new State(d.lineage(), d.seq(), d.revision(), past, marks, raw(d.configLength(), d::getConfig));
+            }
+            case VoteDecoder.TEMPLATE_ID: {
+                VoteDecoder d = new VoteDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Vote(d.promisedEpoch(), d.promised(), d.acceptedBallot(),
+                        view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
+            }
+            case EngineDecoder.TEMPLATE_ID: {
+                EngineDecoder d = new EngineDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Engine(d.capacity(), d.coldMs(), d.draining() == 1, d.remainingMs(), d.weights(),
+                        text(d.serviceLength(), d::getService), text(d.addressLength(), d::getAddress),
+                        text(d.zoneLength(), d::getZone), text(d.revisionLength(), d::getRevision));
+            }
+            default:
+                throw new IllegalArgumentException("unknown template " + h.templateId());
+        }
+    }
+
+    private interface Putter {
+        Object put(byte[] src, int offset, int length);
+    }
+
+    private interface Getter {
+        int get(byte[] dst, int offset, int length);
+    }
+
+    private static short bit(boolean v) {
+        return (short) (v ? 1 : 0);
+    }
+
+    private static void put(String s, Putter p) {
+        put(s.getBytes(UTF_8), p);
+    }
+
+    private static void put(byte[] v, Putter p) {
+        p.put(v, 0, v.length);
+    }
+
+    private static void put(View v, Putter p) {
+        put(v == null ? NONE : encode(v), p);
+    }
+
+    private static byte[] raw(int length, Getter g) {
+        byte[] out = length == 0 ? NONE : new byte[length];
+        g.get(out, 0, length);
+        return out;
+    }
+
+    private static String text(int length, Getter g) {
+        return new String(raw(length, g), UTF_8);
+    }
+
+    private static View view(int length, Getter g) {
+        byte[] v = raw(length, g);
+        return v.length == 0 ? null : (View) decode(v);
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/wire/JettyMesh.java
@@ -0,0 +1,240 @@
+package ringspindle.wire;
+
+import com.google.common.flogger.*;
+import java.net.*;
+import java.nio.*;
+import java.time.*;
+import java.util.*;
+import java.util.concurrent.*;
+import org.eclipse.jetty.io.*;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.server.*;
+import org.eclipse.jetty.util.*;
+import org.eclipse.jetty.util.thread.*;
+
+/** Frames (length, SBE) over Jetty's endpoints. */
+final class JettyMesh implements Mesh {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int FRAME_MAX = 48 << 20;
+    private static final int BACKLOG_MAX = 32 << 20;
+
+    private final Msg.Hello self;
+    private final Executor pool;
+    private final org.eclipse.jetty.util.thread.Scheduler beats;
+    private final Map<NodeId, FrameWire> wires = new ConcurrentHashMap<>();
+    private final Set<NodeId> dialling = ConcurrentHashMap.newKeySet();
+    private final ClientConnector dialer = new ClientConnector();
+    private Server server;
+    private volatile Ear ear;
+
+    JettyMesh(Msg.Hello self, Executor pool, org.eclipse.jetty.util.thread.Scheduler beats) {
+        this.self = self;
+        this.pool = pool;
+        this.beats = beats;
+    }
+
+    @Override
+    public void open(Ear ear) throws Exception {
+        this.ear = ear;
+        ByteBufferPool buffers = new ArrayByteBufferPool(0, 4096, 65536, 64, 1 << 20, 1 << 20);
+        dialer.setExecutor(pool);
+        dialer.setScheduler(beats);
+        dialer.setByteBufferPool(buffers);
+        dialer.setSelectors(1);
+        dialer.setConnectTimeout(Duration.ofMillis(800));
+        dialer.setIdleTimeout(Duration.ofSeconds(30));
+        dialer.start();
+        server = new Server((org.eclipse.jetty.util.thread.ThreadPool) pool, beats, buffers);
+        ServerConnector c = new ServerConnector(server, pool, beats, buffers, 0, 1, new Factory());
+        c.setHost(self.node().ip());
+        c.setPort(self.node().port());
+        c.setIdleTimeout(30000);
+        server.addConnector(c);
+        server.start();
+    }
+
+    @Override
+    public void dial(NodeId peer) {
+        if (wires.containsKey(peer) || !dialling.add(peer)) {
+            return;
+        }
+        Map<String, Object> context = new HashMap<>();
+        context.put(ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory) (ep, ctx) -> new FrameWire(ep, peer));
+        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, Promise.from(x -> { }, x -> dialling.remove(peer)));
+        dialer.connect(new InetSocketAddress(peer.ip(), peer.port()), context);
+    }
+
+    @Override
+    public void send(NodeId peer, Msg m) {
+        FrameWire w = wires.get(peer);
+        if (w != null) {
+            w.send(m);
+        }
+    }
+
+    @Override
+    public boolean up(NodeId peer) {
+        return wires.containsKey(peer);
+    }
+
+    @Override
+    public void drop(NodeId peer) {
+        FrameWire w = wires.get(peer);
+        if (w != null) {
+            w.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        LifeCycleQuietly.stop(dialer);
+        LifeCycleQuietly.stop(server);
+    }
+
+    private final class Factory extends AbstractConnectionFactory {
+        Factory() {
+            super("frames");
+        }
+
+        @Override
+        public Connection newConnection(Connector connector, EndPoint endPoint) {
+            return new FrameWire(endPoint, null);
+        }
+    }
+
+    /** One wire; reads frames, writes them in order. */
+    private final class FrameWire extends AbstractConnection {
+        private final NodeId dialled;
+        private volatile NodeId peer;
+        private ByteBuffer in = ByteBuffer.allocate(8192);
+        private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
+        private int backlog;
+        private boolean writing;
+
+        FrameWire(EndPoint ep, NodeId dialled) {
+            super(ep, pool);
+            this.dialled = dialled;
+        }
+
+        @Override
+        public void onOpen() {
+            super.onOpen();
+            fillInterested();
+            send(self);
+        }
+
+        void send(Msg m) {
+            byte[] body = Codec.encode(m);
+            ByteBuffer frame = ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).flip();
+            boolean start;
+            synchronized (out) {
+                backlog += frame.remaining();
+                if (backlog > BACKLOG_MAX) {
+                    start = false;
+                } else {
+                    out.add(frame);
+                    start = !writing;
+                    writing = true;
+                }
+            }
+            if (backlog > BACKLOG_MAX) {
+                close();
+            } else if (start) {
+                writeNext();
+            }
+        }
+
+        private void writeNext() {
+            ByteBuffer[] batch;
+            synchronized (out) {
+                if (out.isEmpty()) {
+                    writing = false;
+                    return;
+                }
+                batch = out.toArray(new ByteBuffer[0]);
+                out.clear();
+                backlog = 0;
+            }
+            getEndPoint().write(Callback.from(this::writeNext, x -> close()), batch);
+        }
+
+        @Override
+        public void onFillable() {
+            try {
+                while (true) {
+                    if (!in.hasRemaining()) {
+                        in = ByteBuffer.allocate(in.capacity() * 2).put(in.flip());
+                    }
+                    // fill() wants flush mode: position..limit is data
+                    ByteBuffer slice = in.slice().limit(0);
+                    int n = getEndPoint().fill(slice);
+                    if (n < 0) {
+                        close();
+                        return;
+                    }
+                    if (n == 0) {
+                        fillInterested();
+                        return;
+                    }
+                    in.position(in.position() + n);
+                    take();
+                }
+            } catch (Throwable x) {
+                LOG.atFine().withCause(x).log("wire to %s fails", peer);
+                close();
+            }
+        }
+
+        private void take() {
+            in.flip();
+            while (in.remaining() >= 4) {
+                int length = in.getInt(in.position());
+                if (length < 0 || length > FRAME_MAX) {
+                    throw new IllegalArgumentException("frame of " + length);
+                }
+                if (in.remaining() < 4 + length) {
+                    if (in.capacity() < 4 + length) {
+                        in = ByteBuffer.allocate(4 + length + 4096).put(in);
+                        return;
+                    }
+                    break;
+                }
+                in.getInt();
+                byte[] body = new byte[length];
+                in.get(body);
+                heard(Codec.decode(body));
+            }
+            in.compact();
+        }
+
+        private void heard(Msg m) {
+            if (peer == null) {
+                if (!(m instanceof Msg.Hello h)) {
+                    throw new IllegalArgumentException("no hello");
+                }
+                peer = h.node();
+                FrameWire old = wires.put(peer, this);
+                if (dialled != null) {
+                    dialling.remove(dialled);
+                }
+                if (old != null && old != this) {
+                    old.close();
+                }
+                ear.opened(h);
+            } else {
+                ear.heard(peer, m);
+            }
+        }
+
+        @Override
+        public void onClose(Throwable cause) {
+            super.onClose(cause);
+            if (dialled != null) {
+                dialling.remove(dialled);
+            }
+            if (peer != null && wires.remove(peer, this)) {
+                ear.closed(peer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -0,0 +1,114 @@
+package ringspindle.wire;
+
+import java.util.*;
+
+/** What nodes say to each other; the layout is in {@code wire.xml}. */
+public sealed interface Msg {
+    /** First on every wire. kind 0 is a control node, 1 a data node. */
+    record Hello(NodeId node, long life, int kind, long front, String name, String zone, String region) implements Msg {
+    }
+
+    /** Beat between two nodes; echo is the last n heard from the other side. */
+    record Pulse(long n, long echo, int flags, long epoch, long seq, long digest, List<NodeId> heard) implements Msg {
+        /** The node takes requests. */
+        public static final int READY = 1;
+        /** The node is leaving. */
+        public static final int LEAVING = 2;
+        /** A control node that is in touch with more than half of the voters. */
+        public static final int QUORATE = 4;
+    }
+
+    /** A view: its epoch, who votes on the next one, and the chain from head to tail. */
+    record View(long epoch, List<NodeId> voters, List<NodeId> chain) implements Msg {
+        /** {@code new View(1, abc, abc).majority()} is 2 for three voters. */
+        public int majority() {
+            return voters.size() / 2 + 1;
+        }
+
+        /** First of the chain. */
+        public NodeId head() {
+            return chain.get(0);
+        }
+
+        /** Last of the chain. */
+        public NodeId tail() {
+            return chain.get(chain.size() - 1);
+        }
+    }
+
+    record Prepare(long epoch, long ballot, View view) implements Msg {
+    }
+
+    record Promise(long epoch, long ballot, boolean granted, long promised, long acceptedBallot, long lineage, long seq,
+            View accepted, View view) implements Msg {
+    }
+
+    record Accept(long epoch, long ballot, View view) implements Msg {
+    }
+
+    record Accepted(long epoch, long ballot, boolean granted, long promised) implements Msg {
+    }
+
+    record Decided(View view) implements Msg {
+    }
+
+    record Install(long epoch, long seq, byte[] image) implements Msg {
+    }
+
+    record Entry(long epoch, long seq, byte[] op) implements Msg {
+    }
+
+    record Synced(long epoch, long seq) implements Msg {
+    }
+
+    record Confirm(long epoch, long id) implements Msg {
+    }
+
+    record Confirmed(long epoch, long id, boolean ok) implements Msg {
+    }
+
+    record Relearn(long id) implements Msg {
+    }
+
+    record Relearned(long id, long promisedEpoch, long promised, long acceptedBallot, View accepted, View view)
+            implements Msg {
+    }
+
+    record Call(long id, int kind, long base, String arg, byte[] body) implements Msg {
+    }
+
+    record Reply(long id, int outcome, byte[] body) implements Msg {
+    }
+
+    /** One fact of the book; the newer (life, version) wins. */
+    record Item(int kind, String key, long life, long version, byte[] value) {
+    }
+
+    record News(boolean full, List<Item> items) implements Msg {
+    }
+
+    record Digest(long[] ranges) implements Msg {
+    }
+
+    record Licence(long epoch, int nodes, int ttlMs, int regionNodes) implements Msg {
+    }
+
+    record Op(int kind, long base, long revision, long digest, String arg, byte[] body) implements Msg {
+    }
+
+    /** A mark of the control state: an evacuated zone, an engine that leaves, a roll-out. */
+    record Mark(int kind, String key, long version, String value) {
+    }
+
+    record State(long lineage, long seq, long revision, List<long[]> past, List<Mark> marks, byte[] config)
+            implements Msg {
+    }
+
+    record Vote(long promisedEpoch, long promised, long acceptedBallot, View accepted, View view) implements Msg {
+    }
+
+    /** What an engine last said of itself. weights is the revision of its model, -1 unknown. */
+    record Engine(int capacity, int coldMs, boolean draining, int remainingMs, long weights, String service,
+            String address, String zone, String revision) implements Msg {
+    }
+}
