--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -45,7 +45,7 @@
         long sinceMs;
         boolean accepting;
         View value;
-        final Map<NodeId, Promise> promises = new TreeMap<>();
+        final Map<NodeId, Pledge> promises = new TreeMap<>();
         final Set<NodeId> accepts = new TreeSet<>();
     }
 
@@ -244,8 +244,8 @@
     private void take(NodeId from, Msg m) {
         if (m instanceof Prepare x) {
             onPrepare(from, x);
-        } else if (m instanceof Promise x) {
-            onPromise(from, x);
+        } else if (m instanceof Pledge x) {
+            onPledge(from, x);
         } else if (m instanceof Accept x) {
             onAccept(from, x);
         } else if (m instanceof Accepted x) {
@@ -335,7 +335,7 @@
             return;
         }
         if (promisedEpoch > p.epoch() || promisedEpoch == p.epoch() && p.ballot() <= promised) {
-            send(from, new Promise(p.epoch(), p.ballot(), false, promised, 0, 0, 0, null, view));
+            send(from, new Pledge(p.epoch(), p.ballot(), false, promised, 0, 0, 0, null, view));
             return;
         }
         if (promisedEpoch < p.epoch()) {
@@ -345,12 +345,12 @@
         }
         promisedEpoch = p.epoch();
         promised = p.ballot();
-        Promise reply = new Promise(p.epoch(), p.ballot(), true, promised, acceptedBallot, last.lineage(), last.seq(),
+        Pledge reply = new Pledge(p.epoch(), p.ballot(), true, promised, acceptedBallot, last.lineage(), last.seq(),
                 accepted, view);
         store(List.of(vote()), false, () -> send(from, reply));
     }
 
-    private void onPromise(NodeId from, Promise p) {
+    private void onPledge(NodeId from, Pledge p) {
         learn(p.view());
         if (proposal == null || proposal.accepting || proposal.epoch != p.epoch() || proposal.ballot != p.ballot()) {
             return;
@@ -384,7 +384,7 @@
         }
         View value = null;
         long best = 0;
-        for (Promise x : p.promises.values()) {
+        for (Pledge x : p.promises.values()) {
             if (x.accepted() != null && x.acceptedBallot() > best) {
                 best = x.acceptedBallot();
                 value = x.accepted();
@@ -406,7 +406,7 @@
 
     private View compose(Proposal p) {
         NodeId head = null;
-        Promise newest = null;
+        Pledge newest = null;
         for (NodeId v : view.chain()) {
             newest = newer(newest, p.promises.get(v));
         }
@@ -450,7 +450,7 @@
         return path.size() < need ? null : new View(p.epoch, List.copyOf(voters), List.copyOf(path));
     }
 
-    private static Promise newer(Promise a, Promise b) {
+    private static Pledge newer(Pledge a, Pledge b) {
         if (a == null || b == null) {
             return a == null ? b : a;
         }
--- a/src/main/java/ringspindle/cp/Gate.java
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -117,7 +117,7 @@
             end(response, callback, Outcome.TOO_LARGE, NONE);
             return;
         }
-        Content.Source.asByteBuffer(request, new Promise.Invocable.NonBlocking<>() {
+        Content.Source.asByteBuffer(request, new org.eclipse.jetty.util.Promise.Invocable.NonBlocking<>() {
             @Override
             public void succeeded(ByteBuffer b) {
                 if (b.remaining() > most) {
--- /dev/null
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -0,0 +1,247 @@
+package ringspindle.dp;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import com.google.common.flogger.*;
+import java.util.*;
+import java.util.concurrent.*;
+import org.eclipse.jetty.util.thread.*;
+import ringspindle.conf.*;
+import ringspindle.edge.*;
+import ringspindle.know.*;
+import ringspindle.meet.*;
+import ringspindle.pick.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** Owner of what a data node knows: sessions with control nodes, gossip with a few other data nodes. */
+final class Data implements Mesh.Ear {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int BEAT_MS = 100;
+    private static final int SILENT_MS = 900;
+    private static final int CONTROLS = 2;
+
+    private final NodeConfig config;
+    private final NodeId me;
+    private final Steady clock;
+    private final Mesh mesh;
+    private final Front front;
+    private final Picker picker;
+    private final Executor pool;
+    private final org.eclipse.jetty.util.thread.Scheduler beats;
+
+    private final Object lock = new Object();
+    private final Book book = Book.create();
+    private final Meet meet;
+    private final Set<NodeId> controls = new TreeSet<>();
+    private final Map<NodeId, Long> dialledMs = new HashMap<>();
+    private final Set<NodeId> confirmedBy = new TreeSet<>();
+    private long ticks;
+    private volatile boolean leaving;
+
+    Data(NodeConfig config, Front front, Picker picker, QueuedThreadPool pool,
+            org.eclipse.jetty.util.thread.Scheduler beats, Steady clock) {
+        this.config = config;
+        this.front = front;
+        this.picker = picker;
+        this.pool = pool;
+        this.beats = beats;
+        this.clock = clock;
+        // a data node talks at the second inner port, so that both programs fit on one machine
+        me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
+        Hello hello = new Hello(me, System.currentTimeMillis(), 1, config.frontend().orElseThrow().bits(), config.name(),
+                config.zone(), config.region());
+        mesh = Mesh.create(hello, pool, beats);
+        meet = Meet.create(me, SILENT_MS);
+        config.seeds().forEach(s -> controls.add(s.at(config.innerPort())));
+    }
+
+    void start() throws Exception {
+        mesh.open(this);
+        beat();
+    }
+
+    void leave() {
+        leaving = true;
+        tick();
+    }
+
+    @Override
+    public void opened(Hello peer) {
+        synchronized (lock) {
+            meet.opened(peer, clock.nowMs());
+            book.reset(peer.node());
+            if (peer.kind() == 0) {
+                controls.add(peer.node());
+            }
+            pulse(peer.node());
+        }
+    }
+
+    @Override
+    public void heard(NodeId from, Msg m) {
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            if (m instanceof Pulse p) {
+                meet.heard(from, p, nowMs);
+                controls.addAll(p.heard());
+                if (p.digest() != book.digest() && p.n() % 24 == 0) {
+                    mesh.send(from, new Digest(book.ranges()));
+                }
+            } else if (m instanceof News n) {
+                List<Item> fresh = book.merge(n.items());
+                book.told(from, n.items());
+                apply(fresh, nowMs);
+                if (n.full()) {
+                    confirmedBy.add(from);
+                    if (book.get(Book.CONFIG, "") != null) {
+                        front.confirm();
+                    }
+                } else if (!confirmedBy.isEmpty() && book.get(Book.CONFIG, "") != null) {
+                    front.confirm();
+                }
+            } else if (m instanceof Digest d) {
+                List<Item> items = book.differing(d.ranges());
+                if (!items.isEmpty()) {
+                    mesh.send(from, new News(false, items));
+                }
+            }
+        }
+    }
+
+    @Override
+    public void closed(NodeId peer) {
+        synchronized (lock) {
+            meet.closed(peer);
+            book.drop(peer);
+        }
+    }
+
+    private void apply(List<Item> fresh, long nowMs) {
+        // what forbids comes before what allows
+        for (Item i : fresh) {
+            if (i.kind() == Book.LEAVING) {
+                picker.leaving(i.key(), new String(i.value(), UTF_8).equals("gone"), nowMs);
+            } else if (i.kind() == Book.EVACUATED) {
+                picker.evacuated(i.key(), new String(i.value(), UTF_8).equals("on"), nowMs);
+            } else if (i.kind() == Book.LICENCE) {
+                picker.licence((Licence) Codec.decode(i.value()), nowMs);
+            }
+        }
+        for (Item i : fresh) {
+            if (i.kind() == Book.CONFIG) {
+                Checked<FleetConfig> c = FleetConfig.read(FleetConfig.unpack(i.value()));
+                if (c instanceof Checked.Good<FleetConfig> good) {
+                    picker.config(good.value());
+                    front.config(good.value());
+                    LOG.atInfo().log("configuration %s in force", good.value().revision());
+                } else {
+                    LOG.atSevere().log("configuration %s cannot be read here", i.version());
+                }
+            } else if (i.kind() == Book.ENGINE) {
+                picker.engine(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
+            }
+        }
+    }
+
+    private void beat() {
+        try {
+            tick();
+        } catch (RuntimeException x) {
+            LOG.atSevere().withCause(x).log("beat fails");
+        }
+        beats.schedule(this::beat, BEAT_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            ticks++;
+            for (NodeId n : meet.beat(nowMs)) {
+                pool.execute(() -> mesh.drop(n));
+            }
+            if (ticks % 2 == 0) {
+                dial(nowMs);
+            }
+            for (Meet.Peer p : meet.peers()) {
+                if (ticks % 3 == 0 || leaving) {
+                    pulse(p.hello().node());
+                }
+                if (p.hello().kind() == 1) {
+                    List<Item> items = book.pending(p.hello().node(), 256);
+                    if (!items.isEmpty()) {
+                        mesh.send(p.hello().node(), new News(false, items));
+                    }
+                }
+            }
+        }
+        front.probe();
+        if (ticks % 5 == 0) {
+            front.tidy();
+        }
+        if (ticks % 100 == 0) {
+            LOG.atInfo().log("actions %s", front.ends());
+        }
+    }
+
+    /** Keeps sessions with two control nodes that hear all news, and gossip with two other data nodes. */
+    private void dial(long nowMs) {
+        int good = 0;
+        for (Meet.Peer p : meet.peers()) {
+            if (p.hello().kind() == 0) {
+                boolean well = p.linked() && (p.pulse().flags() & Pulse.QUORATE) != 0
+                        && (p.pulse().flags() & Pulse.LEAVING) == 0;
+                good += well ? 1 : 0;
+            }
+        }
+        if (good < CONTROLS) {
+            // at most one new one a time, the nearest first: same machine order for all of a zone, by chance else
+            NodeId best = null;
+            long bestKey = Long.MAX_VALUE;
+            for (NodeId n : controls) {
+                Long lastMs = dialledMs.get(n);
+                if (mesh.up(n) || lastMs != null && nowMs - lastMs < 600) {
+                    continue;
+                }
+                long key = Math.abs((n.bits() >>> 16) - (me.bits() >>> 16));
+                key = lastMs == null ? key : key + lastMs * 1_000_000L;
+                if (key < bestKey) {
+                    bestKey = key;
+                    best = n;
+                }
+            }
+            if (best != null) {
+                dialledMs.put(best, nowMs);
+                mesh.dial(best);
+            }
+        }
+        // the next data node on the ring; the one before dials here
+        NodeId next = null;
+        NodeId first = null;
+        for (Item i : book.all(Book.NODE)) {
+            if ((i.value()[0] & Pulse.READY) == 0) {
+                continue;
+            }
+            NodeId n = NodeId.of(i.key());
+            if (n.equals(me)) {
+                continue;
+            }
+            if (first == null || n.compareTo(first) < 0) {
+                first = n;
+            }
+            if (n.compareTo(me) > 0 && (next == null || n.compareTo(next) < 0)) {
+                next = n;
+            }
+        }
+        next = next == null ? first : next;
+        if (next != null && !mesh.up(next) && nowMs - dialledMs.getOrDefault(next, 0L) > 1000) {
+            dialledMs.put(next, nowMs);
+            mesh.dial(next);
+        }
+    }
+
+    private void pulse(NodeId to) {
+        int flags = (front.ready() ? Pulse.READY : 0) | (leaving ? Pulse.LEAVING : 0);
+        mesh.send(to, meet.pulse(to, flags, 0, 0, book.digest()));
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -0,0 +1,754 @@
+package ringspindle.edge;
+
+import com.google.common.flogger.*;
+import java.io.*;
+import java.net.*;
+import java.nio.*;
+import java.util.*;
+import java.util.concurrent.*;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.http.*;
+import org.eclipse.jetty.io.*;
+import org.eclipse.jetty.server.*;
+import org.eclipse.jetty.util.*;
+import ringspindle.act.*;
+import ringspindle.api.*;
+import ringspindle.conf.*;
+import ringspindle.pick.*;
+
+/** One request from its head to its last byte: the owner of an action. Events come in, one at a time. */
+final class Flow {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int WHOLE_MAX = 1 << 20;
+    /** Ours: what the way back takes, kept from the consumer's deadline. */
+    private static final int BACK_MS = 15;
+    private static final byte[] NONE = {};
+
+    /** One attempt's things. */
+    private final class Try implements org.eclipse.jetty.client.Response.Listener, Runnable {
+        final Attempt attempt;
+        final Picker.Ask ask;
+        final Picker.Chosen chosen;
+        final boolean resume;
+        Wires.Wire wire;
+        org.eclipse.jetty.client.Request request;
+        org.eclipse.jetty.client.Response head;
+        Action.End headEnd;
+        boolean over;
+        boolean good;
+        long sentMs = -1;
+        long firstMs = -1;
+        long heardMs;
+        final Events events = new Events();
+        ByteArrayOutputStream whole;
+        Content.Source content;
+        boolean writing;
+        Result deferred;
+
+        Try(Attempt attempt, Picker.Ask ask, Picker.Chosen chosen, boolean resume) {
+            this.attempt = attempt;
+            this.ask = ask;
+            this.chosen = chosen;
+            this.resume = resume;
+        }
+
+        @Override
+        public void onHeaders(org.eclipse.jetty.client.Response r) {
+            Flow.this.onHead(this, r);
+        }
+
+        @Override
+        public void onContentSource(org.eclipse.jetty.client.Response r, Content.Source source) {
+            content = source;
+            run();
+        }
+
+        /** Reads what is there; goes on after each write, so that a slow consumer holds the engine back. */
+        @Override
+        public void run() {
+            while (true) {
+                Content.Chunk chunk = content.read();
+                if (chunk == null) {
+                    content.demand(this);
+                    return;
+                }
+                if (Content.Chunk.isFailure(chunk)) {
+                    return;
+                }
+                boolean last = chunk.isLast();
+                boolean more = true;
+                if (chunk.hasRemaining()) {
+                    more = Flow.this.onContent(this, chunk.getByteBuffer(), last);
+                }
+                chunk.release();
+                if (last || !more) {
+                    return;
+                }
+            }
+        }
+
+        @Override
+        public void onComplete(Result result) {
+            Flow.this.onComplete(this, result);
+        }
+    }
+
+    private final Front front;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final FleetConfig.Mapping mapping;
+    private final String service;
+    private final String attemptId;
+    private final byte[] body;
+    private final Action action;
+    private final Action.Policy policy;
+    private final long sinceMs;
+    private final int promptTokens;
+    private final int outTokens;
+    private final long affinity;
+    private final int sharedTokens;
+    private final Set<String> tried = new HashSet<>(4);
+    private Try now;
+    private boolean answered;
+    private boolean resuming;
+    private long lastId;
+    private long weights = -1;
+    private long waitUntilMs = -1;
+    private long comeBackMs = 300;
+    private org.eclipse.jetty.util.thread.Scheduler.Task beat;
+    private WatchedEndPoint watched;
+
+    Flow(Front front, Request request, Response response, Callback callback, FleetConfig.Mapping mapping, String service,
+            String attemptId, byte[] body, long sinceMs, long deadlineMs) {
+        this.front = front;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.mapping = mapping;
+        this.service = service;
+        this.attemptId = attemptId;
+        this.body = body;
+        this.sinceMs = sinceMs;
+        long nowMs = front.nowMs();
+        action = Action.open(front.nextId(), nowMs, Math.max(0, sinceMs + deadlineMs - BACK_MS - nowMs), front);
+        policy = new Action.Policy(mapping.repeatable(), mapping.resumable(), mapping.maxAttempts());
+        String[] tokens = header("Token-Count", "0,0").split(",");
+        promptTokens = number(tokens[0]);
+        outTokens = tokens.length > 1 ? number(tokens[1]) : 0;
+        String[] parts = header("Prompt-Prefix", "").split(",");
+        long hash = 0;
+        int shared = 0;
+        for (int i = 0; i < parts.length - 1; i++) {
+            int colon = parts[i].indexOf(':');
+            if (colon > 0) {
+                shared += number(parts[i].substring(colon + 1));
+                hash = hash * 31 + parts[i].substring(0, colon).hashCode();
+            }
+        }
+        // a short head is read again sooner than a request crosses to where it is kept
+        affinity = shared >= 1000 ? (hash == 0 ? 1 : hash) * 0x9E3779B97F4A7C15L : 0;
+        sharedTokens = shared;
+        String last = request.getHeaders().get("Last-Event-Id");
+        lastId = last == null ? -1 : number(last);
+    }
+
+    private String header(String name, String otherwise) {
+        String v = request.getHeaders().get(name);
+        return v == null ? otherwise : v;
+    }
+
+    private static int number(String s) {
+        try {
+            return Integer.parseInt(s.trim());
+        } catch (NumberFormatException x) {
+            return 0;
+        }
+    }
+
+    int rank() {
+        return mapping.priority();
+    }
+
+    long sinceMs() {
+        return sinceMs;
+    }
+
+    /** Starts: watches the consumer and places the first attempt. */
+    void begin() {
+        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof WatchedEndPoint w) {
+            watched = w;
+            action.onEnd(w::unwatch);
+            w.watch(this::consumerGone);
+        }
+        synchronized (this) {
+            place();
+        }
+    }
+
+    // ---- placing
+
+    /** Looks for an engine; the parent is asked anew, as time went by. */
+    private void place() {
+        long nowMs = front.nowMs();
+        if (!action.live(nowMs)) {
+            if (action.state() == Action.State.ACTIVE) {
+                overdue(nowMs);
+            }
+            return;
+        }
+        Picker.Ask ask = new Picker.Ask(service, mapping.homes(), affinity, sharedTokens, Math.max(0, promptTokens - sharedTokens),
+                outTokens, tried, resuming ? weights : -1, front.luck());
+        Picker.Choice c = front.picker().choose(ask, nowMs);
+        if (c instanceof Picker.NoneNow none) {
+            comeBackMs = none.comeBackMs();
+            await(nowMs);
+            return;
+        }
+        waitUntilMs = -1;
+        Picker.Chosen chosen = (Picker.Chosen) c;
+        Attempt a = action.attempt(nowMs, timeoutMs(ask));
+        if (a == null) {
+            front.picker().ended(chosen.id(), ask, Action.End.PARENT_ENDED, -1, nowMs);
+            return;
+        }
+        Try t = new Try(a, ask, chosen, resuming);
+        now = t;
+        t.heardMs = nowMs;
+        arm();
+        front.wires().take(chosen.id(), chosen.address(), chosen.maxWires(), new Wires.Ready() {
+            @Override
+            public void up(Wires.Wire w) {
+                wireUp(t, w);
+            }
+
+            @Override
+            public void failed(boolean full) {
+                wireFailed(t, full);
+            }
+        });
+    }
+
+    /** Waits for room, but not longer than helps. */
+    private void await(long nowMs) {
+        if (waitUntilMs < 0) {
+            long patienceMs = action.mayHaveRun() || action.responseCommitted() ? 1500
+                    : Math.max(40, mapping.aimMs() / 5 - (nowMs - sinceMs));
+            waitUntilMs = Math.min(nowMs + patienceMs, action.deadlineMs() - 50);
+        }
+        if (nowMs >= waitUntilMs) {
+            giveUp(nowMs, Outcome.NO_ROOM);
+            return;
+        }
+        front.inbox().add(this, nowMs);
+    }
+
+    /** From the inbox: try again, or give up. */
+    synchronized void again() {
+        if (now == null && !answered) {
+            place();
+        }
+    }
+
+    private long timeoutMs(Picker.Ask ask) {
+        if (!mapping.repeatable() || action.attempts() + 1 >= policy.maxAttempts()) {
+            return 0;
+        }
+        if (mapping.kind() == FleetConfig.Kind.STREAMING) {
+            return Math.max(1500, 2L * mapping.aimMs()) + (long) (ask.tokens() + ask.sharedTokens()) / 15;
+        }
+        return Math.max(250, mapping.aimMs() * 3L / 2);
+    }
+
+    // ---- events of wires
+
+    private synchronized void wireFailed(Try t, boolean full) {
+        if (t.over) {
+            return;
+        }
+        end(t, full ? Action.End.NOT_RUN : Action.End.NOT_SENT);
+    }
+
+    private void wireUp(Try t, Wires.Wire w) {
+        org.eclipse.jetty.client.Request r;
+        synchronized (this) {
+            t.wire = w;
+            long nowMs = front.nowMs();
+            // the last look before anything goes out
+            if (t.over || !action.live(nowMs)) {
+                front.wires().give(w, -1);
+                if (!t.over) {
+                    end(t, Action.End.NOT_SENT);
+                }
+                return;
+            }
+            r = compose(t, nowMs);
+            t.request = r;
+            t.attempt.sent();
+            sends++;
+            t.sentMs = nowMs;
+            t.heardMs = nowMs;
+            front.picker().sent(t.chosen.id(), nowMs);
+        }
+        w.connection.send(r, t);
+    }
+
+    private org.eclipse.jetty.client.Request compose(Try t, long nowMs) {
+        HttpURI uri = request.getHttpURI();
+        String raw = uri.getPathQuery();
+        String base = "http://" + t.chosen.address();
+        org.eclipse.jetty.client.Request r;
+        try {
+            r = front.wires().client().newRequest(URI.create(base + raw));
+        } catch (IllegalArgumentException x) {
+            r = front.wires().client().newRequest(t.chosen.address().ip(), t.chosen.address().port()).path(raw);
+        }
+        Set<String> perWire = perWire(request.getHeaders());
+        r.method(request.getMethod()).headers(h -> {
+            for (HttpField f : request.getHeaders()) {
+                String name = f.getLowerCaseName();
+                if (!perWire.contains(name) && !name.equals("content-length") && !name.equals("deadline-ms")
+                        && !name.equals("target-instance") && !name.equals("request-urgency") && !name.equals("expect")
+                        && !(t.resume && (name.equals("last-event-id") || name.equals("expected-revision")))) {
+                    h.add(f);
+                }
+            }
+            h.put("Deadline-Ms", Long.toString(Math.max(1, t.attempt.timesOutAlone() ? action.deadlineMs() - nowMs
+                    : t.attempt.deadlineMs() - nowMs)));
+            h.put("Target-Instance", t.chosen.id());
+            if (mapping.kind() == FleetConfig.Kind.STREAMING) {
+                h.put("Request-Urgency", Integer.toString(Math.max(0, Math.min(9, mapping.priority()))));
+            }
+            if (t.resume) {
+                h.put("Last-Event-Id", Long.toString(lastId));
+                if (weights >= 0) {
+                    h.put("Expected-Revision", Long.toString(weights));
+                }
+            }
+        });
+        if (body.length > 0) {
+            r.body(new BytesRequestContent((String) null, body));
+        }
+        return r;
+    }
+
+    private static Set<String> perWire(HttpFields fields) {
+        Set<String> out = new HashSet<>(List.of("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade",
+                "proxy-connection", "proxy-authenticate", "proxy-authorization"));
+        for (String v : fields.getCSV(HttpHeader.CONNECTION, false)) {
+            out.add(v.toLowerCase(Locale.ROOT));
+        }
+        return out;
+    }
+
+    private synchronized void onHead(Try t, org.eclipse.jetty.client.Response r) {
+        if (t.over) {
+            return;
+        }
+        long nowMs = front.nowMs();
+        t.head = r;
+        t.heardMs = nowMs;
+        HttpFields h = r.getHeaders();
+        String id = h.get("Attempt-Id");
+        int status = r.getStatus();
+        boolean success = status / 100 == 2;
+        boolean foreign = id == null ? success : !id.equals(attemptId);
+        if (foreign) {
+            t.headEnd = Action.End.BROKEN;
+            end(t, Action.End.BROKEN);
+            return;
+        }
+        front.picker().heard(t.chosen.id(), nowMs);
+        if (status == 421) {
+            String who = h.get("Instance-Id");
+            t.headEnd = who != null && !who.equals(t.chosen.id()) ? Action.End.MISDIRECTED : Action.End.NOT_RUN;
+        } else if (h.contains("Not-Executed")) {
+            t.headEnd = Action.End.NOT_RUN;
+        } else if (success && h.contains("Server-Seal") && !h.contains(HttpHeader.CONTENT_ENCODING)) {
+            t.good = true;
+            if (h.get("Weight-Versions") != null && !t.resume) {
+                weights = number(h.get("Weight-Versions"));
+            }
+        } else if (success || status == 429 || status == 503 || status == 408) {
+            // without the seal, or a promise that the engine did not give
+            t.headEnd = Action.End.BROKEN;
+        } else {
+            t.headEnd = Action.End.FAILED;
+        }
+        if (!streams(t)) {
+            t.whole = new ByteArrayOutputStream(1024);
+        }
+    }
+
+    private boolean streams(Try t) {
+        return t.good && mapping.kind() == FleetConfig.Kind.STREAMING;
+    }
+
+    /** True if the next piece may be read at once; else it is read after the write. */
+    private boolean onContent(Try t, ByteBuffer b, boolean last) {
+        byte[] out = null;
+        synchronized (this) {
+            if (t.over) {
+                return false;
+            }
+            long nowMs = front.nowMs();
+            t.heardMs = nowMs;
+            front.picker().heard(t.chosen.id(), nowMs);
+            if (t.firstMs < 0 && b.hasRemaining()) {
+                t.firstMs = nowMs - t.sentMs;
+            }
+            if (t.whole != null) {
+                byte[] bytes = new byte[b.remaining()];
+                b.get(bytes);
+                t.whole.writeBytes(bytes);
+                if (t.whole.size() > 16 * WHOLE_MAX) {
+                    end(t, Action.End.BROKEN);
+                    return false;
+                }
+            } else {
+                out = pass(t, b);
+                if (t.over) {
+                    return false;
+                }
+                if (out != null && !action.responseCommitted()) {
+                    if (!action.live(nowMs)) {
+                        return false;
+                    }
+                    headOut(t.head, -1);
+                    action.commitResponse();
+                }
+            }
+            t.writing = out != null;
+        }
+        if (out == null) {
+            return true;
+        }
+        response.write(false, ByteBuffer.wrap(out), Callback.from(() -> written(t, last), x -> consumerGone()));
+        return false;
+    }
+
+    private void written(Try t, boolean last) {
+        Result done;
+        synchronized (this) {
+            t.writing = false;
+            done = t.deferred;
+            t.deferred = null;
+        }
+        if (done != null) {
+            onComplete(t, done);
+        } else if (!last) {
+            t.run();
+        }
+    }
+
+    /** Whole events whose ids follow each other; null if none is whole yet. */
+    private byte[] pass(Try t, ByteBuffer b) {
+        List<Events.Event> events;
+        try {
+            events = t.events.feed(b);
+        } catch (IllegalStateException x) {
+            end(t, Action.End.BROKEN);
+            return null;
+        }
+        if (events.isEmpty()) {
+            return null;
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        for (Events.Event e : events) {
+            if (e.id() >= 0) {
+                if (lastId >= 0 && e.id() != lastId + 1) {
+                    LOG.atWarning().log("event %s after %s from %s", e.id(), lastId, t.chosen.id());
+                    break;
+                }
+                lastId = e.id();
+            }
+            if (e.weights() >= 0) {
+                weights = e.weights();
+            }
+            out.writeBytes(e.bytes());
+        }
+        if (out.size() == 0) {
+            end(t, Action.End.BROKEN);
+            return null;
+        }
+        return out.toByteArray();
+    }
+
+    private void headOut(org.eclipse.jetty.client.Response r, long length) {
+        response.setStatus(r.getStatus());
+        HttpFields.Mutable to = response.getHeaders();
+        Set<String> perWire = perWire(r.getHeaders());
+        for (HttpField f : r.getHeaders()) {
+            String name = f.getLowerCaseName();
+            if (!perWire.contains(name) && !name.equals("content-length")) {
+                to.add(f);
+            }
+        }
+        if (length >= 0) {
+            to.put(HttpHeader.CONTENT_LENGTH, length);
+        }
+        if (front.leaving()) {
+            to.put(HttpHeader.CONNECTION, "close");
+        }
+    }
+
+    private void onComplete(Try t, Result result) {
+        boolean last = false;
+        byte[] whole = null;
+        synchronized (this) {
+            if (t.over) {
+                return;
+            }
+            if (t.writing) {
+                t.deferred = result;
+                return;
+            }
+            long nowMs = front.nowMs();
+            if (result.isFailed()) {
+                end(t, Action.End.BROKEN);
+                return;
+            }
+            if (t.headEnd == Action.End.FAILED) {
+                giveBack(t);
+                Action.Verdict v = finish(t, Action.End.FAILED, nowMs);
+                if (v == Action.Verdict.FAIL && action.complete(nowMs)) {
+                    // the engine's own failure is its answer
+                    answered = true;
+                    headOut(t.head, t.whole.size());
+                    whole = t.whole.toByteArray();
+                } else {
+                    follow(v, nowMs);
+                    return;
+                }
+            } else if (t.headEnd != null) {
+                if (t.headEnd != Action.End.BROKEN) {
+                    giveBack(t);
+                }
+                end(t, t.headEnd);
+                return;
+            } else if (t.whole != null) {
+                giveBack(t);
+                finish(t, Action.End.ANSWERED, nowMs);
+                if (!action.complete(nowMs)) {
+                    return;
+                }
+                answered = true;
+                headOut(t.head, t.whole.size());
+                whole = t.whole.toByteArray();
+            } else {
+                if (t.events.partial() || !action.responseCommitted()) {
+                    end(t, Action.End.BROKEN);
+                    return;
+                }
+                giveBack(t);
+                finish(t, Action.End.ANSWERED, nowMs);
+                if (!action.complete(nowMs)) {
+                    return;
+                }
+                answered = true;
+                last = true;
+            }
+            disarm();
+        }
+        if (last || whole != null) {
+            response.write(true, ByteBuffer.wrap(whole == null ? NONE : whole), callback);
+        }
+    }
+
+    private void giveBack(Try t) {
+        Wires.Wire w = t.wire;
+        t.wire = null;
+        HttpFields h = t.head.getHeaders();
+        if (h.contains(HttpHeader.CONNECTION, "close")) {
+            front.wires().drop(w);
+            return;
+        }
+        long keepS = -1;
+        String keep = h.get("Keep-Alive");
+        if (keep != null) {
+            int at = keep.indexOf("timeout=");
+            if (at >= 0) {
+                String n = keep.substring(at + 8).split("[,; ]")[0];
+                keepS = number(n);
+            }
+        }
+        front.wires().give(w, keepS);
+    }
+
+    // ---- ends
+
+    /** Notes the end of an attempt, frees what it held, and returns what follows. */
+    private Action.Verdict finish(Try t, Action.End end, long nowMs) {
+        t.over = true;
+        if (now == t) {
+            now = null;
+        }
+        Action.Verdict v = action.ended(t.attempt, end, policy, nowMs);
+        Action.End real = t.attempt.end();
+        front.picker().ended(t.chosen.id(), t.ask, real == null ? end : real, t.firstMs, nowMs);
+        if (t.wire != null) {
+            Wires.Wire w = t.wire;
+            t.wire = null;
+            front.wires().drop(w);
+        }
+        if (t.request != null && real != Action.End.ANSWERED) {
+            t.request.abort(new IOException("attempt over: " + real));
+        }
+        return v;
+    }
+
+    private void end(Try t, Action.End end) {
+        long nowMs = front.nowMs();
+        tried.add(t.chosen.id());
+        Action.Verdict v = finish(t, end, nowMs);
+        if (v == Action.Verdict.FALLBACK && end == Action.End.NOT_RUN && t.sentMs < 0) {
+            // no wire was free: nothing reached the engine, which may be asked again
+            tried.remove(t.chosen.id());
+            await(nowMs);
+            return;
+        }
+        follow(v, nowMs);
+    }
+
+    private void follow(Action.Verdict v, long nowMs) {
+        switch (v) {
+            case FALLBACK:
+                if (sends > 0 && !front.picker().takeRetry(service, nowMs)) {
+                    giveUp(nowMs, Outcome.NO_ROOM);
+                } else {
+                    place();
+                }
+                break;
+            case RESUME:
+                if (lastId < 0 || !front.picker().takeRetry(service, nowMs)) {
+                    breakOff(nowMs);
+                } else {
+                    resuming = true;
+                    place();
+                }
+                break;
+            case BREAK_OFF:
+                breakOff(nowMs);
+                break;
+            case REFUSE:
+            case FAIL:
+                if (nowMs >= action.deadlineMs()) {
+                    overdue(nowMs);
+                } else {
+                    giveUp(nowMs, Outcome.NO_ROOM);
+                }
+                break;
+            default:
+                break;
+        }
+    }
+
+    /** How many engines got to see this request; the next send is a further arrival. */
+    private int sends;
+
+    private void giveUp(long nowMs, Outcome notRun) {
+        if (action.responseCommitted()) {
+            breakOff(nowMs);
+            return;
+        }
+        boolean ran = action.mayHaveRun();
+        if (action.cancel(Action.Cause.GIVEN_UP, nowMs)) {
+            say(ran ? Outcome.BROKEN : notRun);
+        }
+    }
+
+    private void overdue(long nowMs) {
+        if (action.responseCommitted()) {
+            breakOff(nowMs);
+            return;
+        }
+        boolean ran = action.mayHaveRun();
+        if (action.cancel(Action.Cause.OVERALL_DEADLINE, nowMs)) {
+            dropTry(nowMs);
+            say(ran ? Outcome.OVERDUE : Outcome.NO_TIME);
+        }
+    }
+
+    private void breakOff(long nowMs) {
+        if (action.cancel(nowMs >= action.deadlineMs() ? Action.Cause.OVERALL_DEADLINE : Action.Cause.GIVEN_UP, nowMs)) {
+            dropTry(nowMs);
+            answered = true;
+            disarm();
+            callback.failed(new IOException("the answer is not whole"));
+        }
+    }
+
+    private void dropTry(long nowMs) {
+        if (now != null) {
+            finish(now, Action.End.PARENT_ENDED, nowMs);
+        }
+    }
+
+    private void consumerGone() {
+        synchronized (this) {
+            long nowMs = front.nowMs();
+            if (!action.cancel(Action.Cause.CONSUMER_GONE, nowMs)) {
+                return;
+            }
+            dropTry(nowMs);
+            answered = true;
+            disarm();
+        }
+        callback.failed(new EofException("consumer gone"));
+    }
+
+    private void say(Outcome o) {
+        answered = true;
+        disarm();
+        front.say(response, callback, o, comeBackMs);
+    }
+
+    // ---- time
+
+    private void arm() {
+        disarm();
+        long nowMs = front.nowMs();
+        long nextMs = action.deadlineMs();
+        Try t = now;
+        if (t != null && t.attempt.timesOutAlone()) {
+            nextMs = Math.min(nextMs, due(t));
+        }
+        beat = front.schedule(this::onBeat, Math.max(1, nextMs - nowMs));
+    }
+
+    /** When an attempt that may be replaced is to be given up. */
+    private long due(Try t) {
+        if (streams(t)) {
+            return t.heardMs + Math.max(1000, 2L * mapping.tokenGapMs());
+        }
+        return t.attempt.deadlineMs();
+    }
+
+    private void disarm() {
+        if (beat != null) {
+            beat.cancel();
+            beat = null;
+        }
+    }
+
+    private synchronized void onBeat() {
+        long nowMs = front.nowMs();
+        beat = null;
+        if (answered || action.state() != Action.State.ACTIVE) {
+            return;
+        }
+        if (nowMs >= action.deadlineMs()) {
+            overdue(nowMs);
+            return;
+        }
+        Try t = now;
+        if (t != null && !t.writing && t.attempt.timesOutAlone() && nowMs >= due(t)) {
+            end(t, Action.End.ATTEMPT_TIMEOUT);
+            return;
+        }
+        if (t != null) {
+            arm();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -0,0 +1,343 @@
+package ringspindle.edge;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import com.google.common.flogger.*;
+import java.nio.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.concurrent.atomic.*;
+import org.eclipse.jetty.http.*;
+import org.eclipse.jetty.io.*;
+import org.eclipse.jetty.server.*;
+import org.eclipse.jetty.util.*;
+import org.eclipse.jetty.util.thread.*;
+import ringspindle.act.*;
+import ringspindle.api.*;
+import ringspindle.conf.*;
+import ringspindle.pick.*;
+import ringspindle.wire.*;
+
+/** The consumers' side of a data node: mappings, flows, readiness. */
+public final class Front extends Handler.Abstract implements Action.Ear {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int INBOX_MS = 20;
+
+    private final NodeConfig node;
+    private final Picker picker;
+    private final Wires wires;
+    private final Steady clock;
+    private final org.eclipse.jetty.util.thread.Scheduler beats;
+    private final QueuedThreadPool pool;
+    private final Inbox inbox = new Inbox();
+    private final AtomicBoolean inboxBeat = new AtomicBoolean();
+    private final AtomicLong ids = new AtomicLong();
+    private final LongAdder active = new LongAdder();
+    private final Map<String, LongAdder> ends = new ConcurrentHashMap<>();
+    private volatile FleetConfig config;
+    private volatile boolean confirmed;
+    private volatile boolean leaving;
+    private Server server;
+    private ServerConnector consumers;
+
+    /** {@code new Front(node, picker, pool, beats, clock).open()} serves. */
+    public Front(NodeConfig node, Picker picker, QueuedThreadPool pool, org.eclipse.jetty.util.thread.Scheduler beats,
+            Steady clock) throws Exception {
+        this.node = node;
+        this.picker = picker;
+        this.pool = pool;
+        this.beats = beats;
+        this.clock = clock;
+        wires = new Wires(pool, beats, clock);
+    }
+
+    /** Listens; {@code front.open()} once. */
+    public void open() throws Exception {
+        server = new Server(pool, beats, new ArrayByteBufferPool(0, 4096, 65536, 256, 2 << 20, 4 << 20));
+        HttpConfiguration http = new HttpConfiguration();
+        http.setSendServerVersion(false);
+        http.setSendDateHeader(false);
+        http.setRequestHeaderSize(32768);
+        http.setUriCompliance(UriCompliance.UNSAFE);
+        http.setUseInputDirectByteBuffers(false);
+        http.setUseOutputDirectByteBuffers(false);
+        http.setOutputBufferSize(16384);
+        consumers = new WatchedEndPoint.Connector(server, pool, beats, new HttpConnectionFactory(http));
+        NodeId at = node.frontend().orElseThrow();
+        consumers.setHost(at.ip());
+        consumers.setPort(at.port());
+        consumers.setIdleTimeout(15000);
+        consumers.setAcceptQueueSize(512);
+        server.addConnector(consumers);
+        if (node.readiness().isPresent()) {
+            ServerConnector c = new ServerConnector(server, pool, beats, null, 0, 1, new HttpConnectionFactory(http));
+            c.setHost(node.readiness().get().ip());
+            c.setPort(node.readiness().get().port());
+            server.addConnector(c);
+        }
+        server.setHandler(this);
+        server.start();
+    }
+
+    /** The newest configuration in force here; older ones are ignored. */
+    public void config(FleetConfig c) {
+        FleetConfig old = config;
+        if (old == null || c.revision() > old.revision()) {
+            config = c;
+            consumers.setIdleTimeout(c.limits().idleMs());
+        }
+    }
+
+    /** A control node has told all that is in force; {@code front.confirm()}. */
+    public void confirm() {
+        confirmed = true;
+    }
+
+    /** True while new consumers are welcome; {@code front.ready()}. */
+    public boolean ready() {
+        return confirmed && config != null && !leaving;
+    }
+
+    /** Turns new consumers away in order; {@code front.leave()}. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /** Stops accepting wires, once consumers had time to hear of it. */
+    public void stopAccepting() {
+        consumers.shutdown();
+    }
+
+    /** Requests under way; {@code while (front.active() > 0) ...}. */
+    public long active() {
+        return active.sum();
+    }
+
+    /** Ends all. */
+    public void close() {
+        LifeCycleQuietly.stop(server);
+        wires.close();
+    }
+
+    /** Closes idle wires; {@code front.tidy()} now and then. */
+    public void tidy() {
+        wires.tidy(picker.known());
+    }
+
+    /** Asks suspect engines for their status; {@code front.probe()} on every beat. */
+    public void probe() {
+        for (Picker.Probe p : picker.probes(clock.nowMs())) {
+            wires.client().newRequest(p.address().ip(), p.address().port()).path(p.healthPath())
+                    .timeout(900, TimeUnit.MILLISECONDS).headers(h -> h.put(HttpHeader.CONNECTION, "close"))
+                    .send(r -> {
+                        boolean well = r.isSucceeded() && r.getResponse().getStatus() == 200
+                                && p.id().equals(r.getResponse().getHeaders().get("Instance-Id"));
+                        int coldMs = 0;
+                        if (r.isSucceeded() && r.getResponse().getHeaders().get("Warmup-Ms") != null) {
+                            coldMs = (int) Double.parseDouble(r.getResponse().getHeaders().get("Warmup-Ms"));
+                        }
+                        picker.probed(p.id(), well, coldMs, clock.nowMs());
+                    });
+        }
+    }
+
+    // ---- for flows
+
+    Picker picker() {
+        return picker;
+    }
+
+    Wires wires() {
+        return wires;
+    }
+
+    long nowMs() {
+        return clock.nowMs();
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    long luck() {
+        return ThreadLocalRandom.current().nextLong();
+    }
+
+    String nextId() {
+        return node.name() + "-" + Long.toString(ids.incrementAndGet(), 36);
+    }
+
+    org.eclipse.jetty.util.thread.Scheduler.Task schedule(Runnable r, long inMs) {
+        return beats.schedule(() -> pool.execute(r), inMs, TimeUnit.MILLISECONDS);
+    }
+
+    Inbox inbox() {
+        if (inboxBeat.compareAndSet(false, true)) {
+            schedule(this::emptyInbox, INBOX_MS);
+        }
+        return inbox;
+    }
+
+    private void emptyInbox() {
+        inboxBeat.set(false);
+        inbox.drain().forEach(Flow::again);
+    }
+
+    @Override
+    public void ended(Action.Terminal t) {
+        active.decrement();
+        String how = t.state() + (t.cause() == null ? "" : " " + t.cause());
+        ends.computeIfAbsent(how, k -> new LongAdder()).increment();
+        if (t.state() != Action.State.COMPLETED && t.cause() != Action.Cause.CONSUMER_GONE) {
+            LOG.atFine().log("action %s %s attempts=%s last=%s committed=%s elapsedMs=%s leftMs=%s", t.actionId(), how,
+                    t.attempts(), t.lastEnd(), t.responseCommitted(), t.elapsedMs(), t.leftMs());
+        }
+    }
+
+    /** How many actions ended how; {@code front.ends().get("COMPLETED")}. */
+    public Map<String, Long> ends() {
+        Map<String, Long> out = new TreeMap<>();
+        ends.forEach((k, v) -> out.put(k, v.sum()));
+        return out;
+    }
+
+    /** Answers with an outcome of the table. */
+    void say(Response response, Callback callback, Outcome o, long comeBackMs) {
+        response.setStatus(o.status());
+        byte[] out = ("{\"error\":\"" + o.name() + "\"}").getBytes(UTF_8);
+        HttpFields.Mutable h = response.getHeaders();
+        if (o.notRun()) {
+            h.put("Retry-After", Double.toString(Math.max(10, comeBackMs) / 1000.0));
+        }
+        h.put(HttpHeader.CONTENT_TYPE, "application/json");
+        h.put(HttpHeader.CONTENT_LENGTH, out.length);
+        if (leaving) {
+            h.put(HttpHeader.CONNECTION, "close");
+        }
+        response.write(true, ByteBuffer.wrap(out), callback);
+    }
+
+    // ---- requests
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        String path = request.getHttpURI().getPath();
+        if (((ServerConnector) request.getConnectionMetaData().getConnector()) != consumers) {
+            if (path.equals("/ringspindle/readiness")) {
+                response.setStatus(ready() ? 200 : 503);
+                response.write(true, BufferUtil.EMPTY_BUFFER, callback);
+            } else {
+                say(response, callback, Outcome.NO_SUCH, 0);
+            }
+            return true;
+        }
+        long sinceMs = clock.nowMs();
+        FleetConfig c = config;
+        if (c == null || !confirmed) {
+            say(response, callback, Outcome.NOT_READY, 300);
+            return true;
+        }
+        FleetConfig.Mapping m = c.find(request.getHeaders().get(HttpHeader.HOST), path);
+        if (m == null) {
+            say(response, callback, Outcome.NO_MAPPING, 0);
+            return true;
+        }
+        String id = request.getHeaders().get("Attempt-Id");
+        if (id == null || id.isEmpty()) {
+            say(response, callback, Outcome.MALFORMED, 0);
+            return true;
+        }
+        long deadlineMs = m.deadlineMs();
+        String given = request.getHeaders().get("Deadline-Ms");
+        if (given != null) {
+            try {
+                deadlineMs = Math.min(deadlineMs, (long) Double.parseDouble(given.trim()));
+            } catch (NumberFormatException x) {
+                say(response, callback, Outcome.MALFORMED, 0);
+                return true;
+            }
+        }
+        if (request.getLength() > c.limits().bodyBytes()) {
+            say(response, callback, Outcome.TOO_LARGE, 0);
+            return true;
+        }
+        long heldMs = deadlineMs;
+        new Body(request, c.limits().bodyBytes(), body -> {
+            if (body == null) {
+                say(response, callback, Outcome.TOO_LARGE, 0);
+                return;
+            }
+            long nowMs = clock.nowMs();
+            String service = target(m, id);
+            picker.asked(service, nowMs);
+            active.increment();
+            new Flow(this, request, response, callback, m, service, id, body, sinceMs, heldMs).begin();
+        }, x -> callback.failed(x)).run();
+        return true;
+    }
+
+    /** Splits by weight; one try always goes the same way. */
+    private static String target(FleetConfig.Mapping m, String id) {
+        if (m.targets().size() == 1) {
+            return m.targets().get(0).service();
+        }
+        double sum = 0;
+        for (FleetConfig.Target t : m.targets()) {
+            sum += t.weight();
+        }
+        double at = (com.google.common.hash.Hashing.murmur3_32_fixed().hashUnencodedChars(id).asInt() >>> 1) / (double) (1L << 31) * sum;
+        for (FleetConfig.Target t : m.targets()) {
+            at -= t.weight();
+            if (at < 0) {
+                return t.service();
+            }
+        }
+        return m.targets().get(m.targets().size() - 1).service();
+    }
+
+    /** Reads a body within bounds. */
+    private static final class Body implements Runnable {
+        private final Request request;
+        private final int most;
+        private final java.util.function.Consumer<byte[]> then;
+        private final java.util.function.Consumer<Throwable> failed;
+        private final java.io.ByteArrayOutputStream out;
+
+        Body(Request request, int most, java.util.function.Consumer<byte[]> then, java.util.function.Consumer<Throwable> failed) {
+            this.request = request;
+            this.most = most;
+            this.then = then;
+            this.failed = failed;
+            out = new java.io.ByteArrayOutputStream(Math.max(32, (int) Math.min(1 << 16, request.getLength())));
+        }
+
+        @Override
+        public void run() {
+            while (true) {
+                Content.Chunk chunk = request.read();
+                if (chunk == null) {
+                    request.demand(this);
+                    return;
+                }
+                if (Content.Chunk.isFailure(chunk)) {
+                    failed.accept(chunk.getFailure());
+                    return;
+                }
+                ByteBuffer b = chunk.getByteBuffer();
+                byte[] bytes = new byte[b.remaining()];
+                b.get(bytes);
+                out.writeBytes(bytes);
+                boolean last = chunk.isLast();
+                chunk.release();
+                if (out.size() > most) {
+                    then.accept(null);
+                    return;
+                }
+                if (last) {
+                    then.accept(out.toByteArray());
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/edge/Inbox.java
@@ -0,0 +1,33 @@
+package ringspindle.edge;
+
+import java.util.*;
+
+/** Requests that wait for room, by rank; the rank counts less the longer one waits, so that none starves. */
+final class Inbox {
+    /** Ours: one rank is worth so much waiting. */
+    private static final int RANK_MS = 250;
+
+    private record Slot(Flow flow, long key, long order) {
+    }
+
+    private final PriorityQueue<Slot> slots =
+            new PriorityQueue<>(Comparator.comparingLong(Slot::key).thenComparingLong(Slot::order));
+    private long order;
+
+    synchronized void add(Flow f, long nowMs) {
+        slots.add(new Slot(f, f.sinceMs() + (long) f.rank() * RANK_MS, order++));
+    }
+
+    synchronized boolean isEmpty() {
+        return slots.isEmpty();
+    }
+
+    /** All that wait, in the order in which they may try. */
+    synchronized List<Flow> drain() {
+        List<Flow> out = new ArrayList<>(slots.size());
+        while (!slots.isEmpty()) {
+            out.add(slots.poll().flow());
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/pick/Picker.java
@@ -0,0 +1,76 @@
+package ringspindle.pick;
+
+import java.util.*;
+import ringspindle.act.*;
+import ringspindle.api.*;
+import ringspindle.conf.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** Chooses engines: who may be asked, who is near, who has the prompt's head, who has room. Thread safe. */
+public interface Picker {
+
+    /** What is to be placed. affinity 0 means that nothing is shared; weights below 0 that any will do. */
+    record Ask(String service, Set<String> homes, long affinity, int sharedTokens, int tokens, int outTokens,
+            Set<String> tried, long weights, long luck) {
+    }
+
+    /** An engine, or why there is none. */
+    sealed interface Choice {
+    }
+
+    record Chosen(String id, NodeId address, String zone, int maxWires) implements Choice {
+    }
+
+    /** None now; waiting may help. */
+    record NoneNow(Outcome outcome, long comeBackMs) implements Choice {
+    }
+
+    /** Engines that are to be asked for their status now. */
+    record Probe(String id, NodeId address, String healthPath) {
+    }
+
+    void config(FleetConfig c);
+
+    /** An engine spoke; seen at nowMs. */
+    void engine(String id, Engine e, long version, long nowMs);
+
+    /** An engine said that it leaves, or is gone. */
+    void leaving(String id, boolean gone, long nowMs);
+
+    void evacuated(String zone, boolean on, long nowMs);
+
+    void licence(Licence l, long nowMs);
+
+    /** Picks and, on success, counts the request as running there: {@link #ended} must follow. */
+    Choice choose(Ask ask, long nowMs);
+
+    /** The request went out to the engine. */
+    void sent(String id, long nowMs);
+
+    /** Bytes came from the engine. */
+    void heard(String id, long nowMs);
+
+    /** The attempt is over; firstMs is the time to the first byte, below 0 if none came. */
+    void ended(String id, Ask ask, Action.End end, long firstMs, long nowMs);
+
+    /** A consumer's request for a service, of which further tries are earned. */
+    void asked(String service, long nowMs);
+
+    /** True if one further arrival at the service is within this node's share; takes it. */
+    boolean takeRetry(String service, long nowMs);
+
+    /** Engines that seem to be silent or broken and are due for a question. */
+    List<Probe> probes(long nowMs);
+
+    /** What a probe came to. */
+    void probed(String id, boolean well, int coldMs, long nowMs);
+
+    /** Ids of engines that are known, for cutting wires of those that are gone. */
+    Set<String> known();
+
+    /** {@code Picker.create(config)} knows no engines yet. */
+    static Picker create(NodeConfig config) {
+        return new TablePicker(config);
+    }
+}
--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -44,8 +44,8 @@
             PrepareEncoder e = new PrepareEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot());
             put(x.view(), e::putView);
             end = e.limit();
-        } else if (m instanceof Promise x) {
-            PromiseEncoder e = new PromiseEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot())
+        } else if (m instanceof Pledge x) {
+            PledgeEncoder e = new PledgeEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot())
                     .granted(bit(x.granted())).promised(x.promised()).acceptedBallot(x.acceptedBallot())
                     .lineage(x.lineage()).seq(x.seq());
             put(x.accepted(), e::putAccepted);
@@ -198,9 +198,9 @@
                 PrepareDecoder d = new PrepareDecoder().wrapAndApplyHeader(b, 0, h);
                 return new Prepare(d.epoch(), d.ballot(), view(d.viewLength(), d::getView));
             }
-            case PromiseDecoder.TEMPLATE_ID: {
-                PromiseDecoder d = new PromiseDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Promise(d.epoch(), d.ballot(), d.granted() == 1, d.promised(), d.acceptedBallot(), d.lineage(),
+            case PledgeDecoder.TEMPLATE_ID: {
+                PledgeDecoder d = new PledgeDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Pledge(d.epoch(), d.ballot(), d.granted() == 1, d.promised(), d.acceptedBallot(), d.lineage(),
                         d.seq(), view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
             }
             case AcceptDecoder.TEMPLATE_ID: {
--- a/src/main/java/ringspindle/wire/Msg.java
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -39,7 +39,7 @@
     record Prepare(long epoch, long ballot, View view) implements Msg {
     }
 
-    record Promise(long epoch, long ballot, boolean granted, long promised, long acceptedBallot, long lineage, long seq,
+    record Pledge(long epoch, long ballot, boolean granted, long promised, long acceptedBallot, long lineage, long seq,
             View accepted, View view) implements Msg {
     }
 
