--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -845,6 +845,7 @@
         }
         if (!announced) {
             announced = true;
+            uncommittedMs = nowMs;
             out.add(new Out.Viewed(view));
             if (active() && view.head().equals(me)) {
                 // the head of a view goes on from what its disk holds
--- a/src/main/java/ringspindle/edge/Wires.java
+++ b/src/main/java/ringspindle/edge/Wires.java
@@ -50,8 +50,7 @@
 
     Wires(QueuedThreadPool pool, org.eclipse.jetty.util.thread.Scheduler beats, Steady clock) throws Exception {
         this.clock = clock;
-        ClientConnector connector = new ClientConnector();
-        connector.setSelectors(1);
+        ClientConnector connector = new PlainConnector();
         client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(pool);
         client.setScheduler(beats);
--- a/src/main/java/ringspindle/wire/JettyMesh.java
+++ b/src/main/java/ringspindle/wire/JettyMesh.java
@@ -23,7 +23,7 @@
     private final org.eclipse.jetty.util.thread.Scheduler beats;
     private final Map<NodeId, FrameWire> wires = new ConcurrentHashMap<>();
     private final Set<NodeId> dialling = ConcurrentHashMap.newKeySet();
-    private final ClientConnector dialer = new ClientConnector();
+    private final ClientConnector dialer = new PlainConnector();
     private Server server;
     private volatile Ear ear;
 
@@ -59,8 +59,12 @@
             return;
         }
         Map<String, Object> context = new HashMap<>();
+        context.put(Transport.class.getName(), Transport.TCP_IP);
         context.put(ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory) (ep, ctx) -> new FrameWire(ep, peer));
-        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, Promise.from(x -> { }, x -> dialling.remove(peer)));
+        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, Promise.from(x -> { }, x -> {
+            dialling.remove(peer);
+            LOG.atFine().withCause(x).log("cannot dial %s", peer);
+        }));
         dialer.connect(new InetSocketAddress(peer.ip(), peer.port()), context);
     }
 
