--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -156,6 +156,14 @@
         return List.of(vote(), last);
     }
 
+    /** Where it stands, for tests and logs. */
+    String standing() {
+        return "view " + (view == null ? null : view.epoch() + " " + view.chain()) + " promised " + promisedEpoch + "/" + promised
+                + " accepted " + acceptedBallot + " lineage " + last.lineage() + " seq " + last.seq() + " committed "
+                + (committed == null ? null : committed.lineage() + "/" + committed.seq()) + " synced " + synced + " down "
+                + sentDown + "/" + ackedDown + " wiped " + wiped + " held " + held.size() + " proposal " + (proposal != null);
+    }
+
     private Vote vote() {
         return new Vote(promisedEpoch, promised, acceptedBallot, accepted, view);
     }
@@ -183,6 +191,7 @@
     @Override
     public List<Out> on(NodeId from, Msg m, long nowMs) {
         this.nowMs = nowMs;
+        announce();
         take(from, m);
         return finish();
     }
@@ -200,6 +209,7 @@
     @Override
     public List<Out> opened(NodeId peer, long nowMs) {
         this.nowMs = nowMs;
+        announce();
         if (view != null && peer.equals(successor())) {
             sentDown = -1;
             pushDown();
@@ -214,10 +224,29 @@
     @Override
     public List<Out> call(Call c, long nowMs) {
         this.nowMs = nowMs;
+        announce();
         hold(me, c);
         return finish();
     }
 
+    /** The first view and state go to disk before anything else is said or written. */
+    private void announce() {
+        if (announced || view == null || wiped) {
+            return;
+        }
+        announced = true;
+        uncommittedMs = nowMs;
+        out.add(new Out.Viewed(view));
+        long seq = last.seq();
+        long epoch = view.epoch();
+        store(durable(), true, () -> {
+            if (active() && view.epoch() == epoch && view.head().equals(me)) {
+                // the head of a view goes on from what its disk holds
+                localSynced(epoch, seq);
+            }
+        });
+    }
+
     private List<Out> finish() {
         while (!toSelf.isEmpty()) {
             take(me, toSelf.poll());
@@ -814,6 +843,7 @@
     public List<Out> beat(long nowMs, Reach reach) {
         this.nowMs = nowMs;
         this.reach = reach;
+        announce();
         for (Map<Long, Held> of : held.values()) {
             of.values().removeIf(h -> {
                 boolean config = h.call.kind() == PUT || h.call.kind() == PATCH;
@@ -843,16 +873,6 @@
         if (view == null) {
             return finish();
         }
-        if (!announced) {
-            announced = true;
-            uncommittedMs = nowMs;
-            out.add(new Out.Viewed(view));
-            if (active() && view.head().equals(me)) {
-                // the head of a view goes on from what its disk holds
-                long seq = last.seq();
-                store(List.of(vote(), last), true, () -> localSynced(view.epoch(), seq));
-            }
-        }
         retryHeld();
         if (active()) {
             NodeId next = successor();
--- /dev/null
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -0,0 +1,464 @@
+package ringspindle.chain;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import java.util.*;
+import ringspindle.api.*;
+import ringspindle.conf.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** A simulated core over the real chain machines: delays, cuts, freezes, power loss, lost disks. All from one seed. */
+final class ChainSim {
+    /** What callers and nodes saw, for checking after the fact. */
+    static final class History {
+        record Acked(long base, long revision, long atMs) {
+        }
+
+        final List<Acked> acked = new ArrayList<>();
+        final Map<Long, String> sent = new TreeMap<>();
+        final Map<Long, Long> revisionOfSeq = new TreeMap<>();
+        final List<String> wrong = new ArrayList<>();
+        final Map<String, String> evacuations = new TreeMap<>();
+        long readBack = -1;
+        String readBody;
+        int refused;
+
+        /** Names every broken promise. */
+        List<String> problems() {
+            List<String> out = new ArrayList<>(wrong);
+            Map<Long, Long> winner = new TreeMap<>();
+            long newest = 0;
+            for (Acked a : acked) {
+                Long other = winner.put(a.base(), a.revision());
+                if (other != null && other != a.revision()) {
+                    out.add("two winners on " + a.base() + ": " + other + " and " + a.revision());
+                }
+                newest = Math.max(newest, a.revision());
+            }
+            if (readBack < newest) {
+                out.add("read back " + readBack + " though " + newest + " was acknowledged");
+            }
+            if (readBack > 0 && !readBody.equals(sent.get(readBack))) {
+                out.add("what was read back differs from what was sent as " + readBack);
+            }
+            return out;
+        }
+    }
+
+    private static final class Node {
+        final NodeId id;
+        ChainMachine machine;
+        List<Msg> disk = new ArrayList<>();
+        final ArrayDeque<Chain.Out.Store> inbox = new ArrayDeque<>();
+        long diskFreeMs;
+        long upMs;
+        long frozenUntilMs;
+        long stalledUntilMs;
+        int life;
+        long committedSeq = -1;
+
+        Node(NodeId id) {
+            this.id = id;
+        }
+    }
+
+    private record Event(long atMs, long order, Runnable run) {
+    }
+
+    private record Order(int kind, long base, long revision, String body) {
+    }
+
+    private final Random luck;
+    private final List<Node> nodes = new ArrayList<>();
+    private final Map<NodeId, Node> byId = new TreeMap<>();
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingLong(Event::atMs).thenComparingLong(Event::order));
+    private final Map<String, Long> cutUntilMs = new HashMap<>();
+    private final Map<String, Long> lastDelivery = new HashMap<>();
+    private final Map<Long, Answer> calls = new HashMap<>();
+    final History history = new History();
+    private long nowMs;
+    private long order;
+    private long callId;
+    private long known;
+    private boolean stress = true;
+
+    private interface Answer {
+        void answer(Outcome o, byte[] body);
+    }
+
+    private final String name;
+
+    String name() {
+        return name;
+    }
+
+    ChainSim(long seed, int size) {
+        name = seed + " " + size;
+        luck = new Random(seed);
+        List<NodeId> seeds = new ArrayList<>();
+        for (int i = 1; i <= size; i++) {
+            seeds.add(NodeId.of("10.0.0." + i + ":7000"));
+        }
+        for (NodeId s : seeds) {
+            Node n = new Node(s);
+            n.machine = new ChainMachine(s, seeds, true, List.of(), luck.nextLong());
+            nodes.add(n);
+            byId.put(s, n);
+        }
+        this.seeds = seeds;
+    }
+
+    private final List<NodeId> seeds;
+
+    private void at(long inMs, Runnable r) {
+        events.add(new Event(nowMs + inMs, order++, r));
+    }
+
+    private boolean up(Node n) {
+        return n.machine != null;
+    }
+
+    private boolean cut(NodeId a, NodeId b) {
+        return cutUntilMs.getOrDefault(a + ">" + b, -1L) > nowMs;
+    }
+
+    /** In touch as beats would tell: no cut and no fresh start within the last 300 ms. */
+    private boolean linked(NodeId a, NodeId b) {
+        Node x = byId.get(a);
+        Node y = byId.get(b);
+        if (x == null || y == null || !up(x) || !up(y) || nowMs - x.upMs < 200 || nowMs - y.upMs < 200) {
+            return false;
+        }
+        return !cut(a, b) && !cut(b, a) && x.frozenUntilMs <= nowMs && y.frozenUntilMs <= nowMs;
+    }
+
+    History run(int troubles, long forMs) {
+        for (Node n : nodes) {
+            beat(n, n.life);
+        }
+        for (int op = 0; op < 2; op++) {
+            at(1500 + op * 70L, this::operator);
+        }
+        for (int i = 0; i < troubles; i++) {
+            long t = 2000 + (long) (luck.nextDouble() * forMs);
+            at(t, this::trouble);
+        }
+        until(forMs + 3000);
+        stress = false;
+        cutUntilMs.clear();
+        until(nowMs + 6000);
+        readBack();
+        until(nowMs + 4000);
+        return history;
+    }
+
+    private void until(long endMs) {
+        while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+            Event e = events.poll();
+            nowMs = e.atMs();
+            e.run().run();
+        }
+        nowMs = endMs;
+    }
+
+    private void beat(Node n, int life) {
+        if (n.life != life || !up(n)) {
+            return;
+        }
+        if (n.frozenUntilMs <= nowMs) {
+            carry(n, n.machine.beat(nowMs, new Chain.Reach() {
+                @Override
+                public boolean linked(NodeId a, NodeId b) {
+                    return a.equals(b) || ChainSim.this.linked(a, b);
+                }
+
+                @Override
+                public Collection<NodeId> live() {
+                    List<NodeId> out = new ArrayList<>();
+                    nodes.forEach(o -> {
+                        if (o != n && ChainSim.this.linked(n.id, o.id)) {
+                            out.add(o.id);
+                        }
+                    });
+                    return out;
+                }
+            }));
+        }
+        at(100, () -> beat(n, life));
+    }
+
+    private void carry(Node n, List<Chain.Out> outs) {
+        for (Chain.Out o : outs) {
+            if (o instanceof Chain.Out.Send s) {
+                send(n, s.to(), s.m());
+            } else if (o instanceof Chain.Out.Store s) {
+                n.inbox.add(s);
+                int life = n.life;
+                long when = Math.max(Math.max(nowMs, n.diskFreeMs), n.stalledUntilMs) + 1 + luck.nextInt(8);
+                n.diskFreeMs = when;
+                at(when - nowMs, () -> synced(n, life, s));
+            } else if (o instanceof Chain.Out.Answer a) {
+                Answer then = calls.remove(a.call());
+                if (then != null) {
+                    then.answer(a.outcome(), a.body());
+                }
+            } else if (o instanceof Chain.Out.Committed c) {
+                Long had = history.revisionOfSeq.putIfAbsent(c.state().seq(), c.state().revision());
+                if (had != null && had != c.state().revision()) {
+                    history.wrong.add("seq " + c.state().seq() + " is " + had + " here and " + c.state().revision() + " there");
+                }
+                if (c.state().seq() < n.committedSeq) {
+                    history.wrong.add(n.id + " goes back from seq " + n.committedSeq + " to " + c.state().seq());
+                }
+                n.committedSeq = c.state().seq();
+            }
+        }
+    }
+
+    private void synced(Node n, int life, Chain.Out.Store s) {
+        if (n.life != life || !up(n)) {
+            return;
+        }
+        n.inbox.remove(s);
+        if (s.image()) {
+            n.disk = new ArrayList<>(s.records());
+        } else {
+            n.disk.addAll(s.records());
+        }
+        carry(n, n.machine.stored(s.token(), nowMs));
+    }
+
+    private void send(Node from, NodeId to, Msg m) {
+        if (cut(from.id, to)) {
+            return;
+        }
+        String link = from.id + ">" + to;
+        long when = Math.max(lastDelivery.getOrDefault(link, 0L), nowMs + 1 + luck.nextInt(20));
+        lastDelivery.put(link, when);
+        byte[] bytes = Codec.encode(m);
+        Node target = byId.get(to);
+        int life = target.life;
+        at(when - nowMs, () -> deliver(from.id, target, life, bytes));
+    }
+
+    private void deliver(NodeId from, Node to, int life, byte[] bytes) {
+        if (!up(to) || to.life != life || cut(from, to.id)) {
+            return;
+        }
+        if (to.frozenUntilMs > nowMs) {
+            at(to.frozenUntilMs - nowMs, () -> deliver(from, to, life, bytes));
+            return;
+        }
+        carry(to, to.machine.on(from, Codec.decode(bytes), nowMs));
+    }
+
+    /** Where every node stands, for whoever reads a failure. */
+    String standing() {
+        StringBuilder b = new StringBuilder();
+        nodes.forEach(n -> b.append('\n').append(n.id).append(n.machine == null ? " down" : " " + n.machine.standing()));
+        return b.toString();
+    }
+
+    // ---- operators
+
+    private void operator() {
+        if (!stress) {
+            return;
+        }
+        long base = known;
+        long revision = base + 1 + luck.nextInt(5) * 2L + luck.nextInt(2);
+        String body = "{\"revision\":" + revision + ",\"routes\":[],\"services\":[],\"limits\":{\"maxBodyBytes\":"
+                + (1000 + luck.nextInt(100000)) + "}}";
+        attempt(new Order(Chain.PUT, base, revision, body), 0);
+    }
+
+    private void attempt(Order o, int n) {
+        Node via = nodes.get(luck.nextInt(nodes.size()));
+        if (n > 12 || !stress) {
+            at(200 + luck.nextInt(400), this::operator);
+            return;
+        }
+        if (!up(via) || via.frozenUntilMs > nowMs) {
+            at(150, () -> attempt(o, n + 1));
+            return;
+        }
+        long id = ++callId;
+        boolean[] done = {false};
+        calls.put(id, (outcome, body) -> {
+            if (done[0]) {
+                return;
+            }
+            done[0] = true;
+            if (outcome == Outcome.TAKEN) {
+                history.acked.add(new History.Acked(o.base(), o.revision(), nowMs));
+                history.sent.put(o.revision(), o.body());
+                known = Math.max(known, o.revision());
+                at(100 + luck.nextInt(500), this::operator);
+            } else if (outcome == Outcome.UNCLEAR) {
+                at(100 + luck.nextInt(200), () -> attempt(o, n + 1));
+            } else {
+                history.refused++;
+                at(50 + luck.nextInt(200), () -> learn());
+            }
+        });
+        maybe.add(o);
+        carry(via, via.machine.call(new Call(id, o.kind(), o.base(), "", o.body().getBytes(UTF_8)), nowMs));
+        at(3000, () -> {
+            if (!done[0]) {
+                done[0] = true;
+                attempt(o, n + 1);
+            }
+        });
+    }
+
+    /** Orders that may be in force though nobody was told. */
+    private final List<Order> maybe = new ArrayList<>();
+
+    /** After a refusal the operator reads what is in force. */
+    private void learn() {
+        read((revision, body) -> {
+            known = Math.max(known, revision);
+            at(50, this::operator);
+        }, 0);
+    }
+
+    private interface Read {
+        void got(long revision, String body);
+    }
+
+    private void read(Read then, int n) {
+        Node via = nodes.get(luck.nextInt(nodes.size()));
+        if (n > 40) {
+            return;
+        }
+        if (!up(via) || via.frozenUntilMs > nowMs) {
+            at(150, () -> read(then, n + 1));
+            return;
+        }
+        long id = ++callId;
+        boolean[] done = {false};
+        long newestAcked = history.acked.stream().mapToLong(History.Acked::revision).max().orElse(0);
+        calls.put(id, (outcome, body) -> {
+            if (done[0]) {
+                return;
+            }
+            done[0] = true;
+            if (outcome == Outcome.TAKEN) {
+                String text = new String(FleetConfig.unpack(body), UTF_8);
+                long revision = ((Checked.Good<FleetConfig>) FleetConfig.read(text.getBytes(UTF_8))).value().revision();
+                if (revision < newestAcked) {
+                    history.wrong.add("a read gives " + revision + " after " + newestAcked + " was acknowledged");
+                }
+                then.got(revision, text);
+            } else if (outcome == Outcome.NO_SUCH) {
+                then.got(0, "");
+            } else {
+                at(150, () -> read(then, n + 1));
+            }
+        });
+        carry(via, via.machine.call(new Call(id, Chain.READ, 0, "", new byte[0]), nowMs));
+    }
+
+    private void readBack() {
+        read((revision, body) -> {
+            history.readBack = revision;
+            history.readBody = body;
+            for (Order o : maybe) {
+                if (o.revision() == revision && body.equals(o.body())) {
+                    history.sent.putIfAbsent(revision, o.body());
+                }
+            }
+        }, 0);
+    }
+
+    // ---- troubles: never more than one node lost at once, as the deployments allow
+
+    private long troubleUntilMs;
+
+    private void trouble() {
+        if (!stress || nowMs < troubleUntilMs) {
+            return;
+        }
+        Node n = nodes.get(luck.nextInt(nodes.size()));
+        long forMs = 300 + luck.nextInt(3500);
+        troubleUntilMs = nowMs + forMs + 4000;
+        switch (luck.nextInt(7)) {
+            case 0:
+                crash(n, false, forMs);
+                break;
+            case 1:
+                crash(n, true, forMs);
+                break;
+            case 2:
+                n.frozenUntilMs = nowMs + forMs;
+                break;
+            case 3:
+                for (Node o : nodes) {
+                    if (o != n) {
+                        cut(n, o, forMs);
+                        cut(o, n, forMs);
+                    }
+                }
+                break;
+            case 4:
+                Node other = nodes.get(luck.nextInt(nodes.size()));
+                if (other != n) {
+                    cut(n, other, forMs);
+                    if (luck.nextBoolean()) {
+                        cut(other, n, forMs);
+                    }
+                }
+                break;
+            case 5:
+                n.stalledUntilMs = nowMs + forMs;
+                break;
+            default:
+                // all lose power at once
+                for (Node o : nodes) {
+                    crash(o, false, 200 + luck.nextInt(1500));
+                }
+                break;
+        }
+    }
+
+    private void cut(Node a, Node b, long forMs) {
+        cutUntilMs.put(a.id + ">" + b.id, nowMs + forMs);
+        at(forMs + 50, () -> {
+            if (up(a) && up(b) && !cut(a.id, b.id) && !cut(b.id, a.id)) {
+                carry(a, a.machine.opened(b.id, nowMs));
+                carry(b, b.machine.opened(a.id, nowMs));
+            }
+        });
+    }
+
+    private void crash(Node n, boolean wipe, long forMs) {
+        n.machine = null;
+        n.life++;
+        n.inbox.clear();
+        n.committedSeq = -1;
+        n.frozenUntilMs = 0;
+        if (wipe) {
+            n.disk = new ArrayList<>();
+        }
+        int life = n.life;
+        at(forMs, () -> {
+            if (n.life != life || n.machine != null) {
+                return;
+            }
+            n.machine = new ChainMachine(n.id, seeds, false, n.disk, luck.nextLong());
+            n.upMs = nowMs;
+            n.diskFreeMs = nowMs;
+            beat(n, life);
+            at(150, () -> {
+                for (Node o : nodes) {
+                    if (o != n && up(o) && up(n)) {
+                        carry(o, o.machine.opened(n.id, nowMs));
+                        carry(n, n.machine.opened(o.id, nowMs));
+                    }
+                }
+            });
+        });
+    }
+}
