--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -10,6 +10,7 @@
 import ringspindle.cp.*;
 import ringspindle.dp.*;
 import ringspindle.log.*;
+import ringspindle.ops.*;
 
 /** The program: {@code data-plane}, {@code control-plane}, and the operator's command line. */
 public final class Main {
@@ -40,8 +41,9 @@
     static int run(String[] args) {
         Daemon data = new Daemon();
         Daemon control = new Daemon();
+        Daemon self = new Daemon();
         JCommander cli = JCommander.newBuilder().programName("ringspindle").addCommand("data-plane", data)
-                .addCommand("control-plane", control).build();
+                .addCommand("control-plane", control).addCommand("selftest", self).build();
         try {
             cli.parse(args);
         } catch (ParameterException x) {
@@ -54,6 +56,10 @@
             cli.usage();
             return command == null ? USAGE : 0;
         }
+        if (command.equals("selftest")) {
+            JsonLines.install(Level.INFO);
+            return SelfTest.run();
+        }
         return daemon(command, d);
     }
 
--- a/src/main/java/ringspindle/conf/FleetConfig.java
+++ b/src/main/java/ringspindle/conf/FleetConfig.java
@@ -246,6 +246,10 @@
     /** The mapping with the longest prefix, null if there is none; {@code config.find("a.example", "/x/2f")}. */
     public Mapping find(String host, String path) {
         List<Mapping> of = host == null ? null : byHost.get(host.toLowerCase(Locale.ROOT));
+        if (of == null && host != null && host.indexOf(':') > 0) {
+            // the port in Host is the node's, not the mapping's
+            of = byHost.get(host.substring(0, host.lastIndexOf(':')).toLowerCase(Locale.ROOT));
+        }
         if (of != null) {
             for (Mapping m : of) {
                 if (path.startsWith(m.pathPrefix())) {
