--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -36,6 +36,7 @@
     private final Executor pool;
     private final org.eclipse.jetty.util.thread.Scheduler beats;
     private final DiskThread disk;
+    private final EngineFile engines;
 
     private final Object chainLock = new Object();
     private final Chain chain;
@@ -65,7 +66,9 @@
         Hello hello = new Hello(me, life, 0, 0, config.name(), config.zone(), config.region());
         mesh = Mesh.create(hello, pool, beats);
         meet = Meet.create(me, SILENT_MS);
-        Disk store = Disk.open(Path.of(config.dataPath().isEmpty() ? "/tmp/ringspindle" : config.dataPath()));
+        Path folder = Path.of(config.dataPath().isEmpty() ? "/tmp/ringspindle" : config.dataPath());
+        Disk store = Disk.open(folder);
+        engines = new EngineFile(folder.resolve("engines"), pool);
         List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
         chain = Chain.create(me, seeds, config.bootstrap(), store.load(), life);
         disk = new DiskThread(store, this::stored, () -> {
@@ -76,6 +79,9 @@
     }
 
     void start() throws Exception {
+        synchronized (bookLock) {
+            merge(engines.load());
+        }
         Thread t = new Thread(disk, "disk");
         t.setDaemon(true);
         t.start();
@@ -203,6 +209,10 @@
                     mesh.send(from, new Digest(book.ranges()));
                 }
             }
+            if (p.echo() == 0) {
+                // a new wire: the sooner both know that they hear each other, the better
+                pulse(from);
+            }
         } else if (m instanceof News n) {
             synchronized (bookLock) {
                 merge(n.items());
@@ -366,7 +376,7 @@
         if (view != null) {
             wanted.addAll(view.voters());
         }
-        if (ticks % 3 == 0) {
+        if (ticks % 2 == 0) {
             for (NodeId n : wanted) {
                 // one wire for two nodes: the lower address dials
                 if (me.compareTo(n) < 0 && !mesh.up(n)) {
@@ -380,6 +390,9 @@
         synchronized (bookLock) {
             grant(view, nowMs);
             push();
+            if (ticks % 20 == 0) {
+                engines.keep(book.all(Book.ENGINE));
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/ringspindle/cp/EngineFile.java
@@ -0,0 +1,73 @@
+package ringspindle.cp;
+
+import com.google.common.flogger.*;
+import java.io.*;
+import java.nio.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.concurrent.atomic.*;
+import java.util.zip.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/**
+ * The engines as last heard, kept as a hint for the time right after a restart, when none has called yet. Nothing is
+ * promised of it: it is not synced, a broken file counts as none, and beats replace it.
+ */
+final class EngineFile {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int FILE_MAX = 4 << 20;
+
+    private final Path file;
+    private final Executor pool;
+    private final AtomicBoolean writing = new AtomicBoolean();
+    private Set<String> kept = Set.of();
+
+    EngineFile(Path file, Executor pool) {
+        this.file = file;
+        this.pool = pool;
+    }
+
+    List<Item> load() {
+        try {
+            if (!Files.exists(file) || Files.size(file) > FILE_MAX) {
+                return List.of();
+            }
+            ByteBuffer b = ByteBuffer.wrap(Files.readAllBytes(file));
+            int crc = b.getInt();
+            byte[] body = new byte[b.remaining()];
+            b.get(body);
+            CRC32C c = new CRC32C();
+            c.update(body);
+            return (int) c.getValue() == crc && Codec.decode(body) instanceof News n ? n.items() : List.of();
+        } catch (IOException | RuntimeException x) {
+            LOG.atInfo().log("no engines kept: %s", x.toString());
+            return List.of();
+        }
+    }
+
+    /** Writes if other engines are there than last time; a disk that hangs holds up nobody else. */
+    void keep(Collection<Item> engines) {
+        Set<String> now = new TreeSet<>();
+        engines.forEach(i -> now.add(i.key()));
+        if (now.equals(kept) || !writing.compareAndSet(false, true)) {
+            return;
+        }
+        kept = now;
+        byte[] body = Codec.encode(new News(true, new ArrayList<>(engines)));
+        pool.execute(() -> {
+            try {
+                CRC32C c = new CRC32C();
+                c.update(body);
+                Path next = file.resolveSibling("engines.next");
+                Files.write(next, ByteBuffer.allocate(4 + body.length).putInt((int) c.getValue()).put(body).array());
+                Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+            } catch (IOException x) {
+                LOG.atInfo().log("engines not kept: %s", x.toString());
+            } finally {
+                writing.set(false);
+            }
+        });
+    }
+}
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -84,6 +84,10 @@
         synchronized (lock) {
             if (m instanceof Pulse p) {
                 meet.heard(from, p, nowMs);
+                if (p.echo() == 0) {
+                    // a new wire: the sooner both know that they hear each other, the better
+                    pulse(from);
+                }
                 controls.addAll(p.heard());
                 if (p.digest() != book.digest() && p.n() % 24 == 0) {
                     mesh.send(from, new Digest(book.ranges()));
@@ -200,7 +204,7 @@
             long bestKey = Long.MAX_VALUE;
             for (NodeId n : controls) {
                 Long lastMs = dialledMs.get(n);
-                if (mesh.up(n) || lastMs != null && nowMs - lastMs < 600) {
+                if (mesh.up(n) || lastMs != null && nowMs - lastMs < 250) {
                     continue;
                 }
                 long key = Math.abs((n.bits() >>> 16) - (me.bits() >>> 16));
--- a/src/main/java/ringspindle/edge/Front.java
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -22,6 +22,8 @@
 public final class Front extends Handler.Abstract implements Action.Ear {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int INBOX_MS = 20;
+    /** Ours: about how long a node that has just started takes until it holds what is in force. */
+    private static final int NOT_READY_MS = 1000;
 
     private final NodeConfig node;
     private final Picker picker;
@@ -235,7 +237,7 @@
         long sinceMs = clock.nowMs();
         FleetConfig c = config;
         if (c == null || !confirmed) {
-            say(response, callback, Outcome.NOT_READY, 300);
+            say(response, callback, Outcome.NOT_READY, NOT_READY_MS);
             return true;
         }
         FleetConfig.Mapping m = c.find(request.getHeaders().get(HttpHeader.HOST), path);
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -249,7 +249,7 @@
             }
         }
         if (best == null) {
-            return new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, coldOnly ? 150 : 400);
+            return new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, coldOnly ? 250 : any ? 600 : 900);
         }
         if (best.coldUntilMs > nowMs) {
             best.coldTokens -= 1;
