--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -38,29 +38,42 @@
         System.exit(run(args));
     }
 
-    static int run(String[] args) {
+    /** {@code Main.run(new String[] {"config", "check", "file.json"})} gives the exit code. */
+    public static int run(String[] args) {
         Daemon data = new Daemon();
         Daemon control = new Daemon();
         Daemon self = new Daemon();
-        JCommander cli = JCommander.newBuilder().programName("ringspindle").addCommand("data-plane", data)
+        Cli cli = Cli.create(System.out, System.err);
+        JCommander parser = JCommander.newBuilder().programName("ringspindle").addCommand("data-plane", data)
                 .addCommand("control-plane", control).addCommand("selftest", self).build();
+        cli.addTo(parser);
         try {
-            cli.parse(args);
+            parser.parse(args);
         } catch (ParameterException x) {
             System.err.println(x.getMessage());
             return USAGE;
         }
-        String command = cli.getParsedCommand();
-        Daemon d = "data-plane".equals(command) ? data : control;
-        if (command == null || d.help) {
-            cli.usage();
-            return command == null ? USAGE : 0;
+        String command = parser.getParsedCommand();
+        if (command == null) {
+            parser.usage();
+            return USAGE;
+        }
+        if (Arrays.asList(args).contains("--help") || Arrays.asList(args).contains("-h")) {
+            parser.getUsageFormatter().usage(command);
+            return 0;
         }
-        if (command.equals("selftest")) {
-            JsonLines.install(Level.INFO);
-            return SelfTest.run();
+        switch (command) {
+            case "data-plane":
+                return daemon(command, data);
+            case "control-plane":
+                return daemon(command, control);
+            case "selftest":
+                JsonLines.install(Level.INFO);
+                return SelfTest.run();
+            default:
+                JsonLines.install(Level.SEVERE);
+                return cli.run(command);
         }
-        return daemon(command, d);
     }
 
     private static int daemon(String command, Daemon d) {
--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -52,6 +52,10 @@
     private NodeId lastHead;
     private long grantFromMs;
     private long licences;
+    private final Map<String, RollPlan> plans = new HashMap<>();
+    private final Reports reports;
+    private volatile boolean rolling;
+    private volatile long turns;
     private long ticks;
     private volatile boolean leaving;
     private volatile boolean quorate;
@@ -71,6 +75,7 @@
         engines = new EngineFile(folder.resolve("engines"), pool);
         List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
         chain = Chain.create(me, seeds, config.bootstrap(), store.load(), life);
+        reports = new Reports(pool, beats, this::reported);
         disk = new DiskThread(store, this::stored, () -> {
             synchronized (chainLock) {
                 return chain.durable();
@@ -387,6 +392,7 @@
         if (ticks % 2 == 0) {
             pulseTo.forEach(this::pulse);
         }
+        roll(view, nowMs);
         synchronized (bookLock) {
             grant(view, nowMs);
             push();
@@ -430,6 +436,57 @@
         }
     }
 
+    /** The holder of the duty drives roll-outs; without one this costs nothing. */
+    private void roll(View view, long nowMs) {
+        if (view == null || !quorate || !view.head().equals(me) || ticks % 3 != 0 || rolling) {
+            return;
+        }
+        for (Item i : book(b -> new ArrayList<>(b.all(Book.ROLLOUT)))) {
+            Rollout r = Rollout.read(new String(i.value(), java.nio.charset.StandardCharsets.UTF_8));
+            List<RollPlan.Member> members = members(r.service());
+            if (r.state() == Rollout.Standing.RUNNING && ticks % 6 == 0) {
+                r.turn().forEach(id -> reports.ask(id, engineAddress(id)));
+            }
+            RollPlan.Order o = plans.computeIfAbsent(r.service(), k -> new RollPlan()).next(r, members, nowMs);
+            if (o == null) {
+                continue;
+            }
+            LOG.atInfo().log("roll-out of %s: %s %s %s", r.service(), o.order(), o.id(), o.cause());
+            String body = jakarta.json.Json.createObjectBuilder().add("order", o.order()).add("id", o.id())
+                    .add("cause", o.cause().name()).add("epoch", view.epoch()).build().toString();
+            rolling = true;
+            call(Chain.ROLLOUT, 0, r.service(), body.getBytes(java.nio.charset.StandardCharsets.UTF_8), (out, text) -> rolling = false);
+            return;
+        }
+    }
+
+    /** The engines of a service, for roll-outs. */
+    List<RollPlan.Member> members(String service) {
+        List<RollPlan.Member> out = new ArrayList<>();
+        synchronized (bookLock) {
+            long nowMs = clock.nowMs();
+            for (Item i : book.all(Book.ENGINE)) {
+                Engine e = (Engine) Codec.decode(i.value());
+                long ageMs = nowMs - seenMs.getOrDefault(Book.ENGINE + " " + i.key(), 0L);
+                if (e.service().equals(service) && ageMs < 30_000) {
+                    out.add(new RollPlan.Member(i.key(), config.regionOf(e.zone()), e.weights(),
+                            e.draining() || book.get(Book.LEAVING, i.key()) != null, ageMs > 3L * config.engineBeatMs()));
+                }
+            }
+        }
+        return out;
+    }
+
+    private String engineAddress(String id) {
+        Item i = book(b -> b.get(Book.ENGINE, id));
+        return i == null ? null : ((Engine) Codec.decode(i.value())).address();
+    }
+
+    private void reported(String id, int active, int queued) {
+        tell(new Item(Book.TURN, id, life, ++turns, (active + queued == 0 ? "free to swap" : "still runs " + (active + queued))
+                .getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+    }
+
     /** Passes on what peers have not been sent. */
     private void push() {
         for (Meet.Peer p : meet.peers()) {
--- a/src/main/java/ringspindle/cp/Fleet.java
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -53,13 +53,22 @@
         return out.add("nodes", nodes).build();
     }
 
+    static JsonObject rollouts(Control c) {
+        JsonArrayBuilder out = JSON.createArrayBuilder();
+        for (Item i : c.book(b -> new ArrayList<>(b.all(Book.ROLLOUT)))) {
+            out.add(JSON.createReader(new java.io.StringReader(new String(i.value(), UTF_8))).readObject());
+        }
+        return JSON.createObjectBuilder().add("rollouts", out).build();
+    }
+
     static JsonObject engines(Control c) {
         JsonArrayBuilder out = JSON.createArrayBuilder();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.ENGINE)))) {
             Engine e = (Engine) Codec.decode(i.value());
             Item leaving = c.book(b -> b.get(Book.LEAVING, i.key()));
             long ageMs = c.ageMs(Book.ENGINE, i.key());
-            out.add(JSON.createObjectBuilder().add("id", i.key()).add("service", e.service()).add("address", e.address())
+            Item turn = c.ageMs(Book.TURN, i.key()) < 3000 ? c.book(b -> b.get(Book.TURN, i.key())) : null;
+            out.add(JSON.createObjectBuilder().add("turn", turn == null ? "" : new String(turn.value(), UTF_8)).add("id", i.key()).add("service", e.service()).add("address", e.address())
                     .add("zone", e.zone()).add("revision", e.revision()).add("weights", e.weights())
                     .add("state", leaving == null ? "ready" : new String(leaving.value(), UTF_8)).add("beatAgeMs", ageMs)
                     .add("callSeq", i.version()));
--- a/src/main/java/ringspindle/cp/Gate.java
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -16,6 +16,7 @@
 import ringspindle.conf.*;
 import ringspindle.conf.Checked.*;
 import ringspindle.know.*;
+import ringspindle.meet.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
@@ -37,41 +38,42 @@
     public boolean handle(Request request, Response response, Callback callback) {
         String path = request.getHttpURI().getPath();
         String method = request.getMethod();
-        if (!path.startsWith("/ringspindle/")) {
+        Operation what = Operation.of(method, path);
+        if (what == null) {
             return end(response, callback, Outcome.NO_SUCH, NONE);
         }
-        String[] part = path.substring("/ringspindle/".length()).split("/");
-        String what = part[0];
-        String arg = part.length > 1 ? part[1] : "";
-        if (part.length > 2) {
-            return end(response, callback, Outcome.NO_SUCH, NONE);
-        }
-        switch (method + " " + what) {
-            case "GET resolution":
+        String arg = Operation.arg(path);
+        switch (what) {
+            case RESOLVE:
                 return resolve(request, response, callback);
-            case "GET configuration":
+            case CONFIG_GET:
                 control.call(Chain.READ, 0, "", NONE, (o, body) -> end(response, callback, o,
                         o == Outcome.TAKEN ? FleetConfig.unpack(body) : NONE));
                 return true;
-            case "PUT configuration":
-            case "PATCH configuration":
-                return configuration(request, response, callback, method.equals("PUT") ? Chain.PUT : Chain.PATCH);
-            case "POST evacuation":
-            case "DELETE evacuation":
+            case CONFIG_PUT:
+                return configuration(request, response, callback, Chain.PUT);
+            case CONFIG_PATCH:
+                return configuration(request, response, callback, Chain.PATCH);
+            case EVACUATE:
+            case RESTORE:
                 if (!control.config().regionOfZone().containsKey(arg)) {
                     return end(response, callback, Outcome.NO_SUCH, NONE);
                 }
-                control.call(method.equals("POST") ? Chain.EVACUATE : Chain.RESTORE, 0, arg, NONE,
+                control.call(what == Operation.EVACUATE ? Chain.EVACUATE : Chain.RESTORE, 0, arg, NONE,
                         (o, body) -> end(response, callback, o, NONE));
                 return true;
-            case "PUT instances":
+            case BEAT:
                 return instance(request, response, callback, arg);
-            case "DELETE instances":
+            case GONE:
                 control.call(Chain.GONE, 0, arg, NONE, (o, body) -> end(response, callback, o, NONE));
                 return true;
-            case "GET status":
+            case ROLLOUTS:
+                return end(response, callback, Outcome.TAKEN, Fleet.rollouts(control).toString().getBytes(UTF_8));
+            case ROLLOUT:
+                return rollout(request, response, callback, arg);
+            case STATUS:
                 return end(response, callback, Outcome.TAKEN, Fleet.status(control).toString().getBytes(UTF_8));
-            case "GET engines":
+            case ENGINES:
                 return end(response, callback, Outcome.TAKEN, Fleet.engines(control).toString().getBytes(UTF_8));
             default:
                 return end(response, callback, Outcome.NO_SUCH, NONE);
@@ -175,6 +177,26 @@
         return true;
     }
 
+    private boolean rollout(Request request, Response response, Callback callback, String service) {
+        body(request, INSTANCE_MAX, response, callback, b -> {
+            byte[] order = b;
+            if (FleetConfig.json(b) instanceof Good<JsonObject> good && "start".equals(good.value().getString("order", ""))) {
+                List<RollPlan.Member> members = control.members(service);
+                double floor = good.value().get("floor") instanceof JsonNumber n ? n.doubleValue() : 0.5;
+                if (!RollPlan.feasible(floor, members)) {
+                    end(response, callback, Outcome.INVALID, "with this floor some region could never take its turn".getBytes(UTF_8));
+                    return;
+                }
+                if (!good.value().containsKey("from")) {
+                    long from = members.stream().mapToLong(RollPlan.Member::weights).max().orElse(-1);
+                    order = JSON.createObjectBuilder(good.value()).add("from", from).build().toString().getBytes(UTF_8);
+                }
+            }
+            control.call(Chain.ROLLOUT, 0, service, order, (o, text) -> end(response, callback, o, text));
+        });
+        return true;
+    }
+
     /** Writes the answer for an outcome; problems go out as JSON. */
     static boolean end(Response response, Callback callback, Outcome o, byte[] body) {
         response.setStatus(o.status());
--- /dev/null
+++ b/src/main/java/ringspindle/cp/Reports.java
@@ -0,0 +1,70 @@
+package ringspindle.cp;
+
+import jakarta.json.*;
+import jakarta.json.spi.*;
+import java.io.*;
+import java.net.*;
+import java.util.concurrent.*;
+import org.eclipse.jetty.client.*;
+import org.eclipse.jetty.client.transport.*;
+import org.eclipse.jetty.util.thread.*;
+import ringspindle.wire.*;
+
+/** Asks engines for their reports; started when first needed, as most nodes never are. */
+final class Reports {
+    /** Where a report goes. */
+    interface Ear {
+        void reported(String id, int active, int queued);
+    }
+
+    private final Executor pool;
+    private final org.eclipse.jetty.util.thread.Scheduler beats;
+    private final Ear ear;
+    private HttpClient client;
+
+    Reports(Executor pool, org.eclipse.jetty.util.thread.Scheduler beats, Ear ear) {
+        this.pool = pool;
+        this.beats = beats;
+        this.ear = ear;
+    }
+
+    void ask(String id, String address) {
+        if (address == null) {
+            return;
+        }
+        try {
+            client().newRequest(URI.create("http://" + address + "/ringspindle/report"))
+                    .timeout(800, TimeUnit.MILLISECONDS).send(new BufferingResponseListener(64 << 10) {
+                        @Override
+                        public void onComplete(Result r) {
+                            if (r.isSucceeded() && r.getResponse().getStatus() == 200) {
+                                read(id, getContentAsString());
+                            }
+                        }
+                    });
+        } catch (Exception x) {
+            // asked again at the next beat
+        }
+    }
+
+    private void read(String id, String json) {
+        try (JsonReader in = JsonProvider.provider().createReader(new StringReader(json))) {
+            JsonObject o = in.readObject();
+            ear.reported(id, o.getInt("active", 0), o.getInt("queued", 0));
+        } catch (JsonException | ClassCastException x) {
+            // no report
+        }
+    }
+
+    private synchronized HttpClient client() throws Exception {
+        if (client == null) {
+            client = new HttpClient(new HttpClientTransportOverHTTP(new PlainConnector()));
+            client.setExecutor(pool);
+            client.setScheduler(beats);
+            client.setConnectTimeout(800);
+            client.setUserAgentField(null);
+            client.start();
+        }
+        return client;
+    }
+}
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -6,6 +6,7 @@
 import java.util.*;
 import java.util.concurrent.*;
 import org.eclipse.jetty.util.thread.*;
+import ringspindle.chain.*;
 import ringspindle.conf.*;
 import ringspindle.edge.*;
 import ringspindle.know.*;
@@ -128,6 +129,9 @@
                 picker.leaving(i.key(), new String(i.value(), UTF_8).equals("gone"), nowMs);
             } else if (i.kind() == Book.EVACUATED) {
                 picker.evacuated(i.key(), new String(i.value(), UTF_8).equals("on"), nowMs);
+            } else if (i.kind() == Book.ROLLOUT) {
+                Rollout r = Rollout.read(new String(i.value(), UTF_8));
+                picker.turn(r.service(), new HashSet<>(r.turn()), nowMs);
             } else if (i.kind() == Book.LICENCE) {
                 picker.licence((Licence) Codec.decode(i.value()), nowMs);
             }
--- a/src/main/java/ringspindle/know/Book.java
+++ b/src/main/java/ringspindle/know/Book.java
@@ -13,6 +13,8 @@
     int NODE = 5;
     int LICENCE = 6;
     int ROLLOUT = 7;
+    /** How much an engine in turn still runs, told by the duty's holder. */
+    int TURN = 8;
     int RANGES = 16;
 
     /** Takes what is newer; returns just that. {@code book.merge(news.items())}. */
--- /dev/null
+++ b/src/main/java/ringspindle/ops/Cli.java
@@ -0,0 +1,398 @@
+package ringspindle.ops;
+
+import static java.nio.charset.StandardCharsets.*;
+
+import com.beust.jcommander.*;
+import jakarta.json.*;
+import jakarta.json.spi.*;
+import java.io.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import org.eclipse.jetty.client.*;
+import org.eclipse.jetty.client.transport.*;
+import ringspindle.api.*;
+import ringspindle.conf.*;
+import ringspindle.conf.Checked.*;
+import ringspindle.wire.*;
+
+/** The operator's command line over the whole fleet, through any control node. */
+public final class Cli {
+    /** All went as asked. */
+    public static final int OK = 0;
+    /** Something failed that is none of the below. */
+    public static final int FAILED = 1;
+    /** The command cannot be understood. */
+    public static final int USAGE = 2;
+    /** The fleet, or the offline check, refused it. */
+    public static final int REFUSED = 3;
+    /** No control node gave a clear answer. */
+    public static final int NOT_REACHED = 4;
+
+    private static final JsonProvider JSON = JsonProvider.provider();
+    private static final int ROUNDS = 8;
+
+    /** What every command takes. */
+    static class Common {
+        @Parameter(names = {"--control", "-c"}, description = "control nodes, ip:port, separated by commas (or RINGSPINDLE_CONTROL)")
+        String control = System.getenv("RINGSPINDLE_CONTROL");
+
+        @Parameter(names = "--json", description = "JSON instead of a table")
+        boolean json;
+
+        @Parameter(names = {"--help", "-h"}, help = true, description = "this text")
+        boolean help;
+    }
+
+    @Parameters(commandDescription = "nodes, sessions, view and chain, duties with epochs")
+    static final class Status extends Common {
+    }
+
+    @Parameters(commandDescription = "engines as last heard")
+    static final class Engines extends Common {
+    }
+
+    @Parameters(commandDescription = "mappings of the configuration in force")
+    static final class Mappings extends Common {
+    }
+
+    @Parameters(commandDescription = "get | check FILE | put FILE | patch FILE | diff FILE")
+    static final class Config extends Common {
+        @Parameter(description = "get | check FILE | put FILE | patch FILE | diff FILE")
+        List<String> words = new ArrayList<>();
+
+        @Parameter(names = "--base", description = "the version to build on (default: the one in force)")
+        Long base;
+    }
+
+    @Parameters(commandDescription = "nothing more to the engines of ZONE")
+    static final class Evacuate extends Common {
+        @Parameter(description = "ZONE")
+        List<String> words = new ArrayList<>();
+    }
+
+    @Parameters(commandDescription = "takes the evacuation of ZONE back")
+    static final class Restore extends Common {
+        @Parameter(description = "ZONE")
+        List<String> words = new ArrayList<>();
+    }
+
+    @Parameters(commandDescription = "show | start SERVICE --target N | resume SERVICE | abort SERVICE | back SERVICE")
+    static final class Rollout extends Common {
+        @Parameter(description = "show | start SERVICE | resume SERVICE | abort SERVICE | back SERVICE")
+        List<String> words = new ArrayList<>();
+
+        @Parameter(names = "--target", description = "the checkpoint that all engines are to have")
+        Long target;
+
+        @Parameter(names = "--at-once", description = "how many engines may be out for it at a time")
+        int atOnce = 1;
+
+        @Parameter(names = "--floor", description = "share of a region's engines that stays in service")
+        double floor = 0.5;
+
+        @Parameter(names = "--patience", description = "seconds after which an engine that has not swapped pauses it")
+        int patienceS = 120;
+    }
+
+    /** What came back: an HTTP status, 0 if nobody was reached. */
+    record Reply(int status, String body) {
+    }
+
+    private final PrintStream out;
+    private final PrintStream err;
+    private final Map<String, Common> commands = new LinkedHashMap<>();
+
+    Cli(PrintStream out, PrintStream err) {
+        this.out = out;
+        this.err = err;
+        commands.put("status", new Status());
+        commands.put("engines", new Engines());
+        commands.put("mappings", new Mappings());
+        commands.put("config", new Config());
+        commands.put("evacuate", new Evacuate());
+        commands.put("restore", new Restore());
+        commands.put("rollout", new Rollout());
+    }
+
+    /** The operator's commands, for the program's own list; {@code Cli.create(System.out, System.err)}. */
+    public static Cli create(PrintStream out, PrintStream err) {
+        return new Cli(out, err);
+    }
+
+    /** Adds the commands to a parser; {@code cli.addTo(parser)}. */
+    public void addTo(JCommander parser) {
+        commands.forEach(parser::addCommand);
+    }
+
+    /** Runs a command that was parsed; {@code cli.run("status")} gives the exit code. */
+    public int run(String name) {
+        Common c = commands.get(name);
+        if (c instanceof Config g && !g.words.isEmpty() && g.words.get(0).equals("check")) {
+            return g.words.size() == 2 ? check(g.words.get(1)) : usage("config check FILE");
+        }
+        if (c.control == null || c.control.isBlank()) {
+            return usage("no control nodes: give --control ip:port,... or RINGSPINDLE_CONTROL");
+        }
+        List<String> nodes = new ArrayList<>();
+        for (String s : c.control.split(",")) {
+            try {
+                nodes.add(NodeId.of(s.trim()).toString());
+            } catch (RuntimeException x) {
+                return usage("not an address: " + s);
+            }
+        }
+        try (Fleet fleet = new Fleet(nodes)) {
+            if (c instanceof Status) {
+                return show(c, fleet.call(Operation.STATUS, "", null, null), this::status);
+            }
+            if (c instanceof Engines) {
+                return show(c, fleet.call(Operation.ENGINES, "", null, null), o -> table(o.getJsonArray("engines"), "id", "service", "zone",
+                        "address", "state", "weights", "beatAgeMs", "turn"));
+            }
+            if (c instanceof Mappings) {
+                return show(c, fleet.call(Operation.CONFIG_GET, "", null, null), o -> table(o.getJsonArray("routes"), "name", "host",
+                        "pathPrefix", "routeKind", "service", "weightedTargets", "deadlineMs", "priority", "homeRegions"));
+            }
+            if (c instanceof Config g) {
+                return config(fleet, g);
+            }
+            if (c instanceof Evacuate e) {
+                return e.words.size() == 1 ? done(fleet.call(Operation.EVACUATE, e.words.get(0), null, null)) : usage("evacuate ZONE");
+            }
+            if (c instanceof Restore e) {
+                return e.words.size() == 1 ? done(fleet.call(Operation.RESTORE, e.words.get(0), null, null)) : usage("restore ZONE");
+            }
+            return rollout(fleet, (Rollout) c);
+        } catch (Exception x) {
+            err.println("failed: " + x.getMessage());
+            return FAILED;
+        }
+    }
+
+    private int usage(String text) {
+        err.println(text);
+        return USAGE;
+    }
+
+    private int check(String file) {
+        byte[] body;
+        try {
+            body = Files.readAllBytes(Path.of(file));
+        } catch (IOException x) {
+            return usage("cannot read " + file);
+        }
+        if (FleetConfig.read(body) instanceof Refused<FleetConfig> bad) {
+            bad.problems().forEach(p -> err.println("refused: " + p.text()));
+            return REFUSED;
+        }
+        out.println("valid");
+        return OK;
+    }
+
+    private int config(Fleet fleet, Config g) throws Exception {
+        String word = g.words.isEmpty() ? "" : g.words.get(0);
+        if (word.equals("get") && g.words.size() == 1) {
+            return show(g, fleet.call(Operation.CONFIG_GET, "", null, null), o -> out.println(o));
+        }
+        if (!List.of("put", "patch", "diff").contains(word) || g.words.size() != 2) {
+            return usage("config get | check FILE | put FILE | patch FILE | diff FILE");
+        }
+        byte[] body;
+        try {
+            body = Files.readAllBytes(Path.of(g.words.get(1)));
+        } catch (IOException x) {
+            return usage("cannot read " + g.words.get(1));
+        }
+        Long base = g.base;
+        JsonObject current = null;
+        if (base == null || word.equals("diff")) {
+            Reply now = fleet.call(Operation.CONFIG_GET, "", null, null);
+            if (now.status() == 200) {
+                current = parse(now.body());
+                base = base == null ? Long.valueOf(current.getJsonNumber("revision").longValue()) : base;
+            } else if (now.status() == 404) {
+                base = 0L;
+            } else {
+                return done(now);
+            }
+        }
+        if (word.equals("diff")) {
+            if (!(FleetConfig.json(body) instanceof Good<JsonObject> mine)) {
+                err.println("refused: not a whole JSON object");
+                return REFUSED;
+            }
+            diff(current == null ? JsonValue.EMPTY_JSON_OBJECT : current, mine.value());
+            return OK;
+        }
+        return done(fleet.call(word.equals("put") ? Operation.CONFIG_PUT : Operation.CONFIG_PATCH, "", base, body));
+    }
+
+    /** Named items that differ, one a line. */
+    private void diff(JsonObject now, JsonObject mine) {
+        out.println("revision " + now.get("revision") + " -> " + mine.get("revision"));
+        for (String list : List.of("routes", "services")) {
+            Map<String, JsonObject> a = named(now, list);
+            Map<String, JsonObject> b = named(mine, list);
+            Set<String> names = new TreeSet<>(a.keySet());
+            names.addAll(b.keySet());
+            for (String n : names) {
+                if (!a.containsKey(n)) {
+                    out.println("+ " + list + " " + n);
+                } else if (!b.containsKey(n)) {
+                    out.println("- " + list + " " + n);
+                } else if (!a.get(n).equals(b.get(n))) {
+                    out.println("~ " + list + " " + n);
+                }
+            }
+        }
+        if (!Objects.equals(now.get("limits"), mine.get("limits"))) {
+            out.println("~ limits");
+        }
+    }
+
+    private static Map<String, JsonObject> named(JsonObject o, String list) {
+        Map<String, JsonObject> m = new TreeMap<>();
+        if (o.get(list) instanceof JsonArray a) {
+            a.getValuesAs(JsonObject.class).forEach(x -> m.put(x.getString("name", ""), x));
+        }
+        return m;
+    }
+
+    private int rollout(Fleet fleet, Rollout r) throws Exception {
+        String word = r.words.isEmpty() ? "show" : r.words.get(0);
+        if (word.equals("show")) {
+            return show(r, fleet.call(Operation.ROLLOUTS, "", null, null), o -> table(o.getJsonArray("rollouts"), "service", "state",
+                    "target", "from", "turn", "swapped", "cause"));
+        }
+        if (r.words.size() != 2 || !List.of("start", "resume", "abort", "back").contains(word)) {
+            return usage("rollout show | start SERVICE --target N | resume SERVICE | abort SERVICE | back SERVICE");
+        }
+        JsonObjectBuilder b = JSON.createObjectBuilder().add("order", word);
+        if (word.equals("start")) {
+            if (r.target == null) {
+                return usage("rollout start SERVICE --target N");
+            }
+            b.add("target", r.target).add("atOnce", r.atOnce).add("floor", r.floor).add("patienceS", r.patienceS);
+        }
+        return done(fleet.call(Operation.ROLLOUT, r.words.get(1), null, b.build().toString().getBytes(UTF_8)));
+    }
+
+    private interface Shown {
+        void show(JsonObject o);
+    }
+
+    private int show(Common c, Reply r, Shown human) {
+        if (r.status() != 200) {
+            return done(r);
+        }
+        if (c.json) {
+            out.println(r.body());
+        } else {
+            human.show(parse(r.body()));
+        }
+        return OK;
+    }
+
+    private int done(Reply r) {
+        if (r.status() == 200) {
+            out.println("done");
+            return OK;
+        }
+        if (r.status() == 0 || r.status() >= 500) {
+            err.println("not reached: no control node gave a clear answer");
+            return NOT_REACHED;
+        }
+        String text = "";
+        if (FleetConfig.json(r.body().getBytes(UTF_8)) instanceof Good<JsonObject> o) {
+            text = o.value().getString("error", "") + " " + o.value().getString("text", "");
+        }
+        err.println("refused: " + r.status() + " " + text.trim());
+        return REFUSED;
+    }
+
+    private static JsonObject parse(String s) {
+        try (JsonReader r = JSON.createReader(new StringReader(s))) {
+            return r.readObject();
+        }
+    }
+
+    private void status(JsonObject o) {
+        out.println("asked " + o.getString("node") + ", in touch with a majority: " + o.getBoolean("quorate"));
+        if (o.get("view") instanceof JsonObject v) {
+            out.println("view " + v.get("epoch") + ", chain " + v.get("chain") + ", voters " + v.get("voters"));
+        }
+        out.println("duties " + o.get("duties"));
+        out.println("revision " + o.get("revision") + ", seq " + o.get("seq") + ", evacuated " + o.get("evacuated"));
+        table(o.getJsonArray("sessions"), "name", "kind", "node", "zone", "linked", "ready");
+        table(o.getJsonArray("nodes"), "name", "zone", "frontend", "ready", "leaving");
+    }
+
+    private void table(JsonArray rows, String... columns) {
+        int[] width = new int[columns.length];
+        List<String[]> cells = new ArrayList<>();
+        cells.add(columns);
+        if (rows != null) {
+            for (JsonObject o : rows.getValuesAs(JsonObject.class)) {
+                String[] row = new String[columns.length];
+                for (int i = 0; i < row.length; i++) {
+                    JsonValue v = o.get(columns[i]);
+                    row[i] = v == null ? "" : v instanceof JsonString s ? s.getString() : v.toString();
+                }
+                cells.add(row);
+            }
+        }
+        for (String[] row : cells) {
+            for (int i = 0; i < row.length; i++) {
+                width[i] = Math.max(width[i], row[i].length());
+            }
+        }
+        for (String[] row : cells) {
+            StringBuilder b = new StringBuilder();
+            for (int i = 0; i < row.length; i++) {
+                b.append(row[i]).append(" ".repeat(width[i] - row[i].length() + 2));
+            }
+            out.println(b.toString().stripTrailing());
+        }
+    }
+
+    /** Calls any control node that gives a clear answer, in turn. */
+    private static final class Fleet implements AutoCloseable {
+        private final List<String> nodes;
+        private final HttpClient http = new HttpClient(new HttpClientTransportOverHTTP(new PlainConnector()));
+
+        Fleet(List<String> nodes) throws Exception {
+            this.nodes = nodes;
+            http.setConnectTimeout(1000);
+            http.start();
+        }
+
+        Reply call(Operation o, String arg, Long base, byte[] body) throws InterruptedException {
+            for (int i = 0; i < ROUNDS; i++) {
+                String node = nodes.get(i % nodes.size());
+                try {
+                    Request r = http.newRequest("http://" + node + o.path(arg)).method(o.method()).timeout(4, TimeUnit.SECONDS);
+                    if (base != null) {
+                        r.headers(h -> h.put("If-Match", Long.toString(base)));
+                    }
+                    if (body != null) {
+                        r.body(new BytesRequestContent("application/json", body));
+                    }
+                    ContentResponse c = r.send();
+                    if (c.getStatus() < 500 && c.getStatus() != 408 && c.getStatus() != 429) {
+                        return new Reply(c.getStatus(), c.getContentAsString());
+                    }
+                } catch (TimeoutException | ExecutionException x) {
+                    // the next one
+                }
+                Thread.sleep(100L << Math.min(3, i / nodes.size()));
+            }
+            return new Reply(0, "");
+        }
+
+        @Override
+        public void close() {
+            LifeCycleQuietly.stop(http);
+        }
+    }
+}
--- a/src/main/java/ringspindle/pick/Picker.java
+++ b/src/main/java/ringspindle/pick/Picker.java
@@ -42,6 +42,9 @@
 
     void licence(Licence l, long nowMs);
 
+    /** The engines of a service whose turn it is in a roll-out: they get nothing new, and are cold when they return. */
+    void turn(String service, Set<String> ids, long nowMs);
+
     /** Picks and, on success, counts the request as running there: {@link #ended} must follow. */
     Choice choose(Ask ask, long nowMs);
 
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -84,6 +84,7 @@
     private final Set<String> evacuated = new HashSet<>();
     private final Map<String, Budget> budgets = new HashMap<>();
     private final Map<String, Long> zoneColdUntilMs = new HashMap<>();
+    private final Map<String, Set<String>> turns = new HashMap<>();
     private FleetConfig config;
     private Licence licence;
     private long licenceUntilMs;
@@ -183,6 +184,23 @@
         mostNodes = Math.max(mostNodes, l.nodes());
     }
 
+    @Override
+    public synchronized void turn(String service, Set<String> ids, long nowMs) {
+        Set<String> before = turns.getOrDefault(service, Set.of());
+        FleetConfig.Service s = config == null ? null : config.service(service);
+        for (String id : before) {
+            Row r = rows.get(id);
+            if (!ids.contains(id) && r != null) {
+                cold(r, nowMs + (s == null ? 0 : (long) (s.warmupS() * 1000)) + 1000, nowMs);
+            }
+        }
+        if (ids.isEmpty()) {
+            turns.remove(service);
+        } else {
+            turns.put(service, Set.copyOf(ids));
+        }
+    }
+
     /** How many nodes share a budget, as far as is known; without a licence, more than were ever seen. */
     private int sharers(long nowMs) {
         return nowMs < licenceUntilMs ? Math.max(MIN_NODES, Math.max(licence.nodes(), mostNodes)) : Math.max(24, mostNodes * 2);
@@ -197,9 +215,11 @@
         boolean coldOnly = false;
         boolean anyFresh = false;
         List<Row> fit = new ArrayList<>(rows.size());
+        Set<String> inTurn = turns.getOrDefault(ask.service(), Set.of());
         for (Row r : rows.values()) {
             if (!r.said.service().equals(ask.service()) || r.leaving || evacuated.contains(r.said.zone())
-                    || !ask.homes().isEmpty() && !ask.homes().contains(r.region) || ask.tried().contains(r.id)) {
+                    || !ask.homes().isEmpty() && !ask.homes().contains(r.region) || ask.tried().contains(r.id)
+                    || inTurn.contains(r.id)) {
                 continue;
             }
             if (ask.weights() >= 0 && r.said.weights() >= 0 && r.said.weights() != ask.weights()) {
--- /dev/null
+++ b/src/test/java/ringspindle/api/OpenApiTest.java
@@ -0,0 +1,51 @@
+package ringspindle.api;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import jakarta.json.*;
+import java.util.*;
+import org.junit.jupiter.api.*;
+
+/** The OpenAPI file and the code name the same calls. */
+class OpenApiTest {
+    @Test
+    void fileAndCodeAreEqual() {
+        Map<String, String> inFile = new TreeMap<>();
+        Map<String, Set<Integer>> answers = new TreeMap<>();
+        try (JsonReader r = Json.createReader(OpenApiTest.class.getResourceAsStream("/openapi.json"))) {
+            JsonObject paths = r.readObject().getJsonObject("paths");
+            paths.forEach((path, methods) -> methods.asJsonObject().forEach((method, call) -> {
+                String id = call.asJsonObject().getString("operationId");
+                inFile.put(id, method.toUpperCase(Locale.ROOT) + " " + path);
+                call.asJsonObject().getJsonObject("responses").keySet()
+                        .forEach(s -> answers.computeIfAbsent(id, k -> new TreeSet<>()).add(Integer.valueOf(s)));
+            }));
+        }
+        Map<String, String> inCode = new TreeMap<>();
+        for (Operation o : Operation.values()) {
+            inCode.put(o.name(), o.method() + " " + o.template());
+            assertEquals(o, Operation.of(o.method(), o.path("x-1")));
+        }
+        assertEquals(inFile, inCode);
+        Set<Integer> statuses = new TreeSet<>();
+        for (Outcome o : Outcome.values()) {
+            statuses.add(o.status());
+        }
+        answers.forEach((id, s) -> assertTrue(statuses.containsAll(s), id + " answers what no outcome has"));
+    }
+
+    @Test
+    void otherPathsAreNoCalls() {
+        for (String path : List.of("/", "/ringspindle/", "/ringspindle/status/x", "/ringspindle/instances", "/ringspindle/instances/",
+                "/ringspindle/instances/a/b", "/other/status")) {
+            assertNull(Operation.of("GET", path), path);
+        }
+    }
+
+    @Test
+    void onlyAnswersThatPromiseNothingRanAskToComeBack() {
+        for (Outcome o : Outcome.values()) {
+            assertEquals(o.status() == 503, o.notRun(), o.name());
+        }
+    }
+}
