--- /dev/null
+++ b/src/test/java/ringspindle/chain/RollTest.java
@@ -0,0 +1,93 @@
+package ringspindle.chain;
+
+import static java.nio.charset.StandardCharsets.*;
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import org.junit.jupiter.api.*;
+import ringspindle.api.*;
+import ringspindle.meet.*;
+import ringspindle.wire.Msg.*;
+
+/** Roll-outs under load with crashes, a lost duty holder and a burst: once, whole, one checkpoint an answer. */
+class RollTest {
+    @Test
+    void everyAnswerComesOnceWholeAndOfOneCheckpoint() {
+        for (long seed = 1; seed <= 12; seed++) {
+            RollSim sim = new RollSim(seed, 0.5, false);
+            sim.run(60_000);
+            assertEquals(List.of(), sim.problems(), "seed " + seed);
+            assertEquals(Rollout.Standing.DONE, sim.rollout().state(), "seed " + seed + " " + sim.rollout() + sim.orders);
+            sim.engines.values().forEach(e -> assertEquals(2, e.weights, e.id));
+            long whole = sim.history.stream().filter(a -> a.whole).count();
+            assertTrue(whole > sim.history.size() * 0.95, "seed " + seed + ": whole " + whole + " of " + sim.history.size());
+            Set<Long> seen = new TreeSet<>();
+            sim.history.forEach(a -> seen.addAll(a.weights));
+            assertEquals(Set.of(1L, 2L), seen);
+        }
+    }
+
+    @Test
+    void swapThatDoesNotComePausesAndTheOperatorMayAbort() {
+        RollSim sim = new RollSim(3, 0.5, true);
+        sim.run(20_000);
+        assertEquals(List.of(), sim.problems());
+        assertEquals(Rollout.Standing.PAUSED, sim.rollout().state());
+        assertEquals(RollPlan.Cause.SWAP_OVERDUE.name(), sim.rollout().cause());
+        assertEquals(Outcome.TAKEN, sim.order("{\"order\":\"resume\"}"));
+        assertEquals(Rollout.Standing.RUNNING, sim.rollout().state());
+        assertEquals(Outcome.TAKEN, sim.order("{\"order\":\"back\"}"));
+        assertEquals(1, sim.rollout().target());
+        assertEquals(Outcome.TAKEN, sim.order("{\"order\":\"abort\"}"));
+        assertEquals(List.of(), sim.rollout().turn());
+        assertEquals(Outcome.CLASH, sim.order("{\"order\":\"resume\"}"));
+    }
+
+    @Test
+    void badOrdersAreRefusedWithTheirProblem() {
+        RollSim sim = new RollSim(1, 0.5, false);
+        String start = "{\"order\":\"start\",\"target\":2,\"from\":1,\"atOnce\":2,\"floor\":0.5,\"patienceS\":8}";
+        for (String bad : List.of("{", "{}", "{\"order\":\"start\"}", "{\"order\":\"start\",\"target\":\"x\"}", "{\"order\":7}",
+                "{\"order\":\"start\",\"target\":2,\"atOnce\":0}", "{\"order\":\"start\",\"target\":2,\"floor\":1}",
+                "{\"order\":\"start\",\"target\":2,\"patienceS\":0}", "{\"order\":\"dance\"}")) {
+            assertTrue(Set.of(Outcome.INVALID, Outcome.NO_SUCH).contains(sim.order(bad)), bad);
+        }
+        assertEquals(Outcome.NO_SUCH, sim.order("{\"order\":\"abort\"}"));
+        assertEquals(Outcome.TAKEN, sim.order(start));
+        assertEquals(Outcome.TAKEN, sim.order(start), "sent again it is the same order");
+        assertEquals(Outcome.CLASH, sim.order(start.replace("\"target\":2", "\"target\":3")), "a second one of the same service");
+        assertEquals(Outcome.CLASH, sim.order("{\"order\":\"turn\",\"id\":\"i-1\",\"epoch\":0}"), "a stale holder");
+        Content.Decision unknown = new Content().decide(
+                new State(1, 1, 0, List.of(), List.of(), new byte[0]), new Call(1, Chain.ROLLOUT, 0, "other", start.getBytes(UTF_8)));
+        assertEquals(Outcome.INVALID, unknown.outcome());
+    }
+
+    @Test
+    void floorThatCannotBeKeptIsSeen() {
+        List<RollPlan.Member> members = List.of(new RollPlan.Member("i-1", "a", 1, false, false),
+                new RollPlan.Member("i-2", "a", 1, false, false), new RollPlan.Member("i-3", "b", 1, false, false));
+        assertFalse(RollPlan.feasible(0.5, members), "the only engine of b can never go");
+        assertTrue(RollPlan.feasible(0, members));
+    }
+
+    @Test
+    void wrongCheckpointPauses() {
+        Rollout r = new Rollout("s", 2, 1, 1, 0, 60, Rollout.Standing.RUNNING, "", 1, List.of("i-1"), List.of());
+        RollPlan.Order o = new RollPlan().next(r, List.of(new RollPlan.Member("i-1", "a", 3, false, false)), 0);
+        assertEquals("pause", o.order());
+        assertEquals(RollPlan.Cause.WRONG_CHECKPOINT, o.cause());
+    }
+
+    @Test
+    void checkerSeesBrokenHistories() {
+        RollSim sim = new RollSim(1, 0.5, false);
+        RollSim.Asked a = new RollSim.Asked(true, Set.of());
+        a.answers = 2;
+        a.pieces.addAll(List.of(1L, 3L));
+        a.weights.addAll(List.of(1L, 2L));
+        sim.history.add(a);
+        RollSim.Asked b = new RollSim.Asked(false, Set.of());
+        sim.history.add(b);
+        assertEquals(4, sim.problems().size(), sim.problems().toString());
+    }
+}
