--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -26,8 +26,8 @@
     private static final int MIN_NODES = 4;
     /** Ours: prompts that are read at once tell how crowded an engine is; no faster and no further down than this. */
     private static final int SHORT_TOKENS = 2500;
-    private static final int NARROW_MS = 250;
-    private static final double WINDOW_MIN = 4;
+    private static final int NARROW_MS = 400;
+    private static final double WINDOW_MIN = 6;
 
     private static final class Row {
         String id;
@@ -265,7 +265,7 @@
                 coldOnly = true;
                 continue;
             }
-            if (r.window >= 0 && r.running >= r.window) {
+            if (r.window >= 0 && r.running >= r.window && brief(ask)) {
                 crowded = true;
                 continue;
             }
@@ -292,6 +292,11 @@
         return new Chosen(best.id, best.address, best.said.zone(), wires);
     }
 
+    /** Prompts so short that reading them does not hide how crowded an engine is. */
+    private static boolean brief(Ask ask) {
+        return ask.tokens() + ask.sharedTokens() <= SHORT_TOKENS;
+    }
+
     private static double weight(Ask ask) {
         return ask.tokens() + ask.outTokens();
     }
@@ -363,20 +368,20 @@
     @Override
     public synchronized void first(String id, Ask ask, long firstMs, long aimMs, long nowMs) {
         Row r = rows.get(id);
-        if (r == null || ask.tokens() > SHORT_TOKENS) {
+        if (r == null || !brief(ask)) {
             return;
         }
         double most = Math.max(8, r.said.capacity());
         if (r.window < 0) {
             r.window = most;
         }
-        if (firstMs > aimMs * 0.6) {
+        if (firstMs > aimMs) {
             if (nowMs - r.narrowedMs > NARROW_MS) {
                 r.narrowedMs = nowMs;
-                r.window = Math.max(WINDOW_MIN, Math.min(r.window, r.running + 1) * 0.75);
+                r.window = Math.max(WINDOW_MIN, Math.min(r.window, r.running + 2) * 0.85);
             }
-        } else if (firstMs < aimMs * 0.35) {
-            r.window = Math.min(most, r.window + 0.5);
+        } else if (firstMs < aimMs * 0.5) {
+            r.window = Math.min(most, r.window + 1);
         }
     }
 
