--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -24,10 +24,6 @@
     private static final int PROBE_MAX_MS = 2000;
     private static final double KEEP = 0.8;
     private static final int MIN_NODES = 4;
-    /** Ours: prompts that are read at once tell how crowded an engine is; no faster and no further down than this. */
-    private static final int SHORT_TOKENS = 2500;
-    private static final int NARROW_MS = 400;
-    private static final double WINDOW_MIN = 6;
 
     private static final class Row {
         String id;
@@ -49,9 +45,6 @@
         double coldTokens;
         long coldAtMs;
         long hash;
-        /** How many requests of this node may run there at once: less when first pieces come late. */
-        double window = -1;
-        long narrowedMs;
     }
 
     /** Requests and further tries of a service in seconds of steady time. */
@@ -220,7 +213,6 @@
         double bestCost = Double.MAX_VALUE;
         boolean any = false;
         boolean coldOnly = false;
-        boolean crowded = false;
         boolean anyFresh = false;
         List<Row> fit = new ArrayList<>(rows.size());
         Set<String> inTurn = turns.getOrDefault(ask.service(), Set.of());
@@ -265,10 +257,6 @@
                 coldOnly = true;
                 continue;
             }
-            if (r.window >= 0 && r.running >= r.window && brief(ask)) {
-                crowded = true;
-                continue;
-            }
             double read = ask.tokens() + (r == home || home == null ? 0 : ask.sharedTokens());
             double cost = way(r) + read * tokenMs + r.running * SLOT_MS + r.tokens * tokenMs * 0.3
                     + (mix(ask.luck() ^ r.hash) >>> 54) * 0.002;
@@ -281,7 +269,7 @@
             }
         }
         if (best == null) {
-            return new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, coldOnly ? 250 : crowded ? 500 : any ? 600 : 900);
+            return new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, coldOnly ? 250 : any ? 600 : 900);
         }
         if (best.coldUntilMs > nowMs) {
             best.coldTokens -= 1;
@@ -292,11 +280,6 @@
         return new Chosen(best.id, best.address, best.said.zone(), wires);
     }
 
-    /** Prompts so short that reading them does not hide how crowded an engine is. */
-    private static boolean brief(Ask ask) {
-        return ask.tokens() + ask.sharedTokens() <= SHORT_TOKENS;
-    }
-
     private static double weight(Ask ask) {
         return ask.tokens() + ask.outTokens();
     }
@@ -365,26 +348,6 @@
         }
     }
 
-    @Override
-    public synchronized void first(String id, Ask ask, long firstMs, long aimMs, long nowMs) {
-        Row r = rows.get(id);
-        if (r == null || !brief(ask)) {
-            return;
-        }
-        double most = Math.max(8, r.said.capacity());
-        if (r.window < 0) {
-            r.window = most;
-        }
-        if (firstMs > aimMs) {
-            if (nowMs - r.narrowedMs > NARROW_MS) {
-                r.narrowedMs = nowMs;
-                r.window = Math.max(WINDOW_MIN, Math.min(r.window, r.running + 2) * 0.85);
-            }
-        } else if (firstMs < aimMs * 0.5) {
-            r.window = Math.min(most, r.window + 1);
-        }
-    }
-
     @Override
     public synchronized void ended(String id, Ask ask, Action.End end, long firstMs, long nowMs) {
         Row r = rows.get(id);
