--- /dev/null
+++ b/src/test/java/ringspindle/ops/CliTest.java
@@ -0,0 +1,133 @@
+package ringspindle.ops;
+
+import static java.nio.charset.StandardCharsets.*;
+import static org.junit.jupiter.api.Assertions.*;
+
+import com.beust.jcommander.*;
+import java.io.*;
+import java.net.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import org.junit.jupiter.api.*;
+import org.junit.jupiter.api.io.*;
+import ringspindle.*;
+
+/** Exit codes and texts, against a control node that answers by script. */
+@Timeout(60)
+class CliTest {
+    private static final String CONFIG = "{\"revision\":4,\"routes\":[{\"name\":\"c\",\"host\":\"h\",\"pathPrefix\":\"/c/\",\"routeKind\":"
+            + "\"idempotent\",\"deadlineMs\":1,\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}";
+
+    @TempDir
+    Path folder;
+    private final List<String> asked = new CopyOnWriteArrayList<>();
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int run(String... args) {
+        out.reset();
+        err.reset();
+        Cli cli = Cli.create(new PrintStream(out, true, UTF_8), new PrintStream(err, true, UTF_8));
+        JCommander parser = JCommander.newBuilder().build();
+        cli.addTo(parser);
+        parser.parse(args);
+        return cli.run(parser.getParsedCommand());
+    }
+
+    /** A control node with one answer for all calls; configurations are read back as {@link #CONFIG}. */
+    private String control(int status, String body) throws IOException {
+        ServerSocket s = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"));
+        Thread t = new Thread(() -> {
+            while (true) {
+                try (Socket c = s.accept()) {
+                    BufferedReader in = new BufferedReader(new InputStreamReader(c.getInputStream(), ISO_8859_1));
+                    String line = in.readLine();
+                    int length = 0;
+                    String base = "";
+                    for (String h = in.readLine(); h != null && !h.isEmpty(); h = in.readLine()) {
+                        length = h.toLowerCase(Locale.ROOT).startsWith("content-length:") ? Integer.parseInt(h.substring(15).trim()) : length;
+                        base = h.startsWith("If-Match:") ? h.substring(9).trim() : base;
+                    }
+                    for (int i = 0; i < length; i++) {
+                        in.read();
+                    }
+                    asked.add(line + " " + base);
+                    boolean read = line.startsWith("GET /ringspindle/configuration");
+                    byte[] b = (read ? CONFIG : body).getBytes(UTF_8);
+                    c.getOutputStream().write(("HTTP/1.1 " + (read ? 200 : status) + " X\r\nConnection: close\r\nContent-Length: " + b.length
+                            + "\r\n\r\n").getBytes(ISO_8859_1));
+                    c.getOutputStream().write(b);
+                } catch (IOException x) {
+                    return;
+                }
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+        return "127.0.0.1:" + s.getLocalPort();
+    }
+
+    private String file(String text) throws IOException {
+        Path f = folder.resolve("f" + System.identityHashCode(text) + ".json");
+        Files.writeString(f, text);
+        return f.toString();
+    }
+
+    @Test
+    void takenRefusedAndNotReachedAreToldApart() throws Exception {
+        assertEquals(Cli.OK, run("evacuate", "z", "-c", control(200, "")));
+        assertEquals("done\n", out.toString(UTF_8));
+        assertEquals(Cli.REFUSED, run("evacuate", "z", "-c", control(404, "{\"error\":\"NO_SUCH\",\"text\":\"\"}")));
+        assertTrue(err.toString(UTF_8).contains("NO_SUCH"));
+        assertEquals(Cli.NOT_REACHED, run("evacuate", "z", "-c", control(503, "")));
+        assertEquals(Cli.USAGE, run("evacuate", "-c", control(200, "")));
+        assertEquals(Cli.USAGE, run("status", "-c", "nonsense"));
+    }
+
+    @Test
+    void nextNodeIsAskedWhenOneGivesNoClearAnswer() throws Exception {
+        assertEquals(Cli.OK, run("restore", "z", "-c", control(503, "") + "," + control(200, "")));
+        assertEquals(2, asked.size());
+    }
+
+    @Test
+    void configurationsBuildOnWhatIsInForce() throws Exception {
+        String node = control(200, "");
+        assertEquals(Cli.OK, run("config", "put", file(CONFIG.replace(":4,", ":9,")), "-c", node));
+        assertEquals("PUT /ringspindle/configuration HTTP/1.1 4", asked.get(asked.size() - 1));
+        assertEquals(Cli.OK, run("config", "patch", file("{\"revision\":9}"), "--base", "3", "-c", node));
+        assertEquals("PATCH /ringspindle/configuration HTTP/1.1 3", asked.get(asked.size() - 1));
+        assertEquals(Cli.OK, run("config", "diff", file(CONFIG.replace("/c/", "/d/").replace(":4,", ":9,")), "-c", node));
+        assertTrue(out.toString(UTF_8).contains("~ routes c"), out.toString(UTF_8));
+        assertEquals(Cli.OK, run("mappings", "-c", node));
+        assertTrue(out.toString(UTF_8).contains("/c/"), out.toString(UTF_8));
+    }
+
+    @Test
+    void checkWorksOfflineWithTheControlPlanesOwnChecks() throws Exception {
+        assertEquals(Cli.OK, run("config", "check", file(CONFIG)));
+        assertEquals(Cli.REFUSED, run("config", "check", file(CONFIG.replace("\"deadlineMs\":1", "\"deadlineMs\":0"))));
+        assertTrue(err.toString(UTF_8).contains("deadlineMs of route c is 0"), err.toString(UTF_8));
+        assertEquals(Cli.USAGE, run("config", "check", folder.resolve("none").toString()));
+    }
+
+    @Test
+    void rolloutsAreOrdered() throws Exception {
+        String node = control(200, "{\"rollouts\":[]}");
+        assertEquals(Cli.OK, run("rollout", "start", "s", "--target", "8", "--floor", "0.5", "-c", node));
+        assertEquals("POST /ringspindle/rollouts/s HTTP/1.1 ", asked.get(asked.size() - 1));
+        assertEquals(Cli.USAGE, run("rollout", "start", "s", "-c", node));
+        assertEquals(Cli.USAGE, run("rollout", "dance", "s", "-c", node));
+        assertEquals(Cli.OK, run("rollout", "-c", node));
+    }
+
+    @Test
+    void programRefusesBadCommandsAndSettings() throws Exception {
+        assertEquals(2, Main.run(new String[] {}));
+        assertEquals(2, Main.run(new String[] {"dance"}));
+        assertEquals(2, Main.run(new String[] {"data-plane", "--settings", folder.resolve("none").toString()}));
+        assertEquals(2, Main.run(new String[] {"control-plane", "--settings", file("node.name=x")}));
+        assertEquals(0, Main.run(new String[] {"rollout", "--help"}));
+    }
+}
--- /dev/null
+++ b/src/test/java/ringspindle/wire/CodecTest.java
@@ -0,0 +1,62 @@
+package ringspindle.wire;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import org.junit.jupiter.api.*;
+import ringspindle.wire.Msg.*;
+
+/** Every message comes back as it went; what is no whole message is refused. */
+class CodecTest {
+    private static final NodeId A = NodeId.of("10.0.0.1:7000");
+    private static final NodeId B = NodeId.of("255.255.255.255:65535");
+    private static final View VIEW = new View(4, List.of(A, B), List.of(B));
+
+    private static List<Msg> all() {
+        return List.of(new Hello(A, 5, 1, B.bits(), "näme", "z", ""), new Pulse(1, 2, 7, 3, -1, 9, List.of(A, B)), VIEW,
+                new Prepare(5, 1025, VIEW), new Pledge(5, 1025, true, 6, 7, -1, 0, null, VIEW), new Accept(5, 9, VIEW),
+                new Accepted(5, 9, false, 11), new Decided(VIEW), new Synced(3, 4), new Confirm(1, 2), new Confirmed(1, 2, true),
+                new Relearn(8), new Relearned(8, 1, 2, 3, VIEW, null), new Licence(3, 9, 3000, 0), new Vote(1, 2, 3, null, VIEW),
+                new Engine(64, 0, true, -1, 7, "s", "10.0.0.1:80", "z", "v1"));
+    }
+
+    @Test
+    void messagesComeBack() {
+        for (Msg m : all()) {
+            assertEquals(m, Codec.decode(Codec.encode(m)));
+        }
+        Call c = (Call) Codec.decode(Codec.encode(new Call(1, 2, 3, "arg", new byte[] {1, 2})));
+        assertEquals("arg", c.arg());
+        assertArrayEquals(new byte[] {1, 2}, c.body());
+        State s = (State) Codec.decode(Codec.encode(new State(1, 2, 3, List.of(new long[] {4, 5}),
+                List.of(new Mark(1, "z", 6, "on")), new byte[] {7})));
+        assertArrayEquals(new long[] {4, 5}, s.past().get(0));
+        assertEquals(List.of(new Mark(1, "z", 6, "on")), s.marks());
+        News n = (News) Codec.decode(Codec.encode(new News(true, List.of(new Item(1, "k", 2, 3, new byte[] {4})))));
+        assertEquals("k", n.items().get(0).key());
+    }
+
+    @Test
+    void cutMessagesAreRefusedAtEveryByte() {
+        for (Msg m : all()) {
+            byte[] whole = Codec.encode(m);
+            for (int cut = 0; cut < whole.length; cut++) {
+                byte[] part = Arrays.copyOf(whole, cut);
+                try {
+                    assertNotEquals(m, Codec.decode(part), m + " cut at " + cut);
+                } catch (IllegalArgumentException x) {
+                    // as it should be
+                }
+            }
+        }
+    }
+
+    @Test
+    void addressesAreChecked() {
+        assertEquals("10.0.0.1:7000", A.toString());
+        assertEquals(NodeId.of("10.0.0.1:80"), A.at(80));
+        for (String bad : List.of("10.0.0:80", "10.0.0.256:80", "10.0.0.1:0", "10.0.0.1:65536", "a.b.c.d:1", "10.0.0.1")) {
+            assertThrows(RuntimeException.class, () -> NodeId.of(bad), bad);
+        }
+    }
+}
