--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -397,9 +397,6 @@
             front.picker().heard(t.chosen.id(), nowMs);
             if (t.firstMs < 0 && b.hasRemaining()) {
                 t.firstMs = nowMs - t.sentMs;
-                if (streams(t) && !t.resume) {
-                    front.picker().first(t.chosen.id(), t.ask, t.firstMs, mapping.aimMs(), nowMs);
-                }
             }
             if (t.whole != null) {
                 byte[] bytes = new byte[b.remaining()];
--- a/src/main/java/ringspindle/pick/Picker.java
+++ b/src/main/java/ringspindle/pick/Picker.java
@@ -54,9 +54,6 @@
     /** Bytes came from the engine. */
     void heard(String id, long nowMs);
 
-    /** The first piece of a short prompt's answer came after firstMs; set against the aim it tells how crowded it is. */
-    void first(String id, Ask ask, long firstMs, long aimMs, long nowMs);
-
     /** The attempt is over; firstMs is the time to the first byte, below 0 if none came. */
     void ended(String id, Ask ask, Action.End end, long firstMs, long nowMs);
 
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -24,12 +24,6 @@
     private static final int PROBE_MAX_MS = 2000;
     private static final double KEEP = 0.8;
     private static final int MIN_NODES = 4;
-    /** Ours: what counts as a short prompt, and how long what was seen of them says something. */
-    private static final int SHORT_TOKENS = 2500;
-    private static final int CROWD_MS = 1500;
-    /** Ours: short prompts that wait longer than this share of their aim are kept from long ones, at that price. */
-    private static final double CROWDED = 0.5;
-    private static final double CROWDED_MS = 2000;
 
     private static final class Row {
         String id;
@@ -51,9 +45,6 @@
         double coldTokens;
         long coldAtMs;
         long hash;
-        /** How much of their aim short prompts wait here for the first piece, lately. */
-        double crowd;
-        long crowdAtMs;
     }
 
     /** Requests and further tries of a service in seconds of steady time. */
@@ -272,10 +263,6 @@
             if (r.coldUntilMs > nowMs) {
                 cost += 30;
             }
-            if (!brief(ask) && crowd(r, nowMs) > CROWDED) {
-                // reading a long prompt slows every token there: rather read it where nobody short waits
-                cost += Math.min(2, crowd(r, nowMs) - CROWDED) * CROWDED_MS;
-            }
             if (cost < bestCost) {
                 bestCost = cost;
                 best = r;
@@ -361,24 +348,6 @@
         }
     }
 
-    @Override
-    public synchronized void first(String id, Ask ask, long firstMs, long aimMs, long nowMs) {
-        Row r = rows.get(id);
-        if (r != null && brief(ask)) {
-            r.crowd = crowd(r, nowMs) * 0.8 + 0.2 * firstMs / Math.max(1, aimMs);
-            r.crowdAtMs = nowMs;
-        }
-    }
-
-    private static double crowd(Row r, long nowMs) {
-        return nowMs - r.crowdAtMs > CROWD_MS ? 0 : r.crowd;
-    }
-
-    /** Prompts so short that reading them does not hide how crowded an engine is. */
-    private static boolean brief(Ask ask) {
-        return ask.tokens() + ask.sharedTokens() <= SHORT_TOKENS;
-    }
-
     @Override
     public synchronized void ended(String id, Ask ask, Action.End end, long firstMs, long nowMs) {
         Row r = rows.get(id);
