--- a/src/test/java/ringspindle/chain/ChainSim.java
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -19,7 +19,10 @@
         final Map<Long, String> sent = new TreeMap<>();
         final Map<Long, Long> revisionOfSeq = new TreeMap<>();
         final List<String> wrong = new ArrayList<>();
+        /** What was acknowledged last of each zone, and every engine whose leaving was. */
         final Map<String, String> evacuations = new TreeMap<>();
+        final Set<String> leaving = new TreeSet<>();
+        final Map<String, String> marksAtEnd = new TreeMap<>();
         long readBack = -1;
         String readBody;
         int refused;
@@ -36,6 +39,16 @@
                 }
                 newest = Math.max(newest, a.revision());
             }
+            evacuations.forEach((zone, value) -> {
+                if (!value.equals(marksAtEnd.get(Chain.MARK_EVACUATED + zone))) {
+                    out.add("zone " + zone + " ends as " + marksAtEnd.get(Chain.MARK_EVACUATED + zone) + ", acknowledged was " + value);
+                }
+            });
+            for (String id : leaving) {
+                if (!marksAtEnd.containsKey(Chain.MARK_LEAVING + id)) {
+                    out.add("that " + id + " leaves was acknowledged and is forgotten");
+                }
+            }
             if (readBack < newest) {
                 out.add("read back " + readBack + " though " + newest + " was acknowledged");
             }
@@ -141,6 +154,8 @@
         for (int op = 0; op < 2; op++) {
             at(1500 + op * 70L, this::operator);
         }
+        at(1600, () -> evacuate(0));
+        at(1700, () -> leave(0));
         for (int i = 0; i < troubles; i++) {
             long t = 2000 + (long) (luck.nextDouble() * forMs);
             at(t, this::trouble);
@@ -313,6 +328,58 @@
         });
     }
 
+    private interface Acked {
+        void taken();
+    }
+
+    /** Sends an order to any node until it is taken. */
+    private void insist(int kind, String arg, Acked then) {
+        Node via = nodes.get(luck.nextInt(nodes.size()));
+        if (!up(via) || via.frozenUntilMs > nowMs) {
+            at(150, () -> insist(kind, arg, then));
+            return;
+        }
+        long id = ++callId;
+        boolean[] done = {false};
+        calls.put(id, (outcome, body) -> {
+            if (!done[0]) {
+                done[0] = true;
+                if (outcome == Outcome.TAKEN) {
+                    then.taken();
+                } else {
+                    at(150, () -> insist(kind, arg, then));
+                }
+            }
+        });
+        carry(via, via.machine.call(new Call(id, kind, 0, arg, new byte[0]), nowMs));
+        at(1500, () -> {
+            if (!done[0]) {
+                done[0] = true;
+                insist(kind, arg, then);
+            }
+        });
+    }
+
+    /** One operator evacuates a zone and takes it back, over and over; each order is taken before the next is sent. */
+    private void evacuate(int n) {
+        if (stress) {
+            boolean on = n % 2 == 0;
+            insist(on ? Chain.EVACUATE : Chain.RESTORE, "z", () -> {
+                history.evacuations.put("z", on ? "on" : "off");
+                at(200 + luck.nextInt(1200), () -> evacuate(n + 1));
+            });
+        }
+    }
+
+    private void leave(int n) {
+        if (stress) {
+            insist(n % 3 == 2 ? Chain.GONE : Chain.DRAIN, "i-" + n, () -> {
+                history.leaving.add("i-" + n);
+                at(300 + luck.nextInt(900), () -> leave(n + 1));
+            });
+        }
+    }
+
     /** Orders that may be in force though nobody was told. */
     private final List<Order> maybe = new ArrayList<>();
 
@@ -363,6 +430,11 @@
 
     private void readBack() {
         read((revision, body) -> {
+            for (Node x : nodes) {
+                if (up(x) && x.machine.view().tail().equals(x.id) && x.machine.committed() != null) {
+                    x.machine.committed().marks().forEach(m -> history.marksAtEnd.put(m.kind() + m.key(), m.value()));
+                }
+            }
             history.readBack = revision;
             history.readBody = body;
             for (Order o : maybe) {
--- a/src/test/java/ringspindle/chain/ChainSimTest.java
+++ b/src/test/java/ringspindle/chain/ChainSimTest.java
@@ -38,7 +38,9 @@
         h.readBack = 7;
         h.readBody = "a";
         h.sent.put(7L, "b");
+        h.evacuations.put("z", "on");
+        h.leaving.add("i-1");
         List<String> problems = h.problems();
-        assertEquals(3, problems.size(), problems.toString());
+        assertEquals(5, problems.size(), problems.toString());
     }
 }
