--- a/src/test/java/ringspindle/chain/ChainSim.java
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -23,6 +23,9 @@
         final Map<String, String> evacuations = new TreeMap<>();
         final Set<String> leaving = new TreeSet<>();
         final Map<String, String> marksAtEnd = new TreeMap<>();
+        /** The target of the roll-out that was acknowledged last, and whether it was given up since. */
+        long rollTarget = -1;
+        boolean rollAborted;
         long readBack = -1;
         String readBody;
         int refused;
@@ -44,6 +47,13 @@
                     out.add("zone " + zone + " ends as " + marksAtEnd.get(Chain.MARK_EVACUATED + zone) + ", acknowledged was " + value);
                 }
             });
+            if (rollTarget >= 0) {
+                String m = marksAtEnd.get(Chain.MARK_ROLLOUT + "s");
+                Rollout r = m == null ? null : Rollout.read(m);
+                if (r == null || r.target() != rollTarget || r.state() != (rollAborted ? Rollout.Standing.ABORTED : Rollout.Standing.RUNNING)) {
+                    out.add("the roll-out to " + rollTarget + " aborted " + rollAborted + " ends as " + r);
+                }
+            }
             for (String id : leaving) {
                 if (!marksAtEnd.containsKey(Chain.MARK_LEAVING + id)) {
                     out.add("that " + id + " leaves was acknowledged and is forgotten");
@@ -156,6 +166,7 @@
         }
         at(1600, () -> evacuate(0));
         at(1700, () -> leave(0));
+        at(4000, () -> rollOut(0));
         for (int i = 0; i < troubles; i++) {
             long t = 2000 + (long) (luck.nextDouble() * forMs);
             at(t, this::trouble);
@@ -284,7 +295,7 @@
         }
         long base = known;
         long revision = base + 1 + luck.nextInt(5) * 2L + luck.nextInt(2);
-        String body = "{\"revision\":" + revision + ",\"routes\":[],\"services\":[],\"limits\":{\"maxBodyBytes\":"
+        String body = "{\"revision\":" + revision + ",\"routes\":[],\"services\":[{\"name\":\"s\"}],\"limits\":{\"maxBodyBytes\":"
                 + (1000 + luck.nextInt(100000)) + "}}";
         attempt(new Order(Chain.PUT, base, revision, body), 0);
     }
@@ -334,28 +345,32 @@
 
     /** Sends an order to any node until it is taken. */
     private void insist(int kind, String arg, Acked then) {
+        insist(kind, arg, new byte[0], then);
+    }
+
+    private void insist(int kind, String arg, byte[] body, Acked then) {
         Node via = nodes.get(luck.nextInt(nodes.size()));
         if (!up(via) || via.frozenUntilMs > nowMs) {
-            at(150, () -> insist(kind, arg, then));
+            at(150, () -> insist(kind, arg, body, then));
             return;
         }
         long id = ++callId;
         boolean[] done = {false};
-        calls.put(id, (outcome, body) -> {
+        calls.put(id, (outcome, text) -> {
             if (!done[0]) {
                 done[0] = true;
                 if (outcome == Outcome.TAKEN) {
                     then.taken();
                 } else {
-                    at(150, () -> insist(kind, arg, then));
+                    at(150, () -> insist(kind, arg, body, then));
                 }
             }
         });
-        carry(via, via.machine.call(new Call(id, kind, 0, arg, new byte[0]), nowMs));
+        carry(via, via.machine.call(new Call(id, kind, 0, arg, body), nowMs));
         at(1500, () -> {
             if (!done[0]) {
                 done[0] = true;
-                insist(kind, arg, then);
+                insist(kind, arg, body, then);
             }
         });
     }
@@ -371,6 +386,20 @@
         }
     }
 
+    /** Roll-outs are started and aborted in turn. */
+    private void rollOut(int n) {
+        if (stress) {
+            long target = n / 2 + 2;
+            boolean start = n % 2 == 0;
+            String order = start ? "{\"order\":\"start\",\"target\":" + target + "}" : "{\"order\":\"abort\"}";
+            insist(Chain.ROLLOUT, "s", order.getBytes(UTF_8), () -> {
+                history.rollTarget = target;
+                history.rollAborted = !start;
+                at(400 + luck.nextInt(1500), () -> rollOut(n + 1));
+            });
+        }
+    }
+
     private void leave(int n) {
         if (stress) {
             insist(n % 3 == 2 ? Chain.GONE : Chain.DRAIN, "i-" + n, () -> {
--- a/src/test/java/ringspindle/chain/RollSim.java
+++ b/src/test/java/ringspindle/chain/RollSim.java
@@ -160,6 +160,16 @@
             if (nowMs % 1200 == 0) {
                 engines.values().forEach(this::beat);
             }
+            if (nowMs % 100 == 0) {
+                for (int i = 0; i < pickers.size(); i++) {
+                    Picker p = pickers.get(i);
+                    String region = i % 2 == 0 ? "a" : "b";
+                    for (Probe x : p.probes(nowMs)) {
+                        Stand s = engines.get(x.id());
+                        p.probed(x.id(), s != null && !s.down && !cut(s.region.equals(region)), 0, nowMs);
+                    }
+                }
+            }
             if (nowMs % 300 == 0) {
                 drive(holder, state.lineage());
                 if (staleEpoch >= 0) {
@@ -193,6 +203,11 @@
         }
     }
 
+    /** For some seconds nothing new passes between the regions. */
+    private boolean cut(boolean sameRegion) {
+        return !sameRegion && nowMs > 25_000 && nowMs < 31_000;
+    }
+
     private void beat(Stand s) {
         if (s.down) {
             return;
@@ -265,6 +280,11 @@
         r.attempt = action.attempt(nowMs, 0);
         r.stand = engines.get(chosen.id());
         tried.add(chosen.id());
+        if (r.stand != null && cut(r.stand.region.equals(pickers.indexOf(p) % 2 == 0 ? "a" : "b"))) {
+            // no wire comes up over the cut: nothing was sent
+            in(10, () -> ended(r, End.NOT_SENT));
+            return;
+        }
         r.attempt.sent();
         if (r.stand == null || r.stand.down) {
             Stand gone = r.stand;
