--- /dev/null
+++ b/src/test/java/ringspindle/cp/ReportsTest.java
@@ -0,0 +1,73 @@
+package ringspindle.cp;
+
+import static java.nio.charset.StandardCharsets.*;
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.io.*;
+import java.net.*;
+import java.util.concurrent.*;
+import org.eclipse.jetty.util.thread.*;
+import org.junit.jupiter.api.*;
+
+/** An engine's report tells whether it is free to swap; what is no report says nothing. */
+@Timeout(60)
+class ReportsTest {
+    private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    private QueuedThreadPool pool;
+    private ScheduledExecutorScheduler beats;
+
+    @BeforeEach
+    void open() throws Exception {
+        pool = new QueuedThreadPool(8, 2);
+        pool.setDaemon(true);
+        pool.setStopTimeout(0);
+        pool.start();
+        beats = new ScheduledExecutorScheduler("beats", true, 1);
+        beats.start();
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        pool.stop();
+        beats.stop();
+    }
+
+    /** An engine that gives one answer to each call, and ends after two. */
+    private static String engine(String first, String second) throws IOException {
+        ServerSocket server = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"));
+        Thread t = new Thread(() -> {
+            try (server) {
+                for (String body : new String[] {first, second}) {
+                    try (Socket s = server.accept()) {
+                        BufferedReader in = new BufferedReader(new InputStreamReader(s.getInputStream(), ISO_8859_1));
+                        assertEquals("GET /ringspindle/report HTTP/1.1", in.readLine());
+                        for (String h = in.readLine(); h != null && !h.isEmpty(); h = in.readLine()) {
+                            continue;
+                        }
+                        s.getOutputStream().write(("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: "
+                                + body.length() + "\r\n\r\n" + body).getBytes(ISO_8859_1));
+                    }
+                }
+            } catch (IOException x) {
+                // the test is over
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    @Test
+    void reportsAreReadAndRubbishIsNot() throws Exception {
+        Reports r = new Reports(pool, beats, (id, active, queued) -> heard.add(id + " " + active + " " + queued));
+        String good = "{\"phase\":\"combined\",\"models\":[],\"active\":3,\"queued\":1}";
+        r.ask("i-1", engine("not json", good));
+        r.ask("i-0", null);
+        String address = engine(good, "{\"active\":0,\"queued\":0}");
+        r.ask("i-2", address);
+        assertEquals("i-2 3 1", heard.poll(30, TimeUnit.SECONDS));
+        r.ask("i-2", address);
+        assertEquals("i-2 0 0", heard.poll(30, TimeUnit.SECONDS));
+        assertTrue(heard.isEmpty());
+    }
+}
