--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -96,19 +96,19 @@
         CountDownLatch term = new CountDownLatch(1);
         sun.misc.Signal.handle(new sun.misc.Signal("TERM"), s -> term.countDown());
         sun.misc.Signal.handle(new sun.misc.Signal("INT"), s -> term.countDown());
+        Settings settings = new Settings(config);
         sun.misc.Signal.handle(new sun.misc.Signal("HUP"), s -> {
-            Checked<NodeConfig> again = NodeConfig.read(Path.of(d.settings));
-            if (again instanceof Checked.Refused<NodeConfig> bad) {
-                bad.problems().forEach(p -> LOG.atWarning().log("settings, kept as they were: %s", p.text()));
-            } else {
-                LOG.atInfo().log("settings read again; what a running node can take over is its seeds");
+            Settings.Reload r = settings.reload(NodeConfig.read(Path.of(d.settings)));
+            r.problems().forEach(p -> LOG.atWarning().log("settings, kept as they were: %s", p.text()));
+            if (r.problems().isEmpty()) {
+                LOG.atInfo().log("settings read again; taken over: %s; after a restart: %s", r.taken(), r.restart());
             }
         });
         try {
             if (command.equals("data-plane")) {
-                DataPlane.run(config, term);
+                DataPlane.run(settings, term);
             } else {
-                ControlPlane.run(config, term);
+                ControlPlane.run(settings, term);
             }
             return 0;
         } catch (Exception x) {
--- a/src/main/java/ringspindle/chain/Chain.java
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -36,6 +36,16 @@
 
         /** Control nodes that this node is in touch with. */
         Collection<NodeId> live();
+
+        /** Where a node stands, so that a chain crosses few long links; equal names are near each other. */
+        default String place(NodeId n) {
+            return "";
+        }
+
+        /** True for a node, this one or another, that has said that it is about to end. */
+        default boolean leaving(NodeId n) {
+            return false;
+        }
     }
 
     /** Kinds of calls and ops. */
@@ -77,14 +87,18 @@
     /** True while this node hears of all that is committed. */
     boolean current(long nowMs);
 
+    /** True while a first start waits for more voters before it takes an order; {@code status} shows it. */
+    boolean founding(long nowMs);
+
     /** All that must not be forgotten, for an image of the disk. */
     List<Msg> durable();
 
     /**
-     * {@code Chain.create(me, seeds, true, disk.load(), 7)}: the first start of a system; with records on disk,
+     * {@code Chain.create(me, seeds, true, disk.load(), 7, 5)}: the first start of a system that must bear the loss of
+     * two disks at once, so that five have to vote before anything is acknowledged; with records on disk,
      * {@code bootstrap} does not count.
      */
-    static Chain create(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck) {
-        return new ChainMachine(me, seeds, bootstrap, found, luck);
+    static Chain create(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck, int leastVoters) {
+        return new ChainMachine(me, seeds, bootstrap, found, luck, leastVoters);
     }
 }
--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -17,6 +17,12 @@
     static final long HELD_CONFIG_MS = 2500;
     static final long STALL_MS = 1200;
     static final long READD_MS = 700;
+    /** More do not make the control state safer, and every one of them is a sync and a hop to each order. */
+    static final int VOTERS_MAX = 9;
+    /** How long a first start waits for as many voters as its losses ask for. */
+    static final long FOUNDING_MS = 8000;
+    /** Steps that the search for a chain over broken links may take. */
+    private static final int PATH_STEPS = 4000;
     private static final byte[] NONE = {};
 
     private record Pending(long seq, State state, byte[] op, NodeId origin, long call) {
@@ -99,12 +105,17 @@
     private long fencedMs;
     private long uncommittedMs;
     private long readdMs = READD_MS;
+    private final int leastVoters;
+    private boolean founds;
+    private long foundingUntilMs = -1;
+    private int pathSteps;
     private Reach reach;
     private List<Out> out = new ArrayList<>();
     private long nowMs;
 
-    ChainMachine(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck) {
+    ChainMachine(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck, int leastVoters) {
         this.me = me;
+        this.leastVoters = Math.min(VOTERS_MAX, leastVoters);
         this.seeds = List.copyOf(seeds);
         this.luck = new Random(luck);
         State empty = new State(-1, 0, 0, List.of(), List.of(), NONE);
@@ -124,6 +135,7 @@
             }
         }
         synced = last.seq();
+        founds = bootstrap && view == null;
         if (view == null) {
             if (bootstrap && seeds.contains(me)) {
                 List<NodeId> order = new ArrayList<>(seeds);
@@ -147,10 +159,23 @@
 
     @Override
     public boolean current(long nowMs) {
-        return committed != null && view != null && nowMs - quorumMs < 1200 && last.lineage() == view.epoch()
+        if (view == null || nowMs - quorumMs >= 1200) {
+            return false;
+        }
+        if (!view.voters().contains(me)) {
+            // a learner passes calls on; it hears what is committed as facts
+            return view.voters().size() >= VOTERS_MAX && !wiped;
+        }
+        return committed != null && last.lineage() == view.epoch()
                 && view.chain().contains(me) && (!fenced() || nowMs - fencedMs < 1500);
     }
 
+    @Override
+    public boolean founding(long nowMs) {
+        return founds && (view == null || view.voters().size() < leastVoters)
+                && (foundingUntilMs < 0 || nowMs < foundingUntilMs);
+    }
+
     @Override
     public List<Msg> durable() {
         return List.of(vote(), last);
@@ -301,7 +326,10 @@
         } else if (m instanceof Relearned x) {
             onRelearned(from, x);
         } else if (m instanceof Call x) {
-            hold(from, x);
+            // whoever passes a call on asks the next view's head anew, so an old one must not wait here for its chance
+            if (view != null && (x.kind() == READ ? view.tail() : view.head()).equals(me)) {
+                hold(from, x);
+            }
         } else if (m instanceof Reply x) {
             onReply(x);
         }
@@ -336,8 +364,9 @@
         ackedDown = -1;
         uncommittedMs = nowMs;
         readdMs = view.chain().size() == view.voters().size() ? READD_MS : Math.min(readdMs * 2, 6000);
-        // calls behind these were answered nothing; they are still held and decided anew
+        // calls behind these were answered nothing; their origins still hold them, and they are decided anew
         waiting.clear();
+        held.keySet().removeIf(n -> !n.equals(me));
         if (view.chain().contains(me) && view.head().equals(me) && last.lineage() >= 0 && last.lineage() < view.epoch()) {
             last = new State(view.epoch(), last.seq(), last.revision(), last.past(), last.marks(), last.config());
             long seq = last.seq();
@@ -442,43 +471,62 @@
         for (NodeId v : view.voters()) {
             newest = newer(newest, p.promises.get(v));
         }
-        for (NodeId v : view.chain()) {
-            if (p.promises.get(v) == newest && head == null) {
-                head = v;
-            }
-        }
-        for (NodeId v : view.voters()) {
-            if (p.promises.get(v) == newest && head == null) {
+        List<NodeId> order = new ArrayList<>(view.chain());
+        view.voters().stream().filter(v -> !order.contains(v)).forEach(order::add);
+        for (NodeId v : order) {
+            // whoever leaves hands the head over, if another holds just as much
+            if (newest != null && newer(newest, p.promises.get(v)) == newest && newer(p.promises.get(v), newest) == p.promises.get(v)
+                    && p.promises.get(v) != null && (head == null || leaving(head) && !leaving(v))) {
                 head = v;
             }
         }
-        if (head == null || newest.lineage() < 0) {
+        if (head == null || newest.lineage() < 0 || !remembered(p)) {
             return null;
         }
         List<NodeId> voters = new ArrayList<>(view.voters());
         List<NodeId> members = new ArrayList<>(p.promises.keySet());
         if (reach != null) {
             for (NodeId n : reach.live()) {
-                if (!voters.contains(n)) {
+                if (!voters.contains(n) && voters.size() < VOTERS_MAX && !leaving(n)) {
                     voters.add(n);
                     members.add(n);
                 }
             }
         }
         members.remove(head);
-        members.sort(Comparator.comparingInt(voters::indexOf));
-        List<NodeId> path = path(head, members);
         int need = voters.size() / 2 + 1;
+        long stay = members.stream().filter(n -> !leaving(n)).count();
+        if (stay + 1 >= need) {
+            members.removeIf(this::leaving);
+        }
+        members.sort(Comparator.comparingInt(voters::indexOf));
+        group(head, members);
+        List<NodeId> path = longestPath(head, members);
         if (path.size() < need && voters.size() > view.voters().size()) {
             // joiners make the majority too large: leave them out for now
             voters = new ArrayList<>(view.voters());
             members.retainAll(voters);
-            path = path(head, members);
+            path = longestPath(head, members);
             need = voters.size() / 2 + 1;
         }
         return path.size() < need ? null : new View(p.epoch, List.copyOf(voters), List.copyOf(path));
     }
 
+    private boolean leaving(NodeId n) {
+        return reach != null && reach.leaving(n);
+    }
+
+    /** True if a member of the last chain that kept its disk is among the promisers: else what was taken may be unknown. */
+    private boolean remembered(Proposal p) {
+        for (NodeId v : view.chain()) {
+            Pledge x = p.promises.get(v);
+            if (x != null && x.lineage() >= 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static Pledge newer(Pledge a, Pledge b) {
         if (a == null || b == null) {
             return a == null ? b : a;
@@ -486,9 +534,31 @@
         return b.lineage() > a.lineage() || b.lineage() == a.lineage() && b.seq() > a.seq() ? b : a;
     }
 
-    /** The longest path from the head over links that stand. */
+    /** Orders members by place, the head's first, so that the chain crosses each long link once. */
+    private void group(NodeId head, List<NodeId> members) {
+        if (reach == null) {
+            return;
+        }
+        List<String> places = new ArrayList<>(List.of(reach.place(head)));
+        for (NodeId n : members) {
+            if (!places.contains(reach.place(n))) {
+                places.add(reach.place(n));
+            }
+        }
+        members.sort(Comparator.comparingInt(n -> places.indexOf(reach.place(n))));
+    }
+
+    /** The longest path from the head over links that stand, or the best that a bounded search finds. */
+    private List<NodeId> longestPath(NodeId head, List<NodeId> rest) {
+        pathSteps = PATH_STEPS;
+        return path(head, rest);
+    }
+
     private List<NodeId> path(NodeId head, List<NodeId> rest) {
         List<NodeId> best = List.of(head);
+        if (--pathSteps < 0) {
+            return best;
+        }
         for (NodeId n : rest) {
             if (reach == null || reach.linked(head, n)) {
                 List<NodeId> less = new ArrayList<>(rest);
@@ -542,6 +612,10 @@
         if (p.accepts.size() >= view.majority()) {
             Set<NodeId> all = new TreeSet<>(view.voters());
             all.addAll(p.value.voters());
+            if (reach != null) {
+                // learners, too, pass calls on to the head
+                all.addAll(reach.live());
+            }
             View v = p.value;
             all.remove(me);
             all.forEach(n -> send(n, new Decided(v)));
@@ -553,6 +627,7 @@
 
     private void onRelearned(NodeId from, Relearned r) {
         if (!wiped || r.view() == null) {
+            learn(r.view());
             return;
         }
         relearned.put(from, r);
@@ -753,10 +828,14 @@
         }
         for (Map<Long, Held> of : held.values()) {
             for (Held h : of.values()) {
+                if (overdue(h)) {
+                    // after a freeze: whoever asked has long asked elsewhere, and may have gone on from there
+                    continue;
+                }
                 boolean read = h.call.kind() == READ;
                 NodeId target = read ? view.tail() : view.head();
                 if (target.equals(me)) {
-                    if (h.sentEpoch != view.epoch() && established()) {
+                    if (h.sentEpoch != view.epoch() && established() && (read || !founding(nowMs))) {
                         h.sentEpoch = view.epoch();
                         if (read) {
                             read(h);
@@ -783,6 +862,11 @@
 
     private final List<Held> drained = new ArrayList<>();
 
+    private boolean overdue(Held h) {
+        boolean config = h.call.kind() == PUT || h.call.kind() == PATCH;
+        return nowMs - h.sinceMs >= (config ? HELD_CONFIG_MS : HELD_MS);
+    }
+
     private void decide(Held h) {
         Content.Decision d = content.decide(last, h.call);
         if (d.op() != null) {
@@ -843,11 +927,13 @@
     public List<Out> beat(long nowMs, Reach reach) {
         this.nowMs = nowMs;
         this.reach = reach;
+        if (founds && foundingUntilMs < 0) {
+            foundingUntilMs = nowMs + FOUNDING_MS;
+        }
         announce();
         for (Map<Long, Held> of : held.values()) {
             of.values().removeIf(h -> {
-                boolean config = h.call.kind() == PUT || h.call.kind() == PATCH;
-                if (nowMs - h.sinceMs < (config ? HELD_CONFIG_MS : HELD_MS)) {
+                if (!overdue(h)) {
                     return false;
                 }
                 if (h.origin.equals(me)) {
@@ -873,6 +959,12 @@
         if (view == null) {
             return finish();
         }
+        if (!view.voters().contains(me) && nowMs >= nextRelearnMs && !reach.live().isEmpty()) {
+            // a learner that missed a view asks one that may know better
+            nextRelearnMs = nowMs + 2000;
+            List<NodeId> live = new ArrayList<>(reach.live());
+            send(live.get(luck.nextInt(live.size())), new Relearn(nextToken++));
+        }
         retryHeld();
         if (active()) {
             NodeId next = successor();
@@ -945,6 +1037,10 @@
                 return 200;
             }
         }
+        long staying = chain.stream().filter(n -> !leaving(n)).count();
+        if (staying < chain.size() && staying >= view.majority()) {
+            return 0;
+        }
         if (view.head().equals(me) && active() && last.seq() > (committed == null ? -1 : committed.seq())
                 && nowMs - uncommittedMs > STALL_MS) {
             return 0;
@@ -953,7 +1049,7 @@
             return 200;
         }
         for (NodeId v : view.voters()) {
-            if (!chain.contains(v)) {
+            if (!chain.contains(v) && !leaving(v)) {
                 for (NodeId c : chain) {
                     if (reach.linked(c, v) && (c.equals(me) || reach.linked(me, c)) && reach.linked(me, v)) {
                         return readdMs;
@@ -961,9 +1057,11 @@
                 }
             }
         }
-        for (NodeId n : reach.live()) {
-            if (!view.voters().contains(n)) {
-                return 2000;
+        if (view.voters().size() < VOTERS_MAX) {
+            for (NodeId n : reach.live()) {
+                if (!view.voters().contains(n) && !leaving(n)) {
+                    return founding(nowMs) ? 600 : 2000;
+                }
             }
         }
         return -1;
--- a/src/main/java/ringspindle/conf/NodeConfig.java
+++ b/src/main/java/ringspindle/conf/NodeConfig.java
@@ -11,7 +11,7 @@
         Optional<NodeId> frontend, Optional<NodeId> readiness, Optional<NodeId> control, Optional<NodeId> registry,
         int innerPort, List<NodeId> seeds, Map<String, String> regionOfZone, int memoryMb, int engineBeatMs,
         int contactMs, int drainMs, double graceS, double retryRatio, double retryWindowS, int retrySlack,
-        double warmupOverrun, int warmupSlack, int evacuationMs, double ttlS) {
+        double warmupOverrun, int warmupSlack, int evacuationMs, double ttlS, int lossesBorne) {
 
     /** Reads and checks the file; {@code NodeConfig.read(Path.of("node.conf"))}. */
     public static Checked<NodeConfig> read(Path file) {
@@ -66,7 +66,8 @@
                 (int) r.number("bound.drainMs", 2500), r.number("bound.graceS", 8), r.number("bound.retryRatio", 0.1),
                 r.number("bound.retryWindowS", 10), (int) r.number("bound.retrySlack", 0),
                 r.number("bound.warmupOverrun", 1), (int) r.number("bound.warmupSlack", 0),
-                (int) r.number("bound.evacuationMs", 5000), r.number("bound.ttlS", 5));
+                (int) r.number("bound.evacuationMs", 5000), r.number("bound.ttlS", 5),
+                (int) r.number("loss.nodes", 1));
         return r.problems.isEmpty() ? new Good<>(c) : new Refused<>(List.copyOf(r.problems));
     }
 
--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -1,42 +1,47 @@
 package ringspindle.cp;
 
 import com.google.common.flogger.*;
-import java.nio.file.*;
 import java.util.*;
 import java.util.concurrent.*;
 import java.util.concurrent.atomic.*;
 import java.util.function.*;
-import org.eclipse.jetty.util.thread.*;
 import ringspindle.api.*;
 import ringspindle.chain.*;
 import ringspindle.conf.*;
-import ringspindle.disk.*;
 import ringspindle.know.*;
 import ringspindle.meet.*;
+import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
 /** Owner of a control node's state machines: events come in, commands are carried out. */
 final class Control implements Mesh.Ear {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final int BEAT_MS = 100;
+    static final int TICK_MS = 100;
+    /** Heartbeats to data nodes go out every so many ticks. */
+    private static final int DATA_TICKS = 4;
     private static final int SILENT_MS = 900;
-    private static final int LICENCE_TTL_MS = 3000;
+    private static final int LEASE_TTL_MS = 3000;
+    /** Ours: how long a report counts, and a region's sum. */
+    private static final int REPORT_TTL_MS = 2000;
+    private static final int REGION_TTL_MS = 2500;
+    /** Ours: how long a node's fact holds after the control node that told it is out of touch. */
+    private static final int VIA_MS = 2000;
+    /** Ours: engines silent for so long are forgotten. */
+    private static final int FORGET_MS = 600_000;
 
     /** What comes back of a call. */
     interface Answered {
         void answer(Outcome o, byte[] body);
     }
 
-    private final NodeConfig config;
+    private volatile NodeConfig config;
     private final NodeId me;
     private final long life;
-    private final Steady clock = Steady.system();
+    private final Steady clock;
     private final Mesh mesh;
     private final Executor pool;
-    private final org.eclipse.jetty.util.thread.Scheduler beats;
-    private final DiskThread disk;
-    private final EngineFile engines;
+    private final Storage storage;
 
     private final Object chainLock = new Object();
     private final Chain chain;
@@ -48,10 +53,17 @@
     private final Meet meet;
     private final Map<String, Long> seenMs = new HashMap<>();
     private final Map<NodeId, Boolean> filled = new HashMap<>();
-    private final Map<NodeId, Long> published = new HashMap<>();
+    private final Map<NodeId, Long> viaLostMs = new HashMap<>();
+    private final Presence presence;
+    private final Collector sources = new Collector(REPORT_TTL_MS);
+    private final Collector peers = new Collector(REPORT_TTL_MS);
+    private final Map<String, Long> regionMs = new TreeMap<>();
+    private final Map<String, List<RegionLoad>> regions = new TreeMap<>();
+    private long sumSeq;
+    private Sum total = Sum.NONE;
     private NodeId lastHead;
     private long grantFromMs;
-    private long licences;
+    private long leases;
     private final Map<String, RollPlan> plans = new HashMap<>();
     private final Reports reports;
     private volatile boolean rolling;
@@ -60,38 +72,39 @@
     private volatile boolean leaving;
     private volatile boolean quorate;
 
-    Control(NodeConfig config, QueuedThreadPool pool, org.eclipse.jetty.util.thread.Scheduler beats) throws Exception {
+    Control(NodeConfig config, Means means, Storage storage, Reports reports) throws Exception {
         this.config = config;
-        this.pool = pool;
-        this.beats = beats;
+        this.storage = storage;
+        this.reports = reports;
+        pool = means.pool();
+        clock = means.clock();
+        life = means.life();
         me = NodeId.of(config.ip() + ":" + config.innerPort());
-        life = System.currentTimeMillis();
         callIds = new AtomicLong(life << 20);
-        Hello hello = new Hello(me, life, 0, 0, config.name(), config.zone(), config.region());
-        mesh = Mesh.create(hello, pool, beats);
+        mesh = means.mesh().apply(new Hello(me, life, 0, config.control().orElseThrow().bits(), config.name(), config.zone(),
+                config.region()));
         meet = Meet.create(me, SILENT_MS);
-        Path folder = Path.of(config.dataPath().isEmpty() ? "/tmp/ringspindle" : config.dataPath());
-        Disk store = Disk.open(folder);
-        engines = new EngineFile(folder.resolve("engines"), pool);
+        presence = new Presence(config.engineBeatMs());
         List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
-        chain = Chain.create(me, seeds, config.bootstrap(), store.load(), life);
-        reports = new Reports(pool, beats, this::reported);
-        disk = new DiskThread(store, this::stored, () -> {
-            synchronized (chainLock) {
-                return chain.durable();
-            }
-        });
+        chain = Chain.create(me, seeds, config.bootstrap(), storage.load(), life, 2 * config.lossesBorne() + 1);
     }
 
+    /** Settings changed while running. */
+    void settings(NodeConfig c) {
+        config = c;
+    }
+
+    /** Opens disk and mesh; whoever starts it ticks it every {@link #TICK_MS}. */
     void start() throws Exception {
         synchronized (bookLock) {
-            merge(engines.load());
+            merge(storage.engines());
         }
-        Thread t = new Thread(disk, "disk");
-        t.setDaemon(true);
-        t.start();
+        storage.open(this::stored, () -> {
+            synchronized (chainLock) {
+                return chain.durable();
+            }
+        });
         mesh.open(this);
-        beat();
     }
 
     // ---- calls from outside
@@ -108,10 +121,23 @@
         return quorate;
     }
 
+    /** True while a first start still waits for voters. */
+    boolean founding() {
+        synchronized (chainLock) {
+            return chain.founding(clock.nowMs());
+        }
+    }
+
+    /** Says that this node leaves; {@link #handedOver} tells when the chain goes on without it. */
     void leave() {
         leaving = true;
     }
 
+    boolean handedOver() {
+        View v = view();
+        return v == null || !v.chain().contains(me);
+    }
+
     State committed() {
         synchronized (chainLock) {
             return chain.committed();
@@ -128,20 +154,70 @@
         return config;
     }
 
+    NodeId me() {
+        return me;
+    }
+
+    /** Data nodes that take requests, as known here. */
+    int ready() {
+        synchronized (bookLock) {
+            int n = 0;
+            for (Item i : book.all(Book.NODE)) {
+                n += Roster.of(i.value()).ready() ? 1 : 0;
+            }
+            return n;
+        }
+    }
+
     <T> T book(Function<Book, T> f) {
         synchronized (bookLock) {
             return f.apply(book);
         }
     }
 
-    /** Milliseconds since a fact last moved, as this node saw it. */
+    /** Milliseconds since a fact last moved, as this node saw it; of engines since they were last heard. */
     long ageMs(int kind, String key) {
         synchronized (bookLock) {
+            if (kind == Book.ENGINE) {
+                return presence.agoMs(key, clock.nowMs());
+            }
             Long at = seenMs.get(kind + " " + key);
             return at == null ? Long.MAX_VALUE : clock.nowMs() - at;
         }
     }
 
+    /** An engine's heartbeat; spread only if it says something new. */
+    void heartbeat(String id, Engine e, long seq) {
+        synchronized (bookLock) {
+            if (presence.heard(id, e, seq, clock.nowMs())) {
+                merge(List.of(new Item(Book.ENGINE, id, 0, seq, Codec.encode(e))));
+            }
+        }
+    }
+
+    /** The control node an engine of that zone should call: in its zone, else in its region; empty if this one will do. */
+    String nearControl(String zone) {
+        String region = config.regionOf(zone);
+        if (zone.equals(config.zone())) {
+            return "";
+        }
+        synchronized (bookLock) {
+            Hello best = null;
+            int bestRank = region.equals(config.region()) ? 1 : 2;
+            for (Meet.Peer p : meet.peers()) {
+                Hello h = p.hello();
+                boolean well = h.kind() == 0 && p.linked() && (p.heartbeat().flags() & Heartbeat.QUORATE) != 0
+                        && (p.heartbeat().flags() & Heartbeat.LEAVING) == 0;
+                int rank = h.zone().equals(zone) ? 0 : h.region().equals(region) ? 1 : 2;
+                if (well && rank < bestRank) {
+                    best = h;
+                    bestRank = rank;
+                }
+            }
+            return best == null ? "" : new NodeId(best.front()).toString();
+        }
+    }
+
     void tell(Item item) {
         synchronized (bookLock) {
             merge(List.of(item));
@@ -156,14 +232,11 @@
         synchronized (bookLock) {
             long nowMs = clock.nowMs();
             for (Item i : book.all(Book.NODE)) {
-                if ((i.value()[0] & Pulse.READY) == 0 || (i.value()[0] & Pulse.LEAVING) != 0) {
+                Roster r = Roster.of(i.value());
+                if (!r.ready() || !holds(i, r, nowMs, 3000)) {
                     continue;
                 }
-                Long at = seenMs.get(Book.NODE + " " + i.key());
-                if (at == null || nowMs - at > 3000) {
-                    continue;
-                }
-                Hello h = hello(i);
+                Hello h = r.hello();
                 String address = new NodeId(h.front()).toString();
                 all.add(address);
                 if (h.region().equals(region)) {
@@ -178,8 +251,21 @@
         return out.size() > 64 ? out.subList(0, 64) : out;
     }
 
-    static Hello hello(Item i) {
-        return (Hello) Codec.decode(Arrays.copyOfRange(i.value(), 1, i.value().length));
+    /** True while the control node that told a fact of a node is in touch, and a moment longer. */
+    private boolean holds(Item i, Roster r, long nowMs, int moreMs) {
+        Long at = seenMs.get(Book.NODE + " " + i.key());
+        if (at != null && nowMs - at < moreMs) {
+            return true;
+        }
+        if (r.via().equals(me)) {
+            Meet.Peer p = meet.peer(r.hello().node());
+            return p != null && p.linked();
+        }
+        if (meet.linked(me, r.via())) {
+            viaLostMs.remove(r.via());
+            return true;
+        }
+        return nowMs - viaLostMs.computeIfAbsent(r.via(), k -> nowMs) < VIA_MS;
     }
 
     // ---- wires
@@ -197,32 +283,45 @@
                 carryOut(chain.opened(peer.node(), nowMs));
             }
         }
-        pulse(peer.node());
+        heartbeat(peer.node());
     }
 
     @Override
     public void heard(NodeId from, Msg m) {
         long nowMs = clock.nowMs();
-        if (m instanceof Pulse p) {
+        if (m instanceof Heartbeat p) {
             synchronized (bookLock) {
                 meet.heard(from, p, nowMs);
                 Meet.Peer peer = meet.peer(from);
                 if (peer != null && peer.hello().kind() == 1) {
                     publish(peer, p, nowMs);
                 }
-                if (p.digest() != 0 && p.digest() != book.digest() && p.n() % 16 == 0) {
+                if (peer != null && p.digest() != 0 && p.digest() != book.digest() && peer.heardN() % 16 == 0) {
                     mesh.send(from, new Digest(book.ranges()));
                 }
             }
             if (p.echo() == 0) {
                 // a new wire: the sooner both know that they hear each other, the better
-                pulse(from);
+                heartbeat(from);
             }
         } else if (m instanceof News n) {
             synchronized (bookLock) {
                 merge(n.items());
                 book.told(from, n.items());
             }
+        } else if (m instanceof Report r) {
+            synchronized (bookLock) {
+                reported(from, r, nowMs);
+            }
+        } else if (m instanceof Load l) {
+            synchronized (bookLock) {
+                for (RegionLoad g : l.regions()) {
+                    if (!g.region().equals(config.region())) {
+                        regionMs.put(g.region(), nowMs);
+                        regions.put(g.region(), l.regions().stream().filter(x -> x.region().equals(g.region())).toList());
+                    }
+                }
+            }
         } else if (m instanceof Digest d) {
             synchronized (bookLock) {
                 List<Item> items = book.differing(d.ranges());
@@ -241,42 +340,130 @@
     public void closed(NodeId peer) {
         synchronized (bookLock) {
             Meet.Peer p = meet.peer(peer);
-            if (p != null && p.hello().kind() == 1 && p.pulse().n() > 0) {
-                merge(List.of(nodeItem(p, 0, p.pulse().n() * 2 + 1)));
+            if (p != null && p.hello().kind() == 1 && p.heartbeat().n() > 0) {
+                merge(List.of(nodeItem(p, 0, p.heartbeat().n() * 2 + 1)));
+                sources.drop(peer);
             }
             meet.closed(peer);
             book.drop(peer);
         }
     }
 
-    private void publish(Meet.Peer peer, Pulse p, long nowMs) {
-        NodeId id = peer.hello().node();
-        Item old = book.get(Book.NODE, id.toString());
-        boolean same = old != null && old.value()[0] == (byte) p.flags() && hello(old).life() == peer.hello().life();
-        if (same && nowMs - published.getOrDefault(id, Long.MIN_VALUE / 2) < 700) {
-            return;
+    /** A node's session is told once; told anew if it changes, or if whoever told it is out of touch. */
+    private void publish(Meet.Peer peer, Heartbeat p, long nowMs) {
+        Item old = book.get(Book.NODE, peer.hello().node().toString());
+        Roster was = old == null ? null : Roster.of(old.value());
+        boolean same = was != null && was.flags() == p.flags() && was.hello().life() == peer.hello().life()
+                && (was.via().equals(me) || meet.linked(me, was.via()));
+        if (!same) {
+            merge(List.of(nodeItem(peer, p.flags(), p.n() * 2)));
         }
-        published.put(id, nowMs);
-        merge(List.of(nodeItem(peer, p.flags(), p.n() * 2)));
     }
 
     /** A restart has a new life that must win, though the time of day that lives are drawn from may go back. */
     private Item nodeItem(Meet.Peer peer, int flags, long version) {
         Item old = book.get(Book.NODE, peer.hello().node().toString());
         long ownLife = peer.hello().life();
-        long nodeLife = old == null ? ownLife
-                : hello(old).life() == ownLife ? old.life() : Math.max(ownLife, old.life() + 1);
-        byte[] h = Codec.encode(peer.hello());
-        byte[] value = new byte[h.length + 1];
-        value[0] = (byte) flags;
-        System.arraycopy(h, 0, value, 1, h.length);
-        return new Item(Book.NODE, peer.hello().node().toString(), nodeLife, version, value);
+        long wasLife = old == null ? ownLife : Roster.of(old.value()).hello().life();
+        long nodeLife = old == null ? ownLife : wasLife == ownLife ? old.life() : Math.max(ownLife, old.life() + 1);
+        return new Item(Book.NODE, peer.hello().node().toString(), nodeLife, version,
+                new Roster(flags, me, peer.hello()).value());
+    }
+
+    // ---- sums
+
+    private void reported(NodeId from, Report r, long nowMs) {
+        Meet.Peer p = meet.peer(from);
+        if (p == null) {
+            return;
+        }
+        Collector of = p.hello().kind() == 1 ? sources : peers;
+        Taken t = of.take(from, r, nowMs);
+        if (t.refused()) {
+            LOG.atWarning().log("report of %s is %s, %s so far", p.hello().name(), t, of.count(t));
+            return;
+        }
+        if (t == Taken.NEWEST && p.hello().kind() == 0) {
+            presence.peers(Sum.of(r), nowMs);
+            r.sources().forEach(s -> sources.leave(s.node(), s.life(), s.seq()));
+        }
+    }
+
+    /** Sums go to the region's other control nodes, back to data nodes, and by service to other regions. */
+    private void sums(long nowMs) {
+        Sum own = sources.sum(nowMs);
+        total = own.merge(peers.sum(nowMs));
+        sumSeq++;
+        Report report = new Report(0, 0, own.report(0, 0).tallies(), presence.own(nowMs), sources.holds(nowMs));
+        report = new Report(life, sumSeq, report.tallies(), report.heartbeats(), report.sources());
+        NodeId speaker = me;
+        for (Meet.Peer p : meet.peers()) {
+            if (p.hello().kind() == 0 && p.linked() && p.hello().region().equals(config.region())) {
+                mesh.send(p.hello().node(), report);
+                speaker = p.hello().node().compareTo(speaker) < 0 ? p.hello().node() : speaker;
+            }
+        }
+        List<RegionLoad> mine = Totals.region(total, members(), config.region());
+        regions.put(config.region(), mine);
+        regionMs.put(config.region(), nowMs);
+        regionMs.values().removeIf(at -> nowMs - at > REGION_TTL_MS);
+        regions.keySet().retainAll(regionMs.keySet());
+        List<RegionLoad> all = new ArrayList<>();
+        regions.values().forEach(all::addAll);
+        Load back = new Load(life, sumSeq, Totals.engines(total), all);
+        Set<NodeId> asking = sources.sources(nowMs);
+        for (Meet.Peer p : meet.peers()) {
+            if (p.hello().kind() == 1 && asking.contains(p.hello().node())) {
+                mesh.send(p.hello().node(), back);
+            } else if (p.hello().kind() == 0 && speaker.equals(me) && !p.hello().region().equals(config.region())) {
+                mesh.send(p.hello().node(), new Load(life, sumSeq, List.of(), mine));
+            }
+        }
+    }
+
+    private List<Totals.Member> members() {
+        List<Totals.Member> out = new ArrayList<>();
+        for (Item i : book.all(Book.ENGINE)) {
+            Item silent = book.get(Book.SILENT, i.key());
+            if ((silent == null || silent.value()[0] == 0) && book.get(Book.LEAVING, i.key()) == null) {
+                Engine e = (Engine) Codec.decode(i.value());
+                out.add(new Totals.Member(Sum.key(i.key()), e.service(), config.regionOf(e.zone()), e.capacity()));
+            }
+        }
+        return out;
+    }
+
+    /** Engines of this region that fell silent or are heard again become facts. */
+    private void judgeEngines(long nowMs) {
+        for (Presence.Change c : presence.judge(e -> config.regionOf(e.zone()).equals(config.region()), nowMs)) {
+            LOG.atInfo().log("engine %s %s", c.id(), c.silent() ? "is silent" : "is heard again");
+            merge(List.of(new Item(Book.SILENT, c.id(), 0, 2 * c.seq() + (c.silent() ? 1 : 0), new byte[] {(byte) (c.silent() ? 1 : 0)})));
+        }
+        for (String id : presence.forget(FORGET_MS, nowMs)) {
+            book.forget(Book.ENGINE, id);
+            book.forget(Book.SILENT, id);
+            seenMs.remove(Book.ENGINE + " " + id);
+            seenMs.remove(Book.SILENT + " " + id);
+        }
+    }
+
+    /** The sums as this node last made them, for the operator. */
+    Sum total() {
+        synchronized (bookLock) {
+            return total;
+        }
     }
 
     private void merge(List<Item> items) {
         long nowMs = clock.nowMs();
         for (Item i : book.merge(items)) {
             seenMs.put(i.kind() + " " + i.key(), nowMs);
+            if (i.kind() == Book.ENGINE) {
+                presence.told(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
+            } else if (i.kind() == Book.SILENT && i.value()[0] == 1
+                    && presence.contradicts(i.key(), (i.version() - 1) / 2, nowMs)) {
+                book.merge(List.of(new Item(Book.SILENT, i.key(), 0, 2 * presence.seq(i.key()), new byte[] {0})));
+            }
         }
     }
 
@@ -293,7 +480,7 @@
             if (o instanceof Chain.Out.Send s) {
                 mesh.send(s.to(), s.m());
             } else if (o instanceof Chain.Out.Store s) {
-                disk.take(s);
+                storage.take(s);
             } else if (o instanceof Chain.Out.Answer a) {
                 Answered then = calls.remove(a.call());
                 if (then != null) {
@@ -303,6 +490,10 @@
                 pool.execute(() -> committed(c.state()));
             } else if (o instanceof Chain.Out.Viewed v) {
                 LOG.atInfo().log("view %s chain %s voters %s", v.view().epoch(), v.view().chain(), v.view().voters());
+                if (v.view().voters().size() < 2 * config.lossesBorne() + 1) {
+                    LOG.atWarning().log("%s voters cannot bear the loss of %s disks at once", v.view().voters().size(),
+                            config.lossesBorne());
+                }
             }
         }
     }
@@ -326,25 +517,17 @@
         }
     }
 
-    // ---- beats
-
-    private void beat() {
-        try {
-            tick();
-        } catch (RuntimeException x) {
-            LOG.atSevere().withCause(x).log("beat fails");
-        }
-        beats.schedule(this::beat, BEAT_MS, TimeUnit.MILLISECONDS);
-    }
+    // ---- ticks
 
-    private void tick() {
+    void tick() {
         long nowMs = clock.nowMs();
         ticks++;
         Set<NodeId> wanted = new TreeSet<>();
         config.seeds().forEach(s -> wanted.add(s.at(config.innerPort())));
         Set<NodeId> live = new TreeSet<>();
         Map<NodeId, Set<NodeId>> links = new HashMap<>();
-        List<NodeId> pulseTo = new ArrayList<>();
+        List<NodeId> heartbeatTo = new ArrayList<>();
+        Set<NodeId> dataPeers = new HashSet<>();
         synchronized (bookLock) {
             for (NodeId n : meet.beat(nowMs)) {
                 pool.execute(() -> mesh.drop(n));
@@ -354,9 +537,12 @@
                     if (p.linked()) {
                         live.add(p.hello().node());
                     }
-                    wanted.addAll(p.pulse().heard());
+                    wanted.addAll(p.heartbeat().heard());
+                }
+                heartbeatTo.add(p.hello().node());
+                if (p.hello().kind() == 1) {
+                    dataPeers.add(p.hello().node());
                 }
-                pulseTo.add(p.hello().node());
             }
         }
         Chain.Reach reach = new Chain.Reach() {
@@ -371,6 +557,22 @@
             public Collection<NodeId> live() {
                 return live;
             }
+
+            @Override
+            public boolean leaving(NodeId n) {
+                synchronized (bookLock) {
+                    Meet.Peer p = meet.peer(n);
+                    return n.equals(me) ? leaving : p != null && (p.heartbeat().flags() & Heartbeat.LEAVING) != 0;
+                }
+            }
+
+            @Override
+            public String place(NodeId n) {
+                synchronized (bookLock) {
+                    Meet.Peer p = meet.peer(n);
+                    return n.equals(me) ? config.region() : p == null ? "" : p.hello().region();
+                }
+            }
         };
         View view;
         synchronized (chainLock) {
@@ -382,32 +584,39 @@
             wanted.addAll(view.voters());
         }
         if (ticks % 2 == 0) {
+            boolean unknown = view == null || !view.voters().contains(me);
             for (NodeId n : wanted) {
-                // one wire for two nodes: the lower address dials
-                if (me.compareTo(n) < 0 && !mesh.up(n)) {
+                // one wire for two nodes: the lower address dials, and whoever is not known as a voter yet
+                if ((me.compareTo(n) < 0 || unknown && !me.equals(n)) && !mesh.up(n)) {
                     mesh.dial(n);
                 }
             }
         }
-        if (ticks % 2 == 0) {
-            pulseTo.forEach(this::pulse);
+        for (NodeId n : heartbeatTo) {
+            if (ticks % (dataPeers.contains(n) ? DATA_TICKS : 2) == 0 || leaving) {
+                heartbeat(n);
+            }
         }
         roll(view, nowMs);
         synchronized (bookLock) {
             grant(view, nowMs);
+            if (ticks % 5 == 0) {
+                judgeEngines(nowMs);
+                sums(nowMs);
+            }
             push();
             if (ticks % 20 == 0) {
-                engines.keep(book.all(Book.ENGINE));
+                storage.keep(book.all(Book.ENGINE));
             }
         }
     }
 
-    private void pulse(NodeId to) {
+    private void heartbeat(NodeId to) {
         State s = committed();
         View v = view();
         synchronized (bookLock) {
-            int flags = (quorate ? Pulse.QUORATE : 0) | (leaving ? Pulse.LEAVING : Pulse.READY);
-            mesh.send(to, meet.pulse(to, flags, v == null ? 0 : v.epoch(), s == null ? -1 : s.seq(), book.digest()));
+            int flags = (quorate ? Heartbeat.QUORATE : 0) | (leaving ? Heartbeat.LEAVING : Heartbeat.READY);
+            mesh.send(to, meet.heartbeat(to, flags, v == null ? 0 : v.epoch(), s == null ? -1 : s.seq(), book.digest()));
         }
     }
 
@@ -419,20 +628,21 @@
         }
         if (!me.equals(lastHead)) {
             // what another holder granted has to run out first; at the very first start there was none
-            grantFromMs = lastHead == null && view.epoch() == 1 ? nowMs : nowMs + LICENCE_TTL_MS + 500;
+            grantFromMs = lastHead == null && view.epoch() == 1 ? nowMs : nowMs + LEASE_TTL_MS + 500;
             lastHead = me;
         }
-        if (nowMs < grantFromMs || ticks % 5 != 0) {
+        if (nowMs < grantFromMs || ticks % 10 != 0) {
             return;
         }
         int nodes = 0;
         for (Item i : book.all(Book.NODE)) {
+            Roster r = Roster.of(i.value());
             Long at = seenMs.get(Book.NODE + " " + i.key());
-            nodes += at != null && nowMs - at < 10_000 ? 1 : 0;
+            nodes += r.flags() != 0 || at != null && nowMs - at < 10_000 ? 1 : 0;
         }
         if (nodes > 0) {
-            merge(List.of(new Item(Book.LICENCE, "", view.epoch(), ++licences,
-                    Codec.encode(new Licence(view.epoch(), nodes, LICENCE_TTL_MS, 0)))));
+            merge(List.of(new Item(Book.LEASE, "", view.epoch(), ++leases,
+                    Codec.encode(new Lease(view.epoch(), nodes, LEASE_TTL_MS)))));
         }
     }
 
@@ -467,7 +677,7 @@
             long nowMs = clock.nowMs();
             for (Item i : book.all(Book.ENGINE)) {
                 Engine e = (Engine) Codec.decode(i.value());
-                long ageMs = nowMs - seenMs.getOrDefault(Book.ENGINE + " " + i.key(), 0L);
+                long ageMs = presence.agoMs(i.key(), nowMs);
                 if (e.service().equals(service) && ageMs < 30_000) {
                     out.add(new RollPlan.Member(i.key(), config.regionOf(e.zone()), e.weights(),
                             e.draining() || book.get(Book.LEAVING, i.key()) != null, ageMs > 3L * config.engineBeatMs()));
@@ -482,7 +692,8 @@
         return i == null ? null : ((Engine) Codec.decode(i.value())).address();
     }
 
-    private void reported(String id, int active, int queued) {
+    /** What an engine said of what it still runs. */
+    void reported(String id, int active, int queued) {
         tell(new Item(Book.TURN, id, life, ++turns, (active + queued == 0 ? "free to swap" : "still runs " + (active + queued))
                 .getBytes(java.nio.charset.StandardCharsets.UTF_8)));
     }
@@ -494,7 +705,10 @@
             if (p.hello().kind() == 1 && !quorate) {
                 continue;
             }
-            List<Item> items = book.pending(to, 512);
+            String region = p.hello().region();
+            // a data node needs the data nodes of its region, for gossip, and not what engines in turn still run
+            List<Item> items = p.hello().kind() == 0 ? book.pending(to, 512) : book.pending(to, 512,
+                    i -> i.kind() != Book.TURN && (i.kind() != Book.NODE || Roster.of(i.value()).hello().region().equals(region)));
             boolean first = p.hello().kind() == 1 && !filled.getOrDefault(to, false);
             if (!items.isEmpty() || first) {
                 boolean full = first && items.size() < 512;
@@ -516,7 +730,7 @@
                 row.put("node", p.hello().node().toString());
                 row.put("zone", p.hello().zone());
                 row.put("linked", p.linked());
-                row.put("ready", (p.pulse().flags() & Pulse.READY) != 0);
+                row.put("ready", (p.heartbeat().flags() & Heartbeat.READY) != 0);
                 out.add(row);
             }
         }
--- a/src/main/java/ringspindle/cp/ControlPlane.java
+++ b/src/main/java/ringspindle/cp/ControlPlane.java
@@ -1,6 +1,7 @@
 package ringspindle.cp;
 
 import com.google.common.flogger.*;
+import java.nio.file.*;
 import java.util.concurrent.*;
 import org.eclipse.jetty.io.*;
 import org.eclipse.jetty.server.*;
@@ -15,16 +16,16 @@
     private ControlPlane() {
     }
 
-    /** Runs until told to end; {@code ControlPlane.run(config, ended)} returns when the node serves. */
-    public static void run(NodeConfig config, CountDownLatch term) throws Exception {
-        QueuedThreadPool pool = new QueuedThreadPool(16, 6);
-        pool.setName("cp");
-        pool.setReservedThreads(0);
-        pool.setDaemon(true);
-        pool.start();
-        ScheduledExecutorScheduler beats = new ScheduledExecutorScheduler("beats", true, 1);
-        beats.start();
-        Control control = new Control(config, pool, beats);
+    /** Runs until told to end; {@code ControlPlane.run(settings, term)} then hands over and ends. */
+    public static void run(Settings settings, CountDownLatch term) throws Exception {
+        NodeConfig config = settings.now();
+        Threads threads = Threads.start("cp", 16, 6);
+        QueuedThreadPool pool = threads.pool();
+        org.eclipse.jetty.util.thread.Scheduler beats = threads.timers();
+        Reports reports = new Reports(pool, beats);
+        Path folder = Path.of(config.dataPath().isEmpty() ? "/tmp/ringspindle" : config.dataPath());
+        Control control = new Control(config, Means.real(threads), new DiskStorage(folder, pool), reports);
+        reports.tell(control::reported);
         Server server = new Server(pool, beats, new ArrayByteBufferPool(0, 4096, 65536, 64, 2 << 20, 2 << 20));
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
@@ -40,14 +41,18 @@
             server.addConnector(c);
         }
         server.setHandler(new Gate(control));
+        settings.listen(control::settings);
         control.start();
+        Ticker.start(control::tick, beats, Control.TICK_MS);
         server.start();
         LOG.atInfo().log("control plane %s serves", config.name());
         term.await();
         control.leave();
         LOG.atInfo().log("control plane %s leaves", config.name());
-        // peers and data nodes hear of it with the next beats; calls under way get their answers
-        Thread.sleep(700);
+        // peers and data nodes hear of it with the next beats; calls under way get their answers; the chain goes on without
+        for (int i = 0; i < 20 && (i < 7 || !control.handedOver()); i++) {
+            Thread.sleep(100);
+        }
         LifeCycleQuietly.stop(server);
     }
 }
--- /dev/null
+++ b/src/main/java/ringspindle/cp/DiskStorage.java
@@ -0,0 +1,51 @@
+package ringspindle.cp;
+
+import java.io.*;
+import java.nio.file.*;
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.function.*;
+import ringspindle.chain.*;
+import ringspindle.disk.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** Two slots and a log in a folder, and the engines beside them. */
+final class DiskStorage implements Storage {
+    private final Disk disk;
+    private final EngineFile engines;
+    private DiskThread thread;
+
+    DiskStorage(Path folder, Executor pool) {
+        disk = Disk.open(folder);
+        engines = new EngineFile(folder.resolve("engines"), pool);
+    }
+
+    @Override
+    public List<Msg> load() throws IOException {
+        return disk.load();
+    }
+
+    @Override
+    public void open(LongConsumer stored, Supplier<List<Msg>> durable) {
+        thread = new DiskThread(disk, stored, durable);
+        Thread t = new Thread(thread, "disk");
+        t.setDaemon(true);
+        t.start();
+    }
+
+    @Override
+    public void take(Chain.Out.Store s) {
+        thread.take(s);
+    }
+
+    @Override
+    public List<Item> engines() {
+        return engines.load();
+    }
+
+    @Override
+    public void keep(Collection<Item> now) {
+        engines.keep(now);
+    }
+}
--- a/src/main/java/ringspindle/cp/Fleet.java
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -7,6 +7,8 @@
 import java.util.*;
 import ringspindle.chain.*;
 import ringspindle.know.*;
+import ringspindle.meet.*;
+import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
@@ -18,7 +20,8 @@
     }
 
     static JsonObject status(Control c) {
-        JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name()).add("quorate", c.quorate());
+        JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name()).add("quorate", c.quorate())
+                .add("founding", c.founding());
         View v = c.view();
         if (v != null) {
             JsonArrayBuilder voters = JSON.createArrayBuilder();
@@ -26,7 +29,7 @@
             JsonArrayBuilder chain = JSON.createArrayBuilder();
             v.chain().forEach(n -> chain.add(n.toString()));
             out.add("view", JSON.createObjectBuilder().add("epoch", v.epoch()).add("voters", voters).add("chain", chain));
-            out.add("duties", JSON.createObjectBuilder().add("licences",
+            out.add("duties", JSON.createObjectBuilder().add("leases",
                     JSON.createObjectBuilder().add("holder", v.head().toString()).add("epoch", v.epoch())));
         }
         State s = c.committed();
@@ -45,10 +48,11 @@
         out.add("sessions", sessions);
         JsonArrayBuilder nodes = JSON.createArrayBuilder();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.NODE)))) {
-            Hello h = Control.hello(i);
+            Roster r = Roster.of(i.value());
+            Hello h = r.hello();
             nodes.add(JSON.createObjectBuilder().add("name", h.name()).add("zone", h.zone())
-                    .add("frontend", new NodeId(h.front()).toString()).add("ready", (i.value()[0] & Pulse.READY) != 0)
-                    .add("leaving", (i.value()[0] & Pulse.LEAVING) != 0));
+                    .add("frontend", new NodeId(h.front()).toString()).add("ready", (r.flags() & Heartbeat.READY) != 0)
+                    .add("leaving", (r.flags() & Heartbeat.LEAVING) != 0).add("via", r.via().toString()));
         }
         return out.add("nodes", nodes).build();
     }
@@ -63,15 +67,18 @@
 
     static JsonObject engines(Control c) {
         JsonArrayBuilder out = JSON.createArrayBuilder();
+        Sum total = c.total();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.ENGINE)))) {
             Engine e = (Engine) Codec.decode(i.value());
             Item leaving = c.book(b -> b.get(Book.LEAVING, i.key()));
-            long ageMs = c.ageMs(Book.ENGINE, i.key());
+            long ageMs = Math.min(Integer.MAX_VALUE, c.ageMs(Book.ENGINE, i.key()));
+            Tally t = total.all(Sum.key(i.key()));
             Item turn = c.ageMs(Book.TURN, i.key()) < 3000 ? c.book(b -> b.get(Book.TURN, i.key())) : null;
             out.add(JSON.createObjectBuilder().add("turn", turn == null ? "" : new String(turn.value(), UTF_8)).add("id", i.key()).add("service", e.service()).add("address", e.address())
                     .add("zone", e.zone()).add("revision", e.revision()).add("weights", e.weights())
                     .add("state", leaving == null ? "ready" : new String(leaving.value(), UTF_8)).add("beatAgeMs", ageMs)
-                    .add("callSeq", i.version()));
+                    .add("callSeq", i.version()).add("running", t.running()).add("answered", t.answered())
+                    .add("failed", t.failed()));
         }
         return JSON.createObjectBuilder().add("engines", out).build();
     }
--- a/src/main/java/ringspindle/cp/Gate.java
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -7,6 +7,7 @@
 import jakarta.json.spi.*;
 import java.nio.*;
 import java.util.*;
+import java.util.function.*;
 import org.eclipse.jetty.http.*;
 import org.eclipse.jetty.io.*;
 import org.eclipse.jetty.server.*;
@@ -15,6 +16,7 @@
 import ringspindle.chain.*;
 import ringspindle.conf.*;
 import ringspindle.conf.Checked.*;
+import ringspindle.edge.*;
 import ringspindle.know.*;
 import ringspindle.meet.*;
 import ringspindle.wire.*;
@@ -110,32 +112,14 @@
         return true;
     }
 
-    private interface Body {
-        void take(byte[] body);
-    }
-
-    private void body(Request request, int most, Response response, Callback callback, Body then) {
-        if (request.getLength() > most) {
-            end(response, callback, Outcome.TOO_LARGE, NONE);
-            return;
-        }
-        Content.Source.asByteBuffer(request, new org.eclipse.jetty.util.Promise.Invocable.NonBlocking<>() {
-            @Override
-            public void succeeded(ByteBuffer b) {
-                if (b.remaining() > most) {
-                    end(response, callback, Outcome.TOO_LARGE, NONE);
-                    return;
-                }
-                byte[] bytes = new byte[b.remaining()];
-                b.get(bytes);
-                then.take(bytes);
+    private void body(Request request, int most, Response response, Callback callback, Consumer<byte[]> then) {
+        new BoundedBody(request, most, b -> {
+            if (b == null) {
+                end(response, callback, Outcome.TOO_LARGE, NONE);
+            } else {
+                then.accept(b);
             }
-
-            @Override
-            public void failed(Throwable x) {
-                end(response, callback, Outcome.MALFORMED, NONE);
-            }
-        });
+        }, x -> end(response, callback, Outcome.MALFORMED, NONE)).run();
     }
 
     private boolean instance(Request request, Response response, Callback callback, String id) {
@@ -151,6 +135,7 @@
             }
             JsonObject o = good.value();
             boolean draining;
+            String zone;
             try {
                 long weights = -1;
                 if (o.get("models") instanceof JsonArray a && !a.isEmpty()) {
@@ -161,18 +146,21 @@
                         o.get("remainingMs") instanceof JsonNumber n ? n.intValue() : -1, weights, o.getString("service"),
                         NodeId.of(o.getString("address")).toString(), o.getString("zone", ""), o.getString("revision", ""));
                 long seq = o.get("callSeq") instanceof JsonNumber n ? n.longValue() : 0;
-                control.tell(new Item(Book.ENGINE, id, 0, seq, Codec.encode(e)));
+                control.heartbeat(id, e, seq);
+                zone = e.zone();
             } catch (RuntimeException x) {
                 LOG.atInfo().log("engine %s registers badly: %s", id, x.toString());
                 end(response, callback, Outcome.MALFORMED, NONE);
                 return;
             }
+            String near = control.nearControl(zone);
+            byte[] taken = (near.isEmpty() ? "{}" : "{\"heartbeatTarget\":\"" + near + "\"}").getBytes(UTF_8);
             if (!draining) {
-                end(response, callback, Outcome.TAKEN, "{}".getBytes(UTF_8));
+                end(response, callback, Outcome.TAKEN, taken);
                 return;
             }
             control.call(Chain.DRAIN, 0, id, NONE,
-                    (out, text) -> end(response, callback, out, out == Outcome.TAKEN ? "{}".getBytes(UTF_8) : NONE));
+                    (out, text) -> end(response, callback, out, out == Outcome.TAKEN ? taken : NONE));
         });
         return true;
     }
--- a/src/main/java/ringspindle/cp/Reports.java
+++ b/src/main/java/ringspindle/cp/Reports.java
@@ -19,13 +19,18 @@
 
     private final Executor pool;
     private final org.eclipse.jetty.util.thread.Scheduler beats;
-    private final Ear ear;
+    private volatile Ear ear = (id, active, queued) -> { };
     private HttpClient client;
 
-    Reports(Executor pool, org.eclipse.jetty.util.thread.Scheduler beats, Ear ear) {
+    Reports(Executor pool, org.eclipse.jetty.util.thread.Scheduler beats) {
         this.pool = pool;
         this.beats = beats;
-        this.ear = ear;
+    }
+
+    /** Who hears of reports; {@code reports.tell(control::reported)}. */
+    Reports tell(Ear e) {
+        ear = e;
+        return this;
     }
 
     void ask(String id, String address) {
--- /dev/null
+++ b/src/main/java/ringspindle/cp/Storage.java
@@ -0,0 +1,26 @@
+package ringspindle.cp;
+
+import java.io.*;
+import java.util.*;
+import java.util.function.*;
+import ringspindle.chain.*;
+import ringspindle.wire.Msg.*;
+import ringspindle.wire.*;
+
+/** What a control node keeps over its ends. */
+interface Storage {
+    /** Records found, oldest first; {@code storage.load()} once. */
+    List<Msg> load() throws IOException;
+
+    /** From now on records are written; {@code stored} hears of each token that is synced. */
+    void open(LongConsumer stored, Supplier<List<Msg>> durable);
+
+    /** Write these. */
+    void take(Chain.Out.Store s);
+
+    /** Engines as a hint for the time right after a start. */
+    List<Item> engines();
+
+    /** Keeps that hint. */
+    void keep(Collection<Item> engines);
+}
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -5,31 +5,30 @@
 import com.google.common.flogger.*;
 import java.util.*;
 import java.util.concurrent.*;
-import org.eclipse.jetty.util.thread.*;
 import ringspindle.chain.*;
 import ringspindle.conf.*;
 import ringspindle.edge.*;
 import ringspindle.know.*;
 import ringspindle.meet.*;
 import ringspindle.pick.*;
+import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
 /** Owner of what a data node knows: sessions with control nodes, gossip with a few other data nodes. */
 final class Data implements Mesh.Ear {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final int BEAT_MS = 100;
+    static final int TICK_MS = 100;
     private static final int SILENT_MS = 900;
     private static final int CONTROLS = 2;
 
-    private final NodeConfig config;
+    private volatile NodeConfig config;
     private final NodeId me;
     private final Steady clock;
     private final Mesh mesh;
-    private final Front front;
+    private final Edge front;
     private final Picker picker;
     private final Executor pool;
-    private final org.eclipse.jetty.util.thread.Scheduler beats;
 
     private final Object lock = new Object();
     private final Book book = Book.create();
@@ -37,29 +36,39 @@
     private final Set<NodeId> controls = new TreeSet<>();
     private final Map<NodeId, Long> dialledMs = new HashMap<>();
     private final Set<NodeId> confirmedBy = new TreeSet<>();
+    private final long life;
+    private NodeId collector;
+    private long reportSeq;
+    private long reportedMs;
     private long ticks;
     private volatile boolean leaving;
 
-    Data(NodeConfig config, Front front, Picker picker, QueuedThreadPool pool,
-            org.eclipse.jetty.util.thread.Scheduler beats, Steady clock) {
+    Data(NodeConfig config, Edge front, Picker picker, Means means) {
         this.config = config;
         this.front = front;
         this.picker = picker;
-        this.pool = pool;
-        this.beats = beats;
-        this.clock = clock;
+        pool = means.pool();
+        clock = means.clock();
+        life = means.life();
         // a data node talks at the second inner port, so that both programs fit on one machine
         me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
-        Hello hello = new Hello(me, System.currentTimeMillis(), 1, config.frontend().orElseThrow().bits(), config.name(),
-                config.zone(), config.region());
-        mesh = Mesh.create(hello, pool, beats);
+        mesh = means.mesh().apply(new Hello(me, life, 1, config.frontend().orElseThrow().bits(), config.name(), config.zone(),
+                config.region()));
         meet = Meet.create(me, SILENT_MS);
         config.seeds().forEach(s -> controls.add(s.at(config.innerPort())));
     }
 
+    /** Opens the mesh; whoever starts it ticks it every {@link #TICK_MS}. */
     void start() throws Exception {
         mesh.open(this);
-        beat();
+    }
+
+    /** Settings changed while running: new seeds are dialled as need be. */
+    void settings(NodeConfig c) {
+        synchronized (lock) {
+            config = c;
+            c.seeds().forEach(s -> controls.add(s.at(c.innerPort())));
+        }
     }
 
     void leave() {
@@ -75,7 +84,7 @@
             if (peer.kind() == 0) {
                 controls.add(peer.node());
             }
-            pulse(peer.node());
+            heartbeat(peer.node());
         }
     }
 
@@ -83,14 +92,15 @@
     public void heard(NodeId from, Msg m) {
         long nowMs = clock.nowMs();
         synchronized (lock) {
-            if (m instanceof Pulse p) {
+            if (m instanceof Heartbeat p) {
                 meet.heard(from, p, nowMs);
                 if (p.echo() == 0) {
                     // a new wire: the sooner both know that they hear each other, the better
-                    pulse(from);
+                    heartbeat(from);
                 }
                 controls.addAll(p.heard());
-                if (p.digest() != book.digest() && p.n() % 24 == 0) {
+                Meet.Peer peer = meet.peer(from);
+                if (peer != null && p.digest() != book.digest() && peer.heardN() % 16 == 0) {
                     mesh.send(from, new Digest(book.ranges()));
                 }
             } else if (m instanceof News n) {
@@ -105,6 +115,8 @@
                 } else if (!confirmedBy.isEmpty() && book.get(Book.CONFIG, "") != null) {
                     front.confirm();
                 }
+            } else if (m instanceof Load l) {
+                picker.load(l, nowMs);
             } else if (m instanceof Digest d) {
                 List<Item> items = book.differing(d.ranges());
                 if (!items.isEmpty()) {
@@ -132,8 +144,8 @@
             } else if (i.kind() == Book.ROLLOUT) {
                 Rollout r = Rollout.read(new String(i.value(), UTF_8));
                 picker.turn(r.service(), new HashSet<>(r.turn()), nowMs);
-            } else if (i.kind() == Book.LICENCE) {
-                picker.licence((Licence) Codec.decode(i.value()), nowMs);
+            } else if (i.kind() == Book.LEASE) {
+                picker.lease((Lease) Codec.decode(i.value()), nowMs);
             }
         }
         for (Item i : fresh) {
@@ -148,20 +160,13 @@
                 }
             } else if (i.kind() == Book.ENGINE) {
                 picker.engine(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
+            } else if (i.kind() == Book.SILENT) {
+                picker.silent(i.key(), i.value()[0] == 1, nowMs);
             }
         }
     }
 
-    private void beat() {
-        try {
-            tick();
-        } catch (RuntimeException x) {
-            LOG.atSevere().withCause(x).log("beat fails");
-        }
-        beats.schedule(this::beat, BEAT_MS, TimeUnit.MILLISECONDS);
-    }
-
-    private void tick() {
+    void tick() {
         long nowMs = clock.nowMs();
         synchronized (lock) {
             ticks++;
@@ -172,8 +177,8 @@
                 dial(nowMs);
             }
             for (Meet.Peer p : meet.peers()) {
-                if (ticks % 3 == 0 || leaving) {
-                    pulse(p.hello().node());
+                if (ticks % 4 == 0 || leaving) {
+                    heartbeat(p.hello().node());
                 }
                 if (p.hello().kind() == 1) {
                     List<Item> items = book.pending(p.hello().node(), 256);
@@ -186,21 +191,51 @@
         front.probe();
         if (ticks % 5 == 0) {
             front.tidy();
+            report(nowMs);
         }
         if (ticks % 100 == 0) {
             LOG.atInfo().log("actions %s", front.ends());
         }
     }
 
+    /** What this node saw goes to one control node, the nearest it has a session with. */
+    private void report(long nowMs) {
+        synchronized (lock) {
+            NodeId best = null;
+            int bestRank = Integer.MAX_VALUE;
+            for (Meet.Peer p : meet.peers()) {
+                if (well(p)) {
+                    int rank = (p.hello().zone().equals(config.zone()) ? 0 : p.hello().region().equals(config.region()) ? 2 : 4)
+                            + (p.hello().node().equals(collector) ? 0 : 1);
+                    if (rank < bestRank) {
+                        bestRank = rank;
+                        best = p.hello().node();
+                    }
+                }
+            }
+            if (collector != null && !collector.equals(best)) {
+                // what was said there counts no more
+                mesh.send(collector, Sum.NONE.report(life, ++reportSeq));
+            }
+            collector = best;
+            Sum seen = picker.report(nowMs);
+            if (best != null && (!seen.equals(Sum.NONE) || nowMs - reportedMs > 1400)) {
+                reportedMs = nowMs;
+                mesh.send(best, seen.report(life, ++reportSeq));
+            }
+        }
+    }
+
+    private static boolean well(Meet.Peer p) {
+        return p.hello().kind() == 0 && p.linked() && (p.heartbeat().flags() & Heartbeat.QUORATE) != 0
+                && (p.heartbeat().flags() & Heartbeat.LEAVING) == 0;
+    }
+
     /** Keeps sessions with two control nodes that hear all news, and gossip with two other data nodes. */
     private void dial(long nowMs) {
         int good = 0;
         for (Meet.Peer p : meet.peers()) {
-            if (p.hello().kind() == 0) {
-                boolean well = p.linked() && (p.pulse().flags() & Pulse.QUORATE) != 0
-                        && (p.pulse().flags() & Pulse.LEAVING) == 0;
-                good += well ? 1 : 0;
-            }
+            good += well(p) ? 1 : 0;
         }
         if (good < CONTROLS) {
             // at most one new one a time, the nearest first: same machine order for all of a zone, by chance else
@@ -227,7 +262,8 @@
         NodeId next = null;
         NodeId first = null;
         for (Item i : book.all(Book.NODE)) {
-            if ((i.value()[0] & Pulse.READY) == 0) {
+            Roster r = Roster.of(i.value());
+            if ((r.flags() & Heartbeat.READY) == 0 || !r.hello().region().equals(config.region())) {
                 continue;
             }
             NodeId n = NodeId.of(i.key());
@@ -248,8 +284,8 @@
         }
     }
 
-    private void pulse(NodeId to) {
-        int flags = (front.ready() ? Pulse.READY : 0) | (leaving ? Pulse.LEAVING : 0);
-        mesh.send(to, meet.pulse(to, flags, 0, 0, book.digest()));
+    private void heartbeat(NodeId to) {
+        int flags = (front.ready() ? Heartbeat.READY : 0) | (leaving ? Heartbeat.LEAVING : 0);
+        mesh.send(to, meet.heartbeat(to, flags, 0, 0, book.digest()));
     }
 }
--- a/src/main/java/ringspindle/dp/DataPlane.java
+++ b/src/main/java/ringspindle/dp/DataPlane.java
@@ -15,24 +15,24 @@
     private DataPlane() {
     }
 
-    /** Runs until told to end; {@code DataPlane.run(config, term)} then lets requests end. */
-    public static void run(NodeConfig config, CountDownLatch term) throws Exception {
-        QueuedThreadPool pool = new QueuedThreadPool(20, 8);
-        pool.setName("dp");
-        pool.setReservedThreads(0);
-        pool.setDaemon(true);
-        pool.start();
-        ScheduledExecutorScheduler beats = new ScheduledExecutorScheduler("beats", true, 1);
-        beats.start();
-        Steady clock = Steady.system();
+    /** Runs until told to end; {@code DataPlane.run(settings, term)} then lets requests end. */
+    public static void run(Settings settings, CountDownLatch term) throws Exception {
+        NodeConfig config = settings.now();
+        Threads threads = Threads.start("dp", 20, 8);
+        QueuedThreadPool pool = threads.pool();
+        org.eclipse.jetty.util.thread.Scheduler beats = threads.timers();
+        Means means = Means.real(threads);
         Picker picker = Picker.create(config);
-        Front front = new Front(config, picker, pool, beats, clock);
-        Data data = new Data(config, front, picker, pool, beats, clock);
+        Front front = new Front(config, picker, pool, beats, means.clock());
+        Data data = new Data(config, front, picker, means);
+        settings.listen(picker::settings);
+        settings.listen(data::settings);
         data.start();
+        Ticker.start(data::tick, beats, Data.TICK_MS);
         front.open();
         LOG.atInfo().log("data plane %s serves", config.name());
         term.await();
-        long endMs = clock.nowMs() + (long) (config.graceS() * 1000) - 700;
+        long endMs = means.clock().nowMs() + (long) (settings.now().graceS() * 1000) - 700;
         front.leave();
         data.leave();
         LOG.atInfo().log("data plane %s leaves, %s under way", config.name(), front.active());
@@ -40,7 +40,7 @@
         Thread.sleep(2500);
         front.stopAccepting();
         int calm = 0;
-        while (clock.nowMs() < endMs && calm < 5) {
+        while (means.clock().nowMs() < endMs && calm < 5) {
             Thread.sleep(100);
             calm = front.active() == 0 ? calm + 1 : 0;
         }
--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -23,6 +23,8 @@
     private static final int WHOLE_MAX = 1 << 20;
     /** Ours: what the way back takes, kept from the consumer's deadline. */
     private static final int BACK_MS = 15;
+    /** Ours: an idle wire that the engine had forgotten is reset within this. */
+    private static final int STALE_MS = 150;
     private static final byte[] NONE = {};
 
     /** One attempt's things. */
@@ -217,7 +219,7 @@
         now = t;
         t.heardMs = nowMs;
         arm();
-        front.wires().take(chosen.id(), chosen.address(), chosen.maxWires(), new Wires.Ready() {
+        front.wires().take(chosen.id(), chosen.address(), chosen.maxWires(), policy.repeatable() || policy.resumable(), new Wires.Ready() {
             @Override
             public void up(Wires.Wire w) {
                 wireUp(t, w);
@@ -506,6 +508,10 @@
             }
             long nowMs = front.nowMs();
             if (result.isFailed()) {
+                if (t.head == null && t.wire != null && t.wire.idledMs >= 0 && nowMs - t.sentMs < STALE_MS) {
+                    t.firstMs = Picker.STALE_MS;
+                    front.wires().forgotten(t.wire);
+                }
                 end(t, Action.End.BROKEN);
                 return;
             }
--- a/src/main/java/ringspindle/edge/Front.java
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -19,7 +19,7 @@
 import ringspindle.wire.*;
 
 /** The consumers' side of a data node: mappings, flows, readiness. */
-public final class Front extends Handler.Abstract implements Action.Ear {
+public final class Front extends Handler.Abstract implements Action.Ear, Edge {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int INBOX_MS = 20;
     /** Ours: about how long a node that has just started takes until it holds what is in force. */
@@ -83,6 +83,7 @@
     }
 
     /** The newest configuration in force here; older ones are ignored. */
+    @Override
     public void config(FleetConfig c) {
         FleetConfig old = config;
         if (old == null || c.revision() > old.revision()) {
@@ -92,11 +93,13 @@
     }
 
     /** A control node has told all that is in force; {@code front.confirm()}. */
+    @Override
     public void confirm() {
         confirmed = true;
     }
 
     /** True while new consumers are welcome; {@code front.ready()}. */
+    @Override
     public boolean ready() {
         return confirmed && config != null && !leaving;
     }
@@ -123,11 +126,13 @@
     }
 
     /** Closes idle wires; {@code front.tidy()} now and then. */
+    @Override
     public void tidy() {
         wires.tidy(picker.known());
     }
 
     /** Asks suspect engines for their status; {@code front.probe()} on every beat. */
+    @Override
     public void probe() {
         for (Picker.Probe p : picker.probes(clock.nowMs())) {
             wires.client().newRequest(p.address().ip(), p.address().port()).path(p.healthPath())
@@ -198,6 +203,7 @@
     }
 
     /** How many actions ended how; {@code front.ends().get("COMPLETED")}. */
+    @Override
     public Map<String, Long> ends() {
         Map<String, Long> out = new TreeMap<>();
         ends.forEach((k, v) -> out.put(k, v.sum()));
@@ -260,12 +266,8 @@
                 return true;
             }
         }
-        if (request.getLength() > c.limits().bodyBytes()) {
-            say(response, callback, Outcome.TOO_LARGE, 0);
-            return true;
-        }
         long heldMs = deadlineMs;
-        new Body(request, c.limits().bodyBytes(), body -> {
+        new BoundedBody(request, c.limits().bodyBytes(), body -> {
             if (body == null) {
                 say(response, callback, Outcome.TOO_LARGE, 0);
                 return;
@@ -297,50 +299,4 @@
         }
         return m.targets().get(m.targets().size() - 1).service();
     }
-
-    /** Reads a body within bounds. */
-    private static final class Body implements Runnable {
-        private final Request request;
-        private final int most;
-        private final java.util.function.Consumer<byte[]> then;
-        private final java.util.function.Consumer<Throwable> failed;
-        private final java.io.ByteArrayOutputStream out;
-
-        Body(Request request, int most, java.util.function.Consumer<byte[]> then, java.util.function.Consumer<Throwable> failed) {
-            this.request = request;
-            this.most = most;
-            this.then = then;
-            this.failed = failed;
-            out = new java.io.ByteArrayOutputStream(Math.max(32, (int) Math.min(1 << 16, request.getLength())));
-        }
-
-        @Override
-        public void run() {
-            while (true) {
-                Content.Chunk chunk = request.read();
-                if (chunk == null) {
-                    request.demand(this);
-                    return;
-                }
-                if (Content.Chunk.isFailure(chunk)) {
-                    failed.accept(chunk.getFailure());
-                    return;
-                }
-                ByteBuffer b = chunk.getByteBuffer();
-                byte[] bytes = new byte[b.remaining()];
-                b.get(bytes);
-                out.writeBytes(bytes);
-                boolean last = chunk.isLast();
-                chunk.release();
-                if (out.size() > most) {
-                    then.accept(null);
-                    return;
-                }
-                if (last) {
-                    then.accept(out.toByteArray());
-                    return;
-                }
-            }
-        }
-    }
 }
--- a/src/main/java/ringspindle/edge/Wires.java
+++ b/src/main/java/ringspindle/edge/Wires.java
@@ -16,6 +16,9 @@
     private static final int IDLE_MAX = 24;
     /** Ours: how long an idle wire is trusted where the engine states nothing. */
     private static final int KEEP_MS = 700;
+    /** Ours: idle for less, a wire counts as sure enough for what may run only once. */
+    private static final int SURE_MS = 1500;
+    private static final int TRUST_LEAST_MS = 50;
 
     /** A connection to one engine. */
     static final class Wire {
@@ -23,7 +26,8 @@
         final String engine;
         long idleSinceMs;
         long keepMs = KEEP_MS;
-        boolean fresh = true;
+        /** How long it was idle before it was taken this time, below 0 if it is new. */
+        long idledMs = -1;
 
         Wire(org.eclipse.jetty.client.Connection connection, String engine) {
             this.connection = connection;
@@ -42,6 +46,8 @@
         Destination destination;
         Origin origin;
         int open;
+        /** What resets have taught of how long idle ones stay good. */
+        long trustMs = Long.MAX_VALUE;
     }
 
     private final HttpClient client;
@@ -78,16 +84,25 @@
         LifeCycleQuietly.stop(client);
     }
 
-    /** Takes an idle wire or opens one. */
-    void take(String engine, NodeId address, int most, Ready ready) {
+    /**
+     * Takes the idle wire used last or opens one. What may run only once goes over no idle wire of doubtful age: an
+     * engine may have forgotten it, and after a reset nobody knows whether the request ran.
+     */
+    void take(String engine, NodeId address, int most, boolean repeatable, Ready ready) {
         Pool p = pools.computeIfAbsent(engine, k -> new Pool());
         Wire w = null;
         Destination destination = null;
         synchronized (p) {
             long nowMs = clock.nowMs();
             while (w == null && !p.idle.isEmpty()) {
+                long idledMs = nowMs - p.idle.peekLast().idleSinceMs;
+                if (!repeatable && idledMs > Math.min(SURE_MS, p.trustMs) && p.open < most) {
+                    // the others are idle for longer still
+                    break;
+                }
                 Wire x = p.idle.pollLast();
-                if (x.connection.isClosed() || nowMs - x.idleSinceMs > x.keepMs) {
+                x.idledMs = idledMs;
+                if (x.connection.isClosed() || idledMs > Math.min(x.keepMs, p.trustMs)) {
                     p.open--;
                     x.connection.close();
                 } else {
@@ -120,6 +135,16 @@
         }
     }
 
+    /** A wire that had been idle was reset without a word: the engine forgets idle ones sooner than thought. */
+    void forgotten(Wire w) {
+        Pool p = pools.get(w.engine);
+        if (p != null && w.idledMs >= 0) {
+            synchronized (p) {
+                p.trustMs = Math.max(TRUST_LEAST_MS, Math.min(p.trustMs, w.idledMs * 2 / 3));
+            }
+        }
+    }
+
     /** Gives a wire back after a whole answer; keepS is what the engine stated, below 0 for nothing. */
     void give(Wire w, long keepS) {
         Pool p = pools.get(w.engine);
@@ -131,7 +156,6 @@
             if (p.idle.size() < IDLE_MAX) {
                 w.idleSinceMs = clock.nowMs();
                 w.keepMs = keepS >= 0 ? Math.max(0, keepS * 1000 - 400) : KEEP_MS;
-                w.fresh = false;
                 p.idle.addLast(w);
                 return;
             }
--- a/src/main/java/ringspindle/know/Book.java
+++ b/src/main/java/ringspindle/know/Book.java
@@ -11,10 +11,12 @@
     int LEAVING = 3;
     int ENGINE = 4;
     int NODE = 5;
-    int LICENCE = 6;
+    int LEASE = 6;
     int ROLLOUT = 7;
     /** How much an engine in turn still runs, told by the duty's holder. */
     int TURN = 8;
+    /** Whether control nodes hear an engine's heartbeats; rests on the number of the last one. */
+    int SILENT = 9;
     int RANGES = 16;
 
     /** Takes what is newer; returns just that. {@code book.merge(news.items())}. */
@@ -30,7 +32,12 @@
     void forget(int kind, String key);
 
     /** What a peer has not been sent yet, at most so many; marks it as sent. {@code book.pending(peer, 64)}. */
-    List<Item> pending(NodeId peer, int most);
+    default List<Item> pending(NodeId peer, int most) {
+        return pending(peer, most, i -> true);
+    }
+
+    /** The same, passing over what that peer has no use for. */
+    List<Item> pending(NodeId peer, int most, java.util.function.Predicate<Item> useful);
 
     /** Forgets what a peer was sent, so that all goes again; {@code book.reset(peer)} on a new wire. */
     void reset(NodeId peer);
--- a/src/main/java/ringspindle/know/TableBook.java
+++ b/src/main/java/ringspindle/know/TableBook.java
@@ -55,9 +55,9 @@
     }
 
     private static long hash(String id, Item i) {
-        if (i.kind() == NODE || i.kind() == ENGINE || i.kind() == LICENCE) {
-            // these move with every beat; only whether they are there counts for repair
-            return mix(id.hashCode() * 31L + i.life());
+        if (i.kind() == NODE || i.kind() == LEASE || i.kind() == TURN || i.kind() == SILENT) {
+            // told anew on every new session, and not the same everywhere: no part of repair
+            return 0;
         }
         return mix(id.hashCode() * 31L + i.life() * 1000003L + i.version());
     }
@@ -96,7 +96,7 @@
     }
 
     @Override
-    public List<Item> pending(NodeId peer, int most) {
+    public List<Item> pending(NodeId peer, int most, java.util.function.Predicate<Item> useful) {
         long[] mark = marks.computeIfAbsent(peer, k -> new long[1]);
         Set<String> has = known.computeIfAbsent(peer, k -> new HashSet<>());
         List<Item> out = new ArrayList<>();
@@ -105,7 +105,8 @@
                 return out;
             }
             mark[0] = r.stamp;
-            if (!has.remove(id(r.item.kind(), r.item.key()) + "@" + r.item.life() + "." + r.item.version())) {
+            if (!has.remove(id(r.item.kind(), r.item.key()) + "@" + r.item.life() + "." + r.item.version())
+                    && useful.test(r.item)) {
                 out.add(r.item);
             }
         }
@@ -154,7 +155,7 @@
         List<Item> out = new ArrayList<>();
         for (Row r : byStamp.values()) {
             int n = range(id(r.item.kind(), r.item.key()));
-            if (n >= theirs.length || theirs[n] != ranges[n]) {
+            if (r.hash != 0 && (n >= theirs.length || theirs[n] != ranges[n])) {
                 out.add(r.item);
             }
         }
--- a/src/main/java/ringspindle/meet/Meet.java
+++ b/src/main/java/ringspindle/meet/Meet.java
@@ -10,7 +10,7 @@
     interface Peer {
         Hello hello();
 
-        Pulse pulse();
+        Heartbeat heartbeat();
 
         long heardMs();
 
@@ -18,6 +18,9 @@
         boolean linked();
 
         long openedMs();
+
+        /** How many heartbeats came over this connection. */
+        long heardN();
     }
 
     /** A wire stands; {@code meet.opened(hello, nowMs)}. */
@@ -27,7 +30,7 @@
     void closed(NodeId peer);
 
     /** A beat came. */
-    void heard(NodeId from, Pulse p, long nowMs);
+    void heard(NodeId from, Heartbeat p, long nowMs);
 
     /** Peers whose wire stands; {@code meet.peers()}. */
     Collection<? extends Peer> peers();
@@ -38,8 +41,8 @@
     /** Judges silence; returns peers whose wire is to be cut. {@code meet.beat(nowMs).forEach(mesh::drop)}. */
     List<NodeId> beat(long nowMs);
 
-    /** The beat to send to a peer; {@code mesh.send(p, meet.pulse(p, flags, epoch, seq, digest))}. */
-    Pulse pulse(NodeId to, int flags, long epoch, long seq, long digest);
+    /** The beat to send to a peer; {@code mesh.send(p, meet.heartbeat(p, flags, epoch, seq, digest))}. */
+    Heartbeat heartbeat(NodeId to, int flags, long epoch, long seq, long digest);
 
     /** True while both heard each other, as far as this node can tell; {@code meet.linked(a, b)}. */
     boolean linked(NodeId a, NodeId b);
--- a/src/main/java/ringspindle/meet/MeetTable.java
+++ b/src/main/java/ringspindle/meet/MeetTable.java
@@ -6,16 +6,19 @@
 
 /** Sessions in a table. */
 final class MeetTable implements Meet {
-    private static final Pulse NONE = new Pulse(0, 0, 0, 0, 0, 0, List.of());
+    private static final int HEARD_EVERY = 8;
+    private static final Heartbeat NONE = new Heartbeat(0, 0, 0, 0, 0, 0, List.of());
 
     private static final class Row implements Peer {
         final Hello hello;
         final long openedMs;
-        Pulse pulse = NONE;
+        Heartbeat pulse = NONE;
         long heardMs;
         long echoMs;
         boolean linked;
         long echoedN;
+        long sent;
+        long heardN;
 
         Row(Hello hello, long nowMs) {
             this.hello = hello;
@@ -30,7 +33,7 @@
         }
 
         @Override
-        public Pulse pulse() {
+        public Heartbeat heartbeat() {
             return pulse;
         }
 
@@ -48,6 +51,11 @@
         public long openedMs() {
             return openedMs;
         }
+
+        @Override
+        public long heardN() {
+            return heardN;
+        }
     }
 
     private final NodeId me;
@@ -72,13 +80,14 @@
     }
 
     @Override
-    public void heard(NodeId from, Pulse p, long nowMs) {
+    public void heard(NodeId from, Heartbeat p, long nowMs) {
         Row r = rows.get(from);
         if (r == null) {
             return;
         }
         r.pulse = p;
         r.heardMs = nowMs;
+        r.heardN++;
         if (p.echo() > r.echoedN) {
             r.echoedN = p.echo();
             r.echoMs = nowMs;
@@ -117,16 +126,19 @@
     }
 
     @Override
-    public Pulse pulse(NodeId to, int flags, long epoch, long seq, long digest) {
+    public Heartbeat heartbeat(NodeId to, int flags, long epoch, long seq, long digest) {
         Row r = rows.get(to);
         long n = ++sentN;
         List<NodeId> heard = new ArrayList<>();
-        rows.forEach((k, v) -> {
-            if (v.hello.kind() == 0 && v.linked) {
-                heard.add(k);
-            }
-        });
-        return new Pulse(n, r == null ? 0 : r.pulse.n(), flags, epoch, seq, digest, heard);
+        if (r == null || r.hello.kind() == 0 || r.sent++ % HEARD_EVERY == 0) {
+            // control nodes judge views by it; a data node only learns whom else it might dial
+            rows.forEach((k, v) -> {
+                if (v.hello.kind() == 0 && v.linked) {
+                    heard.add(k);
+                }
+            });
+        }
+        return new Heartbeat(n, r == null ? 0 : r.pulse.n(), flags, epoch, seq, digest, heard);
     }
 
     @Override
--- a/src/main/java/ringspindle/ops/SelfTest.java
+++ b/src/main/java/ringspindle/ops/SelfTest.java
@@ -49,8 +49,8 @@
                 "listen.readiness", "127.0.0.1:" + port[3], "bound.graceS", "3"));
         NodeConfig config = ((Checked.Good<NodeConfig>) NodeConfig.check(p)).value();
         CountDownLatch term = new CountDownLatch(1);
-        Thread control = thread(() -> ControlPlane.run(config, term));
-        Thread data = thread(() -> DataPlane.run(config, term));
+        Thread control = thread(() -> ControlPlane.run(new Settings(config), term));
+        Thread data = thread(() -> DataPlane.run(new Settings(config), term));
         Thread stand = thread(() -> answer(engine));
         String base = "http://127.0.0.1:" + port[0] + "/ringspindle/";
         boolean ok = until(base + "configuration", "PUT", configuration(), 200)
--- a/src/main/java/ringspindle/pick/Picker.java
+++ b/src/main/java/ringspindle/pick/Picker.java
@@ -4,11 +4,14 @@
 import ringspindle.act.*;
 import ringspindle.api.*;
 import ringspindle.conf.*;
+import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
 /** Chooses engines: who may be asked, who is near, who has the prompt's head, who has room. Thread safe. */
 public interface Picker {
+    /** No first byte, as the connection was no more. */
+    long STALE_MS = -2;
 
     /** What is to be placed. affinity 0 means that nothing is shared; weights below 0 that any will do. */
     record Ask(String service, Set<String> homes, long affinity, int sharedTokens, int tokens, int outTokens,
@@ -32,6 +35,9 @@
 
     void config(FleetConfig c);
 
+    /** This node's own settings changed. */
+    void settings(NodeConfig c);
+
     /** An engine spoke; seen at nowMs. */
     void engine(String id, Engine e, long version, long nowMs);
 
@@ -40,7 +46,16 @@
 
     void evacuated(String zone, boolean on, long nowMs);
 
-    void licence(Licence l, long nowMs);
+    /** Control nodes have not heard an engine's heartbeat for a while, or hear it again. */
+    void silent(String id, boolean on, long nowMs);
+
+    void lease(Lease l, long nowMs);
+
+    /** What all nodes of the region saw, summed; {@code picker.load(load, nowMs)} every now and then, or never. */
+    void load(Load l, long nowMs);
+
+    /** What this node saw of engines in its window, and what runs now; {@code picker.report(nowMs).report(life, seq)}. */
+    Sum report(long nowMs);
 
     /** The engines of a service whose turn it is in a roll-out: they get nothing new, and are cold when they return. */
     void turn(String service, Set<String> ids, long nowMs);
@@ -54,7 +69,10 @@
     /** Bytes came from the engine. */
     void heard(String id, long nowMs);
 
-    /** The attempt is over; firstMs is the time to the first byte, below 0 if none came. */
+    /**
+     * The attempt is over; firstMs is the time to the first byte, below 0 if none came, and {@link #STALE_MS} if nothing
+     * came because an idle connection had been forgotten, which says nothing of the engine.
+     */
     void ended(String id, Ask ask, Action.End end, long firstMs, long nowMs);
 
     /** A consumer's request for a service, of which further tries are earned. */
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -1,16 +1,15 @@
 package ringspindle.pick;
 
-import com.google.common.hash.*;
+import it.unimi.dsi.fastutil.longs.*;
 import it.unimi.dsi.fastutil.objects.*;
 import java.util.*;
 import ringspindle.act.*;
 import ringspindle.api.*;
 import ringspindle.conf.*;
+import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
-import static java.nio.charset.StandardCharsets.*;
-
 /** Engines in a table, judged at each choice. */
 final class TablePicker implements Picker {
     /** Ours: what a prompt token costs before anything was learned, in ms. */
@@ -19,11 +18,28 @@
     private static final double SLOT_MS = 4;
     /** Ours: way there and back in the zone, in the region, elsewhere. */
     private static final double[] WAY_MS = {0.5, 3, 30};
+    /** Ours: of what a cold engine bears, how much is given out in turns, and how long a turn is open. */
+    private static final double COLD_SHARE = 0.6;
+    private static final int COLD_OPEN_MS = 500;
     private static final int SILENT_MS = 900;
     private static final int PROBE_MS = 400;
     private static final int PROBE_MAX_MS = 2000;
     private static final double KEEP = 0.8;
     private static final int MIN_NODES = 4;
+    /** Ours: how long sums count; after that a node goes on with what it sees itself. */
+    private static final int LOAD_MS = 2500;
+    /** Ours: for so long an answer from a region shows that it can be reached, whatever control nodes hear of it. */
+    private static final int DARK_MS = 700;
+    /** Ours: what others run costs less than what runs here, as it is known late. */
+    private static final double OTHERS = 0.25;
+    /** Ours: an engine that fails more than this of its requests, and more than others do, gets little. */
+    private static final double ILL = 0.2;
+    private static final int ILL_LEAST = 3;
+    private static final int POOR_MS = 1500;
+    private static final int POOR_MAX_MS = 8000;
+    private static final int FLAP_MS = 15_000;
+    /** Ours: an engine that does poorly still gets a sixteenth of its share, so that it can show that it is well. */
+    private static final int TRICKLE = 15;
 
     private static final class Row {
         String id;
@@ -31,7 +47,6 @@
         NodeId address;
         String region;
         long version;
-        long seenMs;
         boolean leaving;
         long coldUntilMs;
         int running;
@@ -44,7 +59,35 @@
         double wayMs = -1;
         double coldTokens;
         long coldAtMs;
+        long coldTurn = Long.MIN_VALUE;
         long hash;
+        final Window window = new Window();
+        Place place;
+        boolean silent;
+        long silentMs;
+        int othersRunning;
+        long othersTokens;
+        int reportedRunning;
+        long reportedTokens;
+        long loadMs = Long.MIN_VALUE / 2;
+        long poorUntilMs = Long.MIN_VALUE / 2;
+        long poorSinceMs = Long.MIN_VALUE / 2;
+        int flaps;
+
+        int runningNow(long nowMs) {
+            return running + (nowMs - loadMs < LOAD_MS ? othersRunning : 0);
+        }
+
+        double tokensNow(long nowMs) {
+            return tokens + (nowMs - loadMs < LOAD_MS ? othersTokens : 0);
+        }
+    }
+
+    /** A region as this node knows it: whether control nodes there are heard of, and whether engines there answer here. */
+    private static final class Place {
+        boolean listed;
+        boolean dark;
+        long heardMs = Long.MIN_VALUE / 2;
     }
 
     /** Requests and further tries of a service in seconds of steady time. */
@@ -77,8 +120,11 @@
         }
     }
 
-    private final NodeConfig node;
+    private NodeConfig node;
     private final Map<String, Row> rows = new Object2ObjectOpenHashMap<>();
+    private final Long2ObjectMap<Row> byKey = new Long2ObjectOpenHashMap<>();
+    private final Set<String> silentIds = new HashSet<>();
+    private final Map<String, Place> places = new HashMap<>();
     private final Set<String> gone = new LinkedHashSet<>();
     private final Set<String> leavingIds = new HashSet<>();
     private final Set<String> evacuated = new HashSet<>();
@@ -86,11 +132,10 @@
     private final Map<String, Long> zoneColdUntilMs = new HashMap<>();
     private final Map<String, Set<String>> turns = new HashMap<>();
     private FleetConfig config;
-    private Licence licence;
-    private long licenceUntilMs;
+    private Lease lease;
+    private long leaseUntilMs;
     private int mostNodes;
     private double tokenMs = TOKEN_MS;
-    private long newestMs;
 
     TablePicker(NodeConfig node) {
         this.node = node;
@@ -101,9 +146,13 @@
         config = c;
     }
 
+    @Override
+    public synchronized void settings(NodeConfig c) {
+        node = c;
+    }
+
     @Override
     public synchronized void engine(String id, Engine e, long version, long nowMs) {
-        newestMs = nowMs;
         if (gone.contains(id)) {
             return;
         }
@@ -111,18 +160,21 @@
         if (r == null) {
             r = new Row();
             r.id = id;
-            r.hash = Hashing.murmur3_128().hashString(id, UTF_8).asLong();
+            r.hash = Sum.key(id);
             r.coldAtMs = nowMs;
             rows.put(id, r);
+            byKey.put(r.hash, r);
             r.leaving = leavingIds.contains(id);
+            r.silent = silentIds.contains(id);
+            r.silentMs = nowMs;
         } else if (version <= r.version) {
             return;
         }
         r.said = e;
         r.address = NodeId.of(e.address());
         r.region = node.regionOf(e.zone());
+        r.place = places.computeIfAbsent(r.region, k -> new Place());
         r.version = version;
-        r.seenMs = nowMs;
         r.leaving |= e.draining();
         if (e.coldMs() > 0) {
             cold(r, nowMs + e.coldMs() + 300, nowMs);
@@ -148,7 +200,7 @@
         if (r != null) {
             r.leaving = true;
             if (isGone && r.running == 0) {
-                rows.remove(id);
+                remove(r);
             }
         }
         if (isGone && gone.add(id) && gone.size() > 1000) {
@@ -156,6 +208,11 @@
         }
     }
 
+    private void remove(Row r) {
+        rows.remove(r.id);
+        byKey.remove(r.hash);
+    }
+
     @Override
     public synchronized void evacuated(String zone, boolean on, long nowMs) {
         if (on) {
@@ -178,12 +235,101 @@
     }
 
     @Override
-    public synchronized void licence(Licence l, long nowMs) {
-        licence = l;
-        licenceUntilMs = nowMs + l.ttlMs();
+    public synchronized void silent(String id, boolean on, long nowMs) {
+        if (on) {
+            silentIds.add(id);
+        } else {
+            silentIds.remove(id);
+        }
+        Row r = rows.get(id);
+        if (r != null && r.silent != on) {
+            r.silent = on;
+            r.silentMs = nowMs;
+        }
+    }
+
+    @Override
+    public synchronized void lease(Lease l, long nowMs) {
+        lease = l;
+        leaseUntilMs = nowMs + l.ttlMs();
         mostNodes = Math.max(mostNodes, l.nodes());
     }
 
+    @Override
+    public synchronized Sum report(long nowMs) {
+        Sum out = Sum.NONE;
+        for (Row r : rows.values()) {
+            r.reportedRunning = r.running;
+            r.reportedTokens = (long) r.tokens;
+            for (Kind k : Kind.values()) {
+                Tally t = r.window.tally(k, nowMs);
+                if (!t.empty()) {
+                    out = out.merge(Sum.of(r.hash, k, t));
+                }
+            }
+        }
+        return out;
+    }
+
+    @Override
+    public synchronized void load(Load l, long nowMs) {
+        Map<String, int[]> all = new HashMap<>();
+        for (EngineLoad e : l.engines()) {
+            Row r = byKey.get(e.engine());
+            if (r != null) {
+                r.othersRunning = Math.max(0, e.running() - r.reportedRunning);
+                r.othersTokens = Math.max(0, e.tokens() - r.reportedTokens);
+                r.loadMs = nowMs;
+                int[] of = all.computeIfAbsent(r.said.service(), k -> new int[2]);
+                of[0] += e.answered();
+                of[1] += e.failed();
+            }
+        }
+        for (EngineLoad e : l.engines()) {
+            Row r = byKey.get(e.engine());
+            if (r != null) {
+                int[] of = all.get(r.said.service());
+                weigh(r, e.answered(), e.failed(), of[0] - e.answered(), of[1] - e.failed(), nowMs);
+            }
+        }
+        Set<String> listed = new HashSet<>();
+        l.regions().forEach(g -> listed.add(g.region()));
+        places.forEach((region, p) -> {
+            // a region of which nothing is heard any more, neither by control nodes nor here
+            boolean here = listed.contains(region) || region.equals(node.region());
+            p.dark = !here && p.listed && nowMs - p.heardMs > DARK_MS;
+            p.listed |= here;
+        });
+        for (RegionLoad g : l.regions()) {
+            if (g.region().equals(node.region()) || g.engines() == 0) {
+                continue;
+            }
+            for (Row r : rows.values()) {
+                if (r.region.equals(g.region()) && r.said.service().equals(g.service())) {
+                    r.othersRunning = g.running() / g.engines();
+                    r.othersTokens = 0;
+                    r.loadMs = nowMs;
+                }
+            }
+        }
+    }
+
+    /** Failures beyond what the others show make an engine one that does poorly, the longer the more often it comes back. */
+    private static void weigh(Row r, int answered, int failed, int othersAnswered, int othersFailed, long nowMs) {
+        int n = answered + failed;
+        double mean = othersFailed / Math.max(1.0, othersAnswered + othersFailed);
+        if (failed < ILL_LEAST || failed <= n * (ILL + 1.5 * mean)) {
+            return;
+        }
+        if (nowMs >= r.poorUntilMs) {
+            r.flaps = nowMs - r.poorSinceMs < FLAP_MS ? Math.min(3, r.flaps + 1) : 0;
+            r.poorSinceMs = nowMs;
+            r.poorUntilMs = nowMs + Math.min(POOR_MAX_MS, POOR_MS << r.flaps);
+        } else {
+            r.poorUntilMs = Math.max(r.poorUntilMs, nowMs + POOR_MS);
+        }
+    }
+
     @Override
     public synchronized void turn(String service, Set<String> ids, long nowMs) {
         Set<String> before = turns.getOrDefault(service, Set.of());
@@ -201,9 +347,9 @@
         }
     }
 
-    /** How many nodes share a budget, as far as is known; without a licence, more than were ever seen. */
+    /** How many nodes share a budget, as far as is known; without a lease, more than were ever seen. */
     private int sharers(long nowMs) {
-        return nowMs < licenceUntilMs ? Math.max(MIN_NODES, Math.max(licence.nodes(), mostNodes)) : Math.max(24, mostNodes * 2);
+        return nowMs < leaseUntilMs ? Math.max(MIN_NODES, Math.max(lease.nodes(), mostNodes)) : Math.max(24, mostNodes * 2);
     }
 
     @Override
@@ -229,28 +375,29 @@
             any = true;
             if (!r.suspect) {
                 fit.add(r);
-                anyFresh |= fresh(r, nowMs);
+                anyFresh |= !absent(r);
             }
         }
+        sparePoor(fit, ask.luck(), nowMs);
         Row home = null;
         if (ask.affinity() != 0) {
             // the prompt's head lives where the rendezvous hash says, unless that engine has far more than its share
             double mean = 0;
             for (Row r : fit) {
-                mean += r.tokens;
+                mean += r.tokensNow(nowMs);
             }
             mean = fit.isEmpty() ? 0 : mean / fit.size();
             List<Row> ranked = new ArrayList<>(fit);
             ranked.sort(Comparator.comparingLong((Row r) -> mix(r.hash ^ ask.affinity())));
             for (Row r : ranked) {
-                if (r.tokens + ask.tokens() <= 1.5 * mean + 60_000 && (fresh(r, nowMs) || !anyFresh)) {
+                if (r.tokensNow(nowMs) + ask.tokens() <= 1.5 * mean + 60_000 && !(absent(r) && anyFresh)) {
                     home = r;
                     break;
                 }
             }
         }
         for (Row r : fit) {
-            if (anyFresh && !fresh(r, nowMs)) {
+            if (anyFresh && absent(r)) {
                 continue;
             }
             if (r.coldUntilMs > nowMs && !coldRoom(r, service, nowMs)) {
@@ -258,7 +405,9 @@
                 continue;
             }
             double read = ask.tokens() + (r == home || home == null ? 0 : ask.sharedTokens());
-            double cost = way(r) + read * tokenMs + r.running * SLOT_MS + r.tokens * tokenMs * 0.3
+            int others = r.runningNow(nowMs) - r.running;
+            double cost = way(r) + read * tokenMs + (r.running + OTHERS * others) * SLOT_MS
+                    + (r.tokens + OTHERS * (r.tokensNow(nowMs) - r.tokens)) * tokenMs * 0.3
                     + (mix(ask.luck() ^ r.hash) >>> 54) * 0.002;
             if (r.coldUntilMs > nowMs) {
                 cost += 30;
@@ -273,19 +422,38 @@
         }
         if (best.coldUntilMs > nowMs) {
             best.coldTokens -= 1;
+            long turn = service == null || service.warmupPerS() <= 0 ? -1
+                    : coldSlot(best, service.warmupPerS(), sharers(nowMs), nowMs);
+            best.coldTurn = turn >= 0 ? turn : best.coldTurn;
         }
         best.running++;
         best.tokens += weight(ask);
-        int wires = service == null ? 16 : Math.max(2, (int) (service.maxConnections() * 0.9 / Math.max(MIN_NODES, mostNodes)));
+        best.window.began(kind(ask), (long) weight(ask), nowMs);
+        int wires = service == null ? 16 : Math.max(1, (int) (service.maxConnections() * 0.9 / Math.max(MIN_NODES, mostNodes)));
         return new Chosen(best.id, best.address, best.said.zone(), wires);
     }
 
+    /** Engines that do poorly get a trickle, unless so many do that the rest could not carry the load. */
+    private static void sparePoor(List<Row> fit, long luck, long nowMs) {
+        int poor = 0;
+        for (Row r : fit) {
+            poor += nowMs < r.poorUntilMs ? 1 : 0;
+        }
+        if (poor > 0 && poor * 2 <= fit.size()) {
+            fit.removeIf(r -> nowMs < r.poorUntilMs && (mix(luck * 31 ^ r.hash) & TRICKLE) != 0);
+        }
+    }
+
     private static double weight(Ask ask) {
         return ask.tokens() + ask.outTokens();
     }
 
-    private boolean fresh(Row r, long nowMs) {
-        return newestMs - r.seenMs < 3.2 * node.engineBeatMs();
+    private static Kind kind(Ask ask) {
+        return Kind.of(ask.tokens() + ask.sharedTokens(), ask.sharedTokens());
+    }
+
+    private static boolean absent(Row r) {
+        return r.silent || r.place.dark;
     }
 
     private double way(Row r) {
@@ -302,13 +470,26 @@
             return true;
         }
         int nodes = sharers(nowMs);
+        double burst = KEEP * (perS * (node.warmupOverrun() - 0.9) + node.warmupSlack()) / nodes;
+        if (burst < 1) {
+            // so many nodes that a share is less than a request: whole requests instead, one a node in turn, each only
+            // within its own moment, so that unused ones cannot pile up
+            return coldSlot(r, perS, nodes, nowMs) >= 0;
+        }
         double share = 0.9 * perS / nodes;
-        double burst = Math.max(1, 0.8 * (perS * (node.warmupOverrun() - 0.9) + node.warmupSlack()) / nodes);
         r.coldTokens = Math.min(burst, r.coldTokens + share * Math.max(0, nowMs - r.coldAtMs) / 1000);
         r.coldAtMs = nowMs;
         return r.coldTokens >= 1;
     }
 
+    /** The turn that this node has now at a cold engine, below 0 if it has none or has used it. */
+    private long coldSlot(Row r, double perS, int nodes, long nowMs) {
+        long periodMs = Math.max(COLD_OPEN_MS, (long) (1000 * nodes / (COLD_SHARE * perS)));
+        long at = nowMs + Math.floorMod(mix(r.hash ^ node.name().hashCode() * 0x9E3779B97F4A7C15L), periodMs);
+        long turn = at / periodMs;
+        return at % periodMs < COLD_OPEN_MS && turn != r.coldTurn ? turn : -1;
+    }
+
     /** Silence while something waits makes an engine suspect. */
     private void judge(Row r, long nowMs) {
         if (!r.suspect && r.running > 0 && r.waitingSinceMs >= 0
@@ -345,6 +526,7 @@
         if (r != null) {
             r.waitingSinceMs = nowMs;
             r.failures = 0;
+            r.place.heardMs = nowMs;
         }
     }
 
@@ -356,11 +538,17 @@
         }
         r.running = Math.max(0, r.running - 1);
         r.tokens = r.running == 0 ? 0 : Math.max(0, r.tokens - weight(ask));
+        boolean stale = firstMs == STALE_MS;
+        r.window.ended(kind(ask), (long) weight(ask), stale ? Action.End.PARENT_ENDED : end, firstMs, nowMs);
+        if (end.againstEngine() && !stale) {
+            Tally own = r.window.all(nowMs);
+            weigh(r, own.answered(), own.failed(), 1, 0, nowMs);
+        }
         if (r.running == 0) {
             r.waitingSinceMs = -1;
         }
         if (gone.contains(id) && r.running == 0) {
-            rows.remove(id);
+            remove(r);
             return;
         }
         if (end == Action.End.MISDIRECTED) {
@@ -368,7 +556,7 @@
             r.leaving = true;
         } else if (end == Action.End.NOT_SENT || end == Action.End.ATTEMPT_TIMEOUT) {
             suspect(r, nowMs);
-        } else if (end.againstEngine()) {
+        } else if (end.againstEngine() && !stale) {
             if (++r.failures >= 3) {
                 suspect(r, nowMs);
             }
@@ -393,7 +581,7 @@
         Budget b = budgets.computeIfAbsent(service, k -> new Budget());
         b.move(nowMs);
         int windowS = (int) Math.ceil(node.retryWindowS());
-        double slack = nowMs < licenceUntilMs ? KEEP * node.retrySlack() / sharers(nowMs) : 0;
+        double slack = nowMs < leaseUntilMs ? KEEP * node.retrySlack() / sharers(nowMs) : 0;
         double earned = KEEP * node.retryRatio() * b.sum(b.asked, windowS);
         // one second more, as the seconds here are not the windows of whoever counts
         if (b.sum(b.tries, windowS + 1) + 1 > earned + slack) {
@@ -411,7 +599,7 @@
             if (r.suspect && nowMs >= r.probeAtMs && !r.leaving) {
                 r.probeAtMs = nowMs + r.probeGapMs;
                 r.probeGapMs = Math.min(PROBE_MAX_MS, r.probeGapMs * 3 / 2);
-                if (!fresh(r, nowMs) || evacuated.contains(r.said.zone())) {
+                if (r.silent || evacuated.contains(r.said.zone())) {
                     continue;
                 }
                 FleetConfig.Service s = config == null ? null : config.service(r.said.service());
@@ -419,7 +607,13 @@
                 out.add(new Probe(r.id, r.address, s == null ? "/health" : s.healthPath()));
             }
         }
-        rows.values().removeIf(r -> r.running == 0 && newestMs - r.seenMs > 20L * node.engineBeatMs());
+        rows.values().removeIf(r -> {
+            boolean old = r.running == 0 && r.silent && nowMs - r.silentMs > 20L * node.engineBeatMs();
+            if (old) {
+                byKey.remove(r.hash);
+            }
+            return old;
+        });
         return out == null ? List.of() : out;
     }
 
--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -27,10 +27,10 @@
             put(x.zone(), e::putZone);
             put(x.region(), e::putRegion);
             end = e.limit();
-        } else if (m instanceof Pulse x) {
-            PulseEncoder e = new PulseEncoder().wrapAndApplyHeader(b, 0, h).n(x.n()).echo(x.echo())
+        } else if (m instanceof Heartbeat x) {
+            HeartbeatEncoder e = new HeartbeatEncoder().wrapAndApplyHeader(b, 0, h).n(x.n()).echo(x.echo())
                     .flags((short) x.flags()).epoch(x.epoch()).seq(x.seq()).digest(x.digest());
-            PulseEncoder.HeardEncoder g = e.heardCount(x.heard().size());
+            HeartbeatEncoder.HeardEncoder g = e.heardCount(x.heard().size());
             x.heard().forEach(n -> g.next().node(n.bits()));
             end = e.limit();
         } else if (m instanceof View x) {
@@ -109,9 +109,9 @@
                 g.next().hash(r);
             }
             end = e.limit();
-        } else if (m instanceof Licence x) {
-            end = new LicenceEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).nodes(x.nodes()).ttlMs(x.ttlMs())
-                    .regionNodes(x.regionNodes()).limit();
+        } else if (m instanceof Lease x) {
+            end = new LeaseEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).nodes(x.nodes()).ttlMs(x.ttlMs())
+                    .limit();
         } else if (m instanceof Op x) {
             OpEncoder e = new OpEncoder().wrapAndApplyHeader(b, 0, h).kind((short) x.kind()).base(x.base())
                     .revision(x.revision()).digest(x.digest());
@@ -137,6 +137,29 @@
             put(x.accepted(), e::putAccepted);
             put(x.view(), e::putView);
             end = e.limit();
+        } else if (m instanceof Report x) {
+            ReportEncoder e = new ReportEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq());
+            ReportEncoder.TalliesEncoder t = e.talliesCount(x.tallies().size());
+            x.tallies().forEach(r -> t.next().engine(r.engine()).kind((short) r.kind()).answered(r.answered())
+                    .notRun(r.notRun()).failed(r.failed()).running(r.running()).tokens(r.tokens()).b0(r.b0()).b1(r.b1())
+                    .b2(r.b2()).b3(r.b3()).b4(r.b4()).b5(r.b5()));
+            ReportEncoder.HeartbeatsEncoder g = e.heartbeatsCount(x.heartbeats().size());
+            x.heartbeats().forEach(r -> g.next().engine(r.engine()).agoMs(r.agoMs()));
+            ReportEncoder.SourcesEncoder o = e.sourcesCount(x.sources().size());
+            x.sources().forEach(r -> o.next().node(r.node().bits()).sourceLife(r.life()).sourceSeq(r.seq()));
+            end = e.limit();
+        } else if (m instanceof Load x) {
+            LoadEncoder e = new LoadEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq());
+            LoadEncoder.EnginesEncoder t = e.enginesCount(x.engines().size());
+            x.engines().forEach(r -> t.next().engine(r.engine()).answered(r.answered()).failed(r.failed())
+                    .running(r.running()).tokens(r.tokens()));
+            LoadEncoder.RegionsEncoder g = e.regionsCount(x.regions().size());
+            for (RegionLoad r : x.regions()) {
+                g.next().engines(r.engines()).room(r.room()).running(r.running()).answered(r.answered()).failed(r.failed());
+                put(r.region(), g::putRegion);
+                put(r.service(), g::putService);
+            }
+            end = e.limit();
         } else if (m instanceof Engine x) {
             EngineEncoder e = new EngineEncoder().wrapAndApplyHeader(b, 0, h).capacity(x.capacity()).coldMs(x.coldMs())
                     .draining(bit(x.draining())).remainingMs(x.remainingMs()).weights(x.weights());
@@ -174,13 +197,13 @@
                 return new Hello(new NodeId(d.node()), d.life(), d.kind(), d.front(), text(d.nameLength(), d::getName),
                         text(d.zoneLength(), d::getZone), text(d.regionLength(), d::getRegion));
             }
-            case PulseDecoder.TEMPLATE_ID: {
-                PulseDecoder d = new PulseDecoder().wrapAndApplyHeader(b, 0, h);
+            case HeartbeatDecoder.TEMPLATE_ID: {
+                HeartbeatDecoder d = new HeartbeatDecoder().wrapAndApplyHeader(b, 0, h);
                 List<NodeId> heard = new ArrayList<>();
-                for (PulseDecoder.HeardDecoder g : d.heard()) {
+                for (HeartbeatDecoder.HeardDecoder g : d.heard()) {
                     heard.add(new NodeId(g.node()));
                 }
-                return new Pulse(d.n(), d.echo(), d.flags(), d.epoch(), d.seq(), d.digest(), heard);
+                return new Heartbeat(d.n(), d.echo(), d.flags(), d.epoch(), d.seq(), d.digest(), heard);
             }
             case ViewDecoder.TEMPLATE_ID: {
                 ViewDecoder d = new ViewDecoder().wrapAndApplyHeader(b, 0, h);
@@ -273,9 +296,9 @@
                 }
                 return new Digest(ranges);
             }
-            case LicenceDecoder.TEMPLATE_ID: {
-                LicenceDecoder d = new LicenceDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Licence(d.epoch(), d.nodes(), d.ttlMs(), d.regionNodes());
+            case LeaseDecoder.TEMPLATE_ID: {
+                LeaseDecoder d = new LeaseDecoder().wrapAndApplyHeader(b, 0, h);
+                return new Lease(d.epoch(), d.nodes(), d.ttlMs());
             }
             case OpDecoder.TEMPLATE_ID: {
                 OpDecoder d = new OpDecoder().wrapAndApplyHeader(b, 0, h);
@@ -307,6 +330,41 @@
                         text(d.serviceLength(), d::getService), text(d.addressLength(), d::getAddress),
                         text(d.zoneLength(), d::getZone), text(d.revisionLength(), d::getRevision));
             }
+            case ReportDecoder.TEMPLATE_ID: {
+                ReportDecoder d = new ReportDecoder().wrapAndApplyHeader(b, 0, h);
+                List<TallyRow> tallies = new ArrayList<>();
+                for (ReportDecoder.TalliesDecoder g : d.tallies()) {
+                    tallies.add(new TallyRow(g.engine(), g.kind(), g.answered(), g.notRun(), g.failed(), g.running(),
+                            g.tokens(), g.b0(), g.b1(), g.b2(), g.b3(), g.b4(), g.b5()));
+                }
+                List<HeartbeatRow> heartbeats = new ArrayList<>();
+                for (ReportDecoder.HeartbeatsDecoder g : d.heartbeats()) {
+                    heartbeats.add(new HeartbeatRow(g.engine(), g.agoMs()));
+                }
+                List<SourceRow> sources = new ArrayList<>();
+                for (ReportDecoder.SourcesDecoder g : d.sources()) {
+                    sources.add(new SourceRow(new NodeId(g.node()), g.sourceLife(), g.sourceSeq()));
+                }
+                return new Report(d.life(), d.seq(), tallies, heartbeats, sources);
+            }
+            case LoadDecoder.TEMPLATE_ID: {
+                LoadDecoder d = new LoadDecoder().wrapAndApplyHeader(b, 0, h);
+                List<EngineLoad> engines = new ArrayList<>();
+                for (LoadDecoder.EnginesDecoder g : d.engines()) {
+                    engines.add(new EngineLoad(g.engine(), g.answered(), g.failed(), g.running(), g.tokens()));
+                }
+                List<RegionLoad> regions = new ArrayList<>();
+                for (LoadDecoder.RegionsDecoder g : d.regions()) {
+                    int n = g.engines();
+                    int room = g.room();
+                    int running = g.running();
+                    int answered = g.answered();
+                    int failed = g.failed();
+                    regions.add(new RegionLoad(text(g.regionLength(), g::getRegion), text(g.serviceLength(), g::getService), n,
+                            room, running, answered, failed));
+                }
+                return new Load(d.life(), d.seq(), engines, regions);
+            }
             default:
                 throw new IllegalArgumentException("unknown template " + h.templateId());
         }
--- a/src/main/java/ringspindle/wire/JettyMesh.java
+++ b/src/main/java/ringspindle/wire/JettyMesh.java
@@ -110,6 +110,7 @@
     private final class FrameWire extends AbstractConnection {
         private final NodeId dialled;
         private volatile NodeId peer;
+        private long peerLife;
         private ByteBuffer in = ByteBuffer.allocate(8192);
         private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
         private int backlog;
@@ -216,6 +217,13 @@
                 if (!(m instanceof Msg.Hello h)) {
                     throw new IllegalArgumentException("no hello");
                 }
+                peerLife = h.life();
+                FrameWire had = wires.get(h.node());
+                if (had != null && had != this && had.peerLife == peerLife && had.byLower(h.node()) && !byLower(h.node())) {
+                    // both dialled at once: both keep the wire of the lower address
+                    close();
+                    return;
+                }
                 peer = h.node();
                 FrameWire old = wires.put(peer, this);
                 if (dialled != null) {
@@ -230,6 +238,11 @@
             }
         }
 
+        /** True if the lower of the two addresses dialled this wire. */
+        private boolean byLower(NodeId other) {
+            return dialled != null == self.node().compareTo(other) < 0;
+        }
+
         @Override
         public void onClose(Throwable cause) {
             super.onClose(cause);
--- /dev/null
+++ b/src/main/java/ringspindle/wire/Means.java
@@ -0,0 +1,18 @@
+package ringspindle.wire;
+
+import java.util.concurrent.*;
+import java.util.function.*;
+import org.eclipse.jetty.util.thread.*;
+
+/**
+ * What an owner of state machines works with: a clock, the number of its life, threads, and a mesh that speaks for the
+ * node a hello names. Hollow nodes get others of these than real ones.
+ */
+public record Means(Steady clock, long life, Executor pool, Function<Msg.Hello, Mesh> mesh) {
+
+    /** Sockets, the steady clock and the given threads; {@code Means.real(Threads.start("dp", 20, 8))}. */
+    public static Means real(Threads threads) {
+        return new Means(Steady.system(), System.currentTimeMillis(), threads.pool(),
+                hello -> Mesh.create(hello, threads.pool(), threads.timers()));
+    }
+}
--- a/src/main/java/ringspindle/wire/Msg.java
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -9,7 +9,7 @@
     }
 
     /** Beat between two nodes; echo is the last n heard from the other side. */
-    record Pulse(long n, long echo, int flags, long epoch, long seq, long digest, List<NodeId> heard) implements Msg {
+    record Heartbeat(long n, long echo, int flags, long epoch, long seq, long digest, List<NodeId> heard) implements Msg {
         /** The node takes requests. */
         public static final int READY = 1;
         /** The node is leaving. */
@@ -90,7 +90,7 @@
     record Digest(long[] ranges) implements Msg {
     }
 
-    record Licence(long epoch, int nodes, int ttlMs, int regionNodes) implements Msg {
+    record Lease(long epoch, int nodes, int ttlMs) implements Msg {
     }
 
     record Op(int kind, long base, long revision, long digest, String arg, byte[] body) implements Msg {
@@ -111,4 +111,34 @@
     record Engine(int capacity, int coldMs, boolean draining, int remainingMs, long weights, String service,
             String address, String zone, String revision) implements Msg {
     }
+
+    /** One source's tallies by engine and kind of request; {@code sum.Tally} gives them their meaning. */
+    record TallyRow(long engine, int kind, int answered, int notRun, int failed, int running, long tokens, int b0, int b1,
+            int b2, int b3, int b4, int b5) {
+    }
+
+    /** When an engine's own heartbeat was last heard. */
+    record HeartbeatRow(long engine, int agoMs) {
+    }
+
+    /** A source whose report is part of a sum, and which one. */
+    record SourceRow(NodeId node, long life, long seq) {
+    }
+
+    /** A source's newest view of engines, or a collector's sum; (life, seq) orders what one sender says. */
+    record Report(long life, long seq, List<TallyRow> tallies, List<HeartbeatRow> heartbeats, List<SourceRow> sources)
+            implements Msg {
+    }
+
+    /** An engine of the region, summed over nodes. */
+    record EngineLoad(long engine, int answered, int failed, int running, long tokens) {
+    }
+
+    /** A service in one region, summed over engines. */
+    record RegionLoad(String region, String service, int engines, int room, int running, int answered, int failed) {
+    }
+
+    /** Sums on their way back: engines to data nodes of the region, regions to everyone. */
+    record Load(long life, long seq, List<EngineLoad> engines, List<RegionLoad> regions) implements Msg {
+    }
 }
--- a/src/test/java/ringspindle/chain/ChainMachineTest.java
+++ b/src/test/java/ringspindle/chain/ChainMachineTest.java
@@ -55,7 +55,7 @@
 
     /** A head whose followers have synced the first image. */
     private static Chain head() {
-        Chain a = Chain.create(A, ALL, true, List.of(), 1);
+        Chain a = Chain.create(A, ALL, true, List.of(), 1, 1);
         List<Out> outs = synced(a, a.beat(0, TOUCH));
         assertEquals(1, sent(outs, Install.class).size());
         a.on(B, new Synced(1, 0), 20);
@@ -99,7 +99,7 @@
 
     @Test
     void fencedVoterRefusesTheOldEpochAndAnOlderBallot() {
-        Chain b = Chain.create(B, ALL, true, List.of(), 1);
+        Chain b = Chain.create(B, ALL, true, List.of(), 1, 1);
         synced(b, b.beat(0, TOUCH));
         View one = b.view();
         synced(b, b.on(A, new Install(1, 0, Codec.encode(new State(1, 0, 0, List.of(), List.of(), new byte[0]))), 5));
@@ -116,7 +116,7 @@
 
     @Test
     void pledgeIsToldOnlyOnceItIsSynced() {
-        Chain b = Chain.create(B, ALL, true, List.of(), 1);
+        Chain b = Chain.create(B, ALL, true, List.of(), 1, 1);
         synced(b, b.beat(0, TOUCH));
         List<Out> outs = b.on(C, new Prepare(2, 2049, b.view()), 10);
         assertEquals(List.of(), sent(outs, Pledge.class));
@@ -125,7 +125,7 @@
 
     @Test
     void wipedNodeSaysNothingBeforeAMajorityToldIt() {
-        Chain c = Chain.create(C, ALL, false, List.of(), 1);
+        Chain c = Chain.create(C, ALL, false, List.of(), 1, 1);
         View one = new View(1, ALL, ALL);
         assertEquals(2, sent(c.beat(0, TOUCH), Relearn.class).size());
         assertEquals(List.of(), sent(synced(c, c.on(A, new Prepare(2, 1025, one), 5)), Pledge.class));
@@ -141,10 +141,10 @@
 
     @Test
     void restartedNodeGoesOnFromItsDiskWhateverBootstrapSays() {
-        Chain a = Chain.create(A, List.of(A), true, List.of(), 1);
+        Chain a = Chain.create(A, List.of(A), true, List.of(), 1, 1);
         synced(a, a.beat(0, TOUCH));
         assertEquals(List.of(Outcome.TAKEN), answers(synced(a, a.call(put(1, 0, 3), 30))));
-        Chain again = Chain.create(A, List.of(A), true, a.durable(), 2);
+        Chain again = Chain.create(A, List.of(A), true, a.durable(), 2, 1);
         synced(again, again.beat(0, TOUCH));
         assertEquals(3, again.committed().revision());
         assertEquals(List.of(Outcome.OTHER_VERSION), answers(again.call(put(2, 0, 5), 40)));
--- a/src/test/java/ringspindle/chain/ChainSim.java
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -77,6 +77,7 @@
         long diskFreeMs;
         long upMs;
         long frozenUntilMs;
+        boolean leaving;
         long stalledUntilMs;
         int life;
         long committedSeq = -1;
@@ -118,22 +119,34 @@
     }
 
     ChainSim(long seed, int size) {
-        name = seed + " " + size;
+        this(seed, size, size, 1);
+    }
+
+    /** Of {@code size} nodes the first {@code known} are seeds, the others join; {@code lost} may lose their disks at once. */
+    ChainSim(long seed, int size, int known, int lost) {
+        name = seed + " " + size + " of which seeds " + known + " lost at once " + lost;
+        this.lost = lost;
         luck = new Random(seed);
-        List<NodeId> seeds = new ArrayList<>();
+        List<NodeId> ids = new ArrayList<>();
         for (int i = 1; i <= size; i++) {
-            seeds.add(NodeId.of("10.0.0." + i + ":7000"));
+            // addresses of seeds and joiners mix, as on real machines
+            ids.add(NodeId.of("10.0." + (i * 7 % size) + "." + i + ":7000"));
         }
-        for (NodeId s : seeds) {
+        seeds = ids.subList(0, known);
+        for (NodeId s : ids) {
             Node n = new Node(s);
-            n.machine = new ChainMachine(s, seeds, true, List.of(), luck.nextLong());
+            n.machine = machine(s, true, List.of());
             nodes.add(n);
             byId.put(s, n);
         }
-        this.seeds = seeds;
+    }
+
+    private ChainMachine machine(NodeId id, boolean bootstrap, List<Msg> disk) {
+        return new ChainMachine(id, seeds, bootstrap, disk, luck.nextLong(), 2 * lost + 1);
     }
 
     private final List<NodeId> seeds;
+    private final int lost;
 
     private void at(long inMs, Runnable r) {
         events.add(new Event(nowMs + inMs, order++, r));
@@ -210,6 +223,16 @@
                     });
                     return out;
                 }
+
+                @Override
+                public boolean leaving(NodeId o) {
+                    return byId.get(o).leaving;
+                }
+
+                @Override
+                public String place(NodeId o) {
+                    return Long.toString((o.bits() >>> 24) % 3);
+                }
             }));
         }
         at(100, () -> beat(n, life));
@@ -280,6 +303,33 @@
         carry(to, to.machine.on(from, Codec.decode(bytes), nowMs));
     }
 
+    private View newest() {
+        return nodes.stream().filter(n -> up(n) && n.machine.view() != null).map(n -> n.machine.view())
+                .max(Comparator.comparingLong(View::epoch)).orElseThrow();
+    }
+
+    long epoch() {
+        return newest().epoch();
+    }
+
+    void leaveHead() {
+        byId.get(newest().head()).leaving = true;
+    }
+
+    boolean headLeaves() {
+        return newest().chain().stream().anyMatch(n -> byId.get(n).leaving);
+    }
+
+    void goOn(long forMs) {
+        until(nowMs + forMs);
+    }
+
+    /** Voters of the newest view. */
+    int voters() {
+        return nodes.stream().filter(n -> up(n) && n.machine.view() != null).map(n -> n.machine.view())
+                .max(Comparator.comparingLong(View::epoch)).map(v -> v.voters().size()).orElse(0);
+    }
+
     /** Where every node stands, for whoever reads a failure. */
     String standing() {
         StringBuilder b = new StringBuilder();
@@ -320,6 +370,12 @@
             if (outcome == Outcome.TAKEN) {
                 history.acked.add(new History.Acked(o.base(), o.revision(), nowMs));
                 history.sent.put(o.revision(), o.body());
+                if (lost > 1) {
+                    View v = via.machine == null ? null : via.machine.view();
+                    if (v != null && v.voters().size() < 2 * lost + 1) {
+                        history.wrong.add("acknowledged by a view of " + v.voters().size());
+                    }
+                }
                 known = Math.max(known, o.revision());
                 at(100 + luck.nextInt(500), this::operator);
             } else if (outcome == Outcome.UNCLEAR) {
@@ -474,7 +530,7 @@
         }, 0);
     }
 
-    // ---- troubles: never more than one node lost at once, as the deployments allow
+    // ---- troubles: never more nodes lost at once than the deployment allows
 
     private long troubleUntilMs;
 
@@ -484,13 +540,40 @@
         }
         Node n = nodes.get(luck.nextInt(nodes.size()));
         long forMs = 300 + luck.nextInt(3500);
-        troubleUntilMs = nowMs + forMs + 4000;
-        switch (luck.nextInt(7)) {
+        troubleUntilMs = nowMs + forMs + 4000 + 1000L * lost;
+        List<Node> few = new ArrayList<>(nodes);
+        Collections.shuffle(few, luck);
+        few = few.subList(0, lost);
+        switch (luck.nextInt(lost == 1 ? 8 : 10)) {
             case 0:
-                crash(n, false, forMs);
+                few.forEach(x -> crash(x, false, forMs));
                 break;
             case 1:
-                crash(n, true, forMs);
+                few.forEach(x -> crash(x, true, forMs));
+                break;
+            case 6:
+                // it is told to end, says so, and ends a moment later
+                n.leaving = true;
+                at(900, () -> {
+                    n.leaving = false;
+                    crash(n, false, forMs);
+                });
+                break;
+            case 8:
+                // one loses its disk, the other is cut off
+                crash(few.get(0), true, forMs);
+                for (Node o : nodes) {
+                    if (o != few.get(1)) {
+                        cut(few.get(1), o, forMs);
+                        cut(o, few.get(1), forMs);
+                    }
+                }
+                break;
+            case 9:
+                // as many as may lose their disks, all others their power
+                for (Node o : nodes) {
+                    crash(o, few.contains(o), 200 + luck.nextInt(1500));
+                }
                 break;
             case 2:
                 n.frozenUntilMs = nowMs + forMs;
@@ -548,7 +631,7 @@
             if (n.life != life || n.machine != null) {
                 return;
             }
-            n.machine = new ChainMachine(n.id, seeds, false, n.disk, luck.nextLong());
+            n.machine = machine(n.id, false, n.disk);
             n.upMs = nowMs;
             n.diskFreeMs = nowMs;
             beat(n, life);
--- a/src/test/java/ringspindle/chain/RollSim.java
+++ b/src/test/java/ringspindle/chain/RollSim.java
@@ -94,7 +94,7 @@
             p.putAll(Map.of("bound.retryRatio", "0.2", "bound.retrySlack", "100", "bound.warmupOverrun", "1.5", "bound.warmupSlack", "5"));
             Picker x = Picker.create(((Checked.Good<NodeConfig>) NodeConfig.check(p)).value());
             x.config(c);
-            x.licence(new Licence(1, 4, 10_000_000, 0), 0);
+            x.lease(new Lease(1, 4, 10_000_000), 0);
             pickers.add(x);
         }
         for (int i = 0; i < 7; i++) {
--- /dev/null
+++ b/src/test/java/ringspindle/conf/SettingsTest.java
@@ -0,0 +1,53 @@
+package ringspindle.conf;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import org.junit.jupiter.api.*;
+
+/** What a changed settings file changes in a running node, what it does not, and that a bad one changes nothing. */
+class SettingsTest {
+    private static Checked<NodeConfig> file(String... changes) {
+        Properties p = new Properties();
+        p.putAll(Map.of("node.name", "n", "node.ip", "10.0.0.1", "node.zone", "a1", "node.region", "a", "listen.inner", "7000",
+                "seeds", "10.0.0.9:80", "zone.a1", "a", "bound.retryRatio", "0.2", "bound.retrySlack", "50"));
+        for (int i = 0; i < changes.length; i += 2) {
+            p.setProperty(changes[i], changes[i + 1]);
+        }
+        return NodeConfig.check(p);
+    }
+
+    private static NodeConfig good(Checked<NodeConfig> c) {
+        return ((Checked.Good<NodeConfig>) c).value();
+    }
+
+    @Test
+    void boundsAndSeedsAreTakenAddressesWaitForARestart() {
+        Settings s = new Settings(good(file()));
+        List<NodeConfig> told = new ArrayList<>();
+        s.listen(told::add);
+        Settings.Reload r = s.reload(file("bound.retrySlack", "70", "seeds", "10.0.0.8:80", "node.ip", "10.0.0.2", "limit.memoryMb", "99"));
+        assertEquals(List.of("seeds", "bound.retrySlack"), r.taken());
+        assertEquals(List.of("node.ip", "limit.memoryMb"), r.restart());
+        assertEquals(1, told.size());
+        assertEquals(70, told.get(0).retrySlack());
+        assertEquals("10.0.0.1", s.now().ip(), "an address changes only with a restart");
+        assertEquals("10.0.0.8:80", s.now().seeds().get(0).toString());
+    }
+
+    @Test
+    void sameFileTellsNobody() {
+        Settings s = new Settings(good(file()));
+        s.listen(c -> fail("told of nothing"));
+        assertEquals(new Settings.Reload(List.of(), List.of(), List.of()), s.reload(file()));
+    }
+
+    @Test
+    void badFileChangesNothingAndNamesItsProblems() {
+        Settings s = new Settings(good(file()));
+        s.listen(c -> fail("told of a bad file"));
+        Settings.Reload r = s.reload(file("bound.retrySlack", "many", "node.ip", "x"));
+        assertEquals(2, r.problems().size(), r.problems().toString());
+        assertEquals(50, s.now().retrySlack());
+    }
+}
--- a/src/test/java/ringspindle/cp/ReportsTest.java
+++ b/src/test/java/ringspindle/cp/ReportsTest.java
@@ -59,7 +59,7 @@
 
     @Test
     void reportsAreReadAndRubbishIsNot() throws Exception {
-        Reports r = new Reports(pool, beats, (id, active, queued) -> heard.add(id + " " + active + " " + queued));
+        Reports r = new Reports(pool, beats).tell((id, active, queued) -> heard.add(id + " " + active + " " + queued));
         String good = "{\"phase\":\"combined\",\"models\":[],\"active\":3,\"queued\":1}";
         r.ask("i-1", engine("not json", good));
         r.ask("i-0", null);
--- /dev/null
+++ b/src/test/java/ringspindle/dp/HollowData.java
@@ -0,0 +1,68 @@
+package ringspindle.dp;
+
+import java.util.*;
+import ringspindle.conf.*;
+import ringspindle.edge.*;
+import ringspindle.pick.*;
+import ringspindle.wire.*;
+
+/** A real data node's knowledge and choices without its clients' side: ticked from outside. */
+public final class HollowData implements Edge {
+    private final Data data;
+    private final Picker picker;
+    private boolean confirmed;
+    private long revision = -1;
+
+    public HollowData(NodeConfig config, Means means) throws Exception {
+        picker = Picker.create(config);
+        data = new Data(config, this, picker, means);
+        data.start();
+    }
+
+    public static int tickMs() {
+        return Data.TICK_MS;
+    }
+
+    public void tick() {
+        data.tick();
+    }
+
+    public Picker picker() {
+        return picker;
+    }
+
+    /** The revision in force here, below 0 while there is none. */
+    public long revision() {
+        return revision;
+    }
+
+    @Override
+    public void config(FleetConfig c) {
+        revision = c.revision();
+    }
+
+    @Override
+    public void confirm() {
+        confirmed = true;
+    }
+
+    @Override
+    public boolean ready() {
+        return confirmed && revision >= 0;
+    }
+
+    @Override
+    public void probe() {
+        picker.probes(0);
+    }
+
+    @Override
+    public void tidy() {
+        // no connections here
+    }
+
+    @Override
+    public Map<String, Long> ends() {
+        return Map.of();
+    }
+}
--- a/src/test/java/ringspindle/edge/FrontTest.java
+++ b/src/test/java/ringspindle/edge/FrontTest.java
@@ -57,7 +57,7 @@
         picker.config(c);
         front.config(c);
         front.confirm();
-        picker.licence(new Licence(1, 1, 60_000, 0), clock.nowMs());
+        picker.lease(new Lease(1, 1, 60_000), clock.nowMs());
     }
 
     private static String route(String name, String prefix, String kind, int deadline, int aim, int most, boolean resume, String homes) {
--- a/src/test/java/ringspindle/meet/MeetTest.java
+++ b/src/test/java/ringspindle/meet/MeetTest.java
@@ -26,8 +26,8 @@
         List<NodeId> cutByA = new ArrayList<>();
         for (long nowMs = 0; nowMs < 6000; nowMs += 100) {
             boolean cut = nowMs >= 2000;
-            Pulse fromA = a.pulse(B, 0, 0, 0, 0);
-            Pulse fromB = b.pulse(A, 0, 0, 0, 0);
+            Heartbeat fromA = a.heartbeat(B, 0, 0, 0, 0);
+            Heartbeat fromB = b.heartbeat(A, 0, 0, 0, 0);
             if (!cut) {
                 b.heard(A, fromA, nowMs);
             }
@@ -51,12 +51,12 @@
         Meet a = Meet.create(A, 900);
         a.opened(hello(B), 0);
         a.opened(hello(C), 0);
-        Pulse p = a.pulse(B, 0, 0, 0, 0);
-        Pulse q = a.pulse(C, 0, 0, 0, 0);
-        a.heard(B, new Pulse(1, p.n(), 0, 0, 0, 0, List.of(A, C)), 100);
-        a.heard(C, new Pulse(1, q.n(), 0, 0, 0, 0, List.of(A)), 100);
+        Heartbeat p = a.heartbeat(B, 0, 0, 0, 0);
+        Heartbeat q = a.heartbeat(C, 0, 0, 0, 0);
+        a.heard(B, new Heartbeat(1, p.n(), 0, 0, 0, 0, List.of(A, C)), 100);
+        a.heard(C, new Heartbeat(1, q.n(), 0, 0, 0, 0, List.of(A)), 100);
         assertFalse(a.linked(B, C), "one of them does not hear the other");
-        a.heard(C, new Pulse(2, q.n(), 0, 0, 0, 0, List.of(A, B)), 200);
+        a.heard(C, new Heartbeat(2, q.n(), 0, 0, 0, 0, List.of(A, B)), 200);
         assertTrue(a.linked(B, C));
     }
 
@@ -64,8 +64,8 @@
     void afterAFreezeNobodyIsJudgedByWhatWasMissed() {
         Meet a = Meet.create(A, 900);
         a.opened(hello(B), 0);
-        Pulse p = a.pulse(B, 0, 0, 0, 0);
-        a.heard(B, new Pulse(1, p.n(), 0, 0, 0, 0, List.of()), 50);
+        Heartbeat p = a.heartbeat(B, 0, 0, 0, 0);
+        a.heard(B, new Heartbeat(1, p.n(), 0, 0, 0, 0, List.of()), 50);
         a.beat(100);
         assertEquals(List.of(), a.beat(20_000));
         assertTrue(a.linked(A, B));
--- a/src/test/java/ringspindle/pick/PickerTest.java
+++ b/src/test/java/ringspindle/pick/PickerTest.java
@@ -8,13 +8,18 @@
 import ringspindle.act.Action.*;
 import ringspindle.conf.*;
 import ringspindle.pick.Picker.*;
+import ringspindle.sum.*;
 import ringspindle.wire.Msg.*;
 
 /** Who may be asked, and that shares summed over nodes keep their bounds in every sliding window. */
 class PickerTest {
     private static Picker picker(String zone, String region) {
+        return picker("n", zone, region);
+    }
+
+    private static Picker picker(String name, String zone, String region) {
         Properties p = new Properties();
-        p.putAll(Map.of("node.name", "n", "node.ip", "10.0.0.1", "node.zone", zone, "node.region", region, "listen.inner", "7000",
+        p.putAll(Map.of("node.name", name, "node.ip", "10.0.0.1", "node.zone", zone, "node.region", region, "listen.inner", "7000",
                 "seeds", "10.0.0.9:80", "zone.a1", "a", "zone.b1", "b", "bound.retryRatio", "0.2"));
         p.putAll(Map.of("bound.retrySlack", "50", "bound.retryWindowS", "10", "bound.warmupOverrun", "1.5", "bound.warmupSlack", "5"));
         Picker out = Picker.create(((Checked.Good<NodeConfig>) NodeConfig.check(p)).value());
@@ -42,7 +47,7 @@
     @Test
     void homesDrainsEvacuationsTurnsAndWeightsBind() {
         Picker p = picker("a1", "a");
-        p.licence(new Licence(1, 1, 100_000, 0), 0);
+        p.lease(new Lease(1, 1, 100_000), 0);
         p.engine("i-a", engine("a1", 1, 0, false), 1, 0);
         p.engine("i-b", engine("b1", 2, 0, false), 1, 0);
         assertEquals("i-a", id(p.choose(any(), 10)));
@@ -101,7 +106,7 @@
             for (long nowMs = 0; nowMs < 60_000; nowMs += 20) {
                 long at = nowMs;
                 if (nowMs % 1000 == 0) {
-                    all.forEach(x -> x.licence(new Licence(1, nodes, 3000, 0), at));
+                    all.forEach(x -> x.lease(new Lease(1, nodes, 3000), at));
                 }
                 Picker p = all.get(luck.nextInt(nodes));
                 p.asked("s", nowMs);
@@ -123,13 +128,13 @@
     }
 
     @Test
-    void withoutALicenceOnlyWhatOwnRequestsEarn() {
+    void withoutALeaseOnlyWhatOwnRequestsEarn() {
         Picker p = picker("a1", "a");
-        p.licence(new Licence(1, 9, 3000, 0), 0);
+        p.lease(new Lease(1, 9, 3000), 0);
         assertTrue(p.takeRetry("s", 100));
         assertFalse(picker("a1", "a").takeRetry("s", 100));
         for (int i = 0; i < 100; i++) {
-            assertFalse(p.takeRetry("s", 20_000 + i), "a licence that ran out still grants");
+            assertFalse(p.takeRetry("s", 20_000 + i), "a lease that ran out still grants");
         }
     }
 
@@ -139,7 +144,7 @@
         List<Picker> all = new ArrayList<>();
         for (int i = 0; i < nodes; i++) {
             Picker p = picker("a1", "a");
-            p.licence(new Licence(1, nodes, 100_000, 0), 0);
+            p.lease(new Lease(1, nodes, 100_000), 0);
             p.engine("i-a", engine("a1", 1, 20_000, false), 1, 0);
             all.add(p);
         }
@@ -172,4 +177,173 @@
         }
         assertEquals(1, where.size(), where.toString());
     }
+
+    private static Load load(Map<String, int[]> byEngine, String... regions) {
+        List<EngineLoad> rows = new ArrayList<>();
+        byEngine.forEach((id, n) -> rows.add(new EngineLoad(Sum.key(id), n[0], n[1], n[2], 0)));
+        List<RegionLoad> there = new ArrayList<>();
+        for (String r : regions) {
+            there.add(new RegionLoad(r, "s", 3, 90, 6, 10, 0));
+        }
+        return new Load(1, 1, rows, there);
+    }
+
+    private static Map<String, Integer> choices(Picker p, int n, long nowMs) {
+        Map<String, Integer> out = new TreeMap<>();
+        Random luck = new Random(5);
+        for (int i = 0; i < n; i++) {
+            Ask a = new Ask("s", Set.of(), 0, 0, 100, 50, Set.of(), -1, luck.nextLong());
+            String id = id(p.choose(a, nowMs));
+            out.merge(id, 1, Integer::sum);
+            p.ended(id, a, End.PARENT_ENDED, -1, nowMs);
+        }
+        return out;
+    }
+
+    @Test
+    void engineThatFailsPartOfItsRequestsGetsATrickleWhateverItsHealthSays() {
+        Picker p = picker("a1", "a");
+        for (int i = 1; i <= 6; i++) {
+            p.engine("i-" + i, engine("a1", i, 0, false), 1, 0);
+        }
+        int even = choices(p, 3000, 10).get("i-1");
+        assertTrue(even > 300, "before: " + even);
+        Map<String, int[]> seen = new HashMap<>();
+        for (int i = 1; i <= 6; i++) {
+            seen.put("i-" + i, i == 1 ? new int[] {7, 6, 1} : new int[] {13, i == 3 ? 1 : 0, 1});
+        }
+        p.load(load(seen), 20);
+        p.probed("i-1", true, 0, 25);
+        int after = choices(p, 3000, 30).getOrDefault("i-1", 0);
+        assertTrue(after > 0 && after < even / 8, "a trickle, was " + even + " is " + after);
+        assertTrue(choices(p, 3000, 3000).get("i-1") > even / 2, "it recovers once nothing is said against it");
+        p.load(load(seen), 3100);
+        assertTrue(choices(p, 3000, 4900).get("i-1") < even / 8, "the price of coming back rises");
+    }
+
+    @Test
+    void whatAllEnginesFailIsNoEnginesFault() {
+        Picker p = picker("a1", "a");
+        Map<String, int[]> all = new HashMap<>();
+        for (int i = 1; i <= 6; i++) {
+            p.engine("i-" + i, engine("a1", i, 0, false), 1, 0);
+            all.put("i-" + i, new int[] {6, 6, 1});
+        }
+        p.load(load(all), 20);
+        Map<String, Integer> n = choices(p, 3000, 30);
+        assertEquals(6, n.size());
+        n.forEach((id, k) -> assertTrue(k > 300, id + " " + k));
+    }
+
+    @Test
+    void neverSoManyAreSparedThatTheRestCouldNotCarryTheLoad() {
+        Picker p = picker("a1", "a");
+        Map<String, int[]> most = new HashMap<>();
+        for (int i = 1; i <= 6; i++) {
+            p.engine("i-" + i, engine("a1", i, 0, false), 1, 0);
+        }
+        // one after the other, each beyond what the others show just then
+        for (int i = 1; i <= 4; i++) {
+            most.clear();
+            for (int j = 1; j <= 6; j++) {
+                most.put("i-" + j, new int[] {20, j == i ? 19 : 0, 1});
+            }
+            p.load(load(most), 20 + i);
+        }
+        assertTrue(choices(p, 3000, 30).get("i-1") > 200, "four of six are poor, so all carry");
+    }
+
+    @Test
+    void othersLoadCountsWhileItIsFresh() {
+        Picker p = picker("a1", "a");
+        p.engine("i-1", engine("a1", 1, 0, false), 1, 0);
+        p.engine("i-2", engine("a1", 2, 0, false), 1, 0);
+        p.load(load(Map.of("i-1", new int[] {5, 0, 40}, "i-2", new int[] {5, 0, 2})), 100);
+        assertNull(choices(p, 200, 200).get("i-1"), "it runs far more for others");
+        assertEquals(2, choices(p, 200, 9000).size(), "a sum that came long ago counts no more");
+    }
+
+    @Test
+    void silentEnginesAndRegionsOfWhichNothingIsHeardComeLast() {
+        Picker p = picker("a1", "a");
+        p.engine("i-a", engine("a1", 1, 0, false), 1, 0);
+        p.engine("i-b", engine("b1", 2, 0, false), 1, 0);
+        Ask digest = new Ask("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
+        p.silent("i-a", true, 10);
+        assertEquals(Map.of("i-b", 50), choices(p, 50, 20));
+        p.silent("i-a", false, 30);
+        assertEquals(Map.of("i-a", 50), choices(p, 50, 40));
+        p.load(load(Map.of(), "a", "b"), 50);
+        p.load(load(Map.of(), "a"), 1000);
+        assertEquals("i-a", id(p.choose(digest, 1010)), "whoever holds its head");
+        assertEquals("i-b", id(p.choose(ask(Set.of("b"), Set.of(), -1), 1020)), "homes bind, heard of or not");
+        p.silent("i-b", true, 1030);
+        p.silent("i-a", true, 1030);
+        assertNotEquals("none", id(p.choose(any(), 1040)), "if all are silent, all may be asked");
+    }
+
+    @Test
+    void resetOfAForgottenConnectionSaysNothingOfTheEngine() {
+        Picker p = picker("a1", "a");
+        p.engine("i-a", engine("a1", 1, 0, false), 1, 0);
+        for (int i = 0; i < 6; i++) {
+            p.choose(any(), 100 + i);
+            p.ended("i-a", any(), End.BROKEN, Picker.STALE_MS, 101 + i);
+        }
+        assertEquals(List.of(), p.probes(200));
+        assertEquals(0, p.report(200).all(Sum.key("i-a")).failed());
+        for (int i = 0; i < 6; i++) {
+            p.choose(any(), 300 + i);
+            p.ended("i-a", any(), End.BROKEN, -1, 301 + i);
+        }
+        assertEquals(6, p.report(400).all(Sum.key("i-a")).failed());
+        assertEquals(1, p.probes(400).size());
+    }
+
+    @Test
+    void reportHoldsWhatWasSeenLatelyAndWhatRuns() {
+        Picker p = picker("a1", "a");
+        p.engine("i-a", engine("a1", 1, 0, false), 1, 0);
+        Ask digest = new Ask("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
+        p.choose(digest, 100);
+        p.choose(any(), 100);
+        p.ended("i-a", any(), End.ANSWERED, 120, 200);
+        Sum s = p.report(300);
+        assertEquals(1, s.of(Sum.key("i-a"), Kind.LONG).running());
+        assertEquals(1, s.of(Sum.key("i-a"), Kind.SHORT).answered());
+        assertEquals(1, s.of(Sum.key("i-a"), Kind.SHORT).firsts()[1]);
+        p.ended("i-a", digest, End.PARENT_ENDED, -1, 400);
+        Tally later = p.report(2500).all(Sum.key("i-a"));
+        assertTrue(later.empty(), "clients' cancels stay out, what is old goes: " + later);
+    }
+
+    /** Turns at a cold engine: whatever the number of nodes, its bound holds in every second and it is not idle. */
+    @Test
+    void coldEngineKeepsItsBoundHoweverManyNodesThereAre() {
+        for (int nodes : new int[] {24, 40, 77, 300}) {
+            List<Picker> all = new ArrayList<>();
+            for (int i = 0; i < nodes; i++) {
+                Picker p = picker("n-" + i, "a1", "a");
+                p.lease(new Lease(1, nodes, 100_000), 0);
+                p.engine("i-a", engine("a1", 1, 60_000, false), 1, 0);
+                all.add(p);
+            }
+            List<Long> sent = new ArrayList<>();
+            for (long nowMs = 0; nowMs < 30_000; nowMs += 10) {
+                for (Picker p : all) {
+                    if (p.choose(any(), nowMs) instanceof Chosen) {
+                        sent.add(nowMs);
+                        p.ended("i-a", any(), End.ANSWERED, 10, nowMs);
+                    }
+                }
+            }
+            for (long from = 0; from < 29_000; from += 50) {
+                long f = from;
+                long n = sent.stream().filter(x -> x >= f && x < f + 1000).count();
+                assertTrue(n <= 20 * 1.5 + 5, nodes + " nodes: " + n + " in the second from " + f);
+            }
+            assertTrue(sent.size() > 150, nodes + " nodes: a cold engine gets hardly anything: " + sent.size());
+        }
+    }
+
 }
--- /dev/null
+++ b/src/test/java/ringspindle/scale/Net.java
@@ -0,0 +1,181 @@
+package ringspindle.scale;
+
+import java.lang.management.*;
+import java.util.*;
+import java.util.concurrent.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** Virtual time, and counted links between hollow nodes: every message goes through the real codec. */
+public final class Net {
+    /** Where a link runs. */
+    enum Reach {
+        ZONE, ZONES, REGIONS
+    }
+
+    /** What one node sent and received, and the processor time of its calls. */
+    static final class Meter {
+        final long[] outBytes = new long[Reach.values().length];
+        long inBytes;
+        long outMessages;
+        long inMessages;
+        long cpuNs;
+
+        long out() {
+            return outBytes[0] + outBytes[1] + outBytes[2];
+        }
+
+        void reset() {
+            Arrays.fill(outBytes, 0);
+            inBytes = 0;
+            outMessages = 0;
+            inMessages = 0;
+            cpuNs = 0;
+        }
+    }
+
+    private record Event(double atMs, long order, Runnable run) {
+    }
+
+    private static final ThreadMXBean CPU = ManagementFactory.getThreadMXBean();
+    private static final int FRAME_BYTES = 4;
+
+    private final PriorityQueue<Event> events =
+            new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
+    private final Map<NodeId, HollowMesh> meshes = new HashMap<>();
+    final Map<NodeId, Meter> meters = new TreeMap<>();
+    private double nowMs = 1_000_000;
+    private long order;
+
+    long nowMs() {
+        return (long) nowMs;
+    }
+
+    void at(double inMs, Runnable r) {
+        events.add(new Event(nowMs + inMs, order++, r));
+    }
+
+    void runFor(double forMs) {
+        double endMs = nowMs + forMs;
+        while (!events.isEmpty() && events.peek().atMs() <= endMs) {
+            Event e = events.poll();
+            nowMs = e.atMs();
+            e.run().run();
+        }
+        nowMs = endMs;
+    }
+
+    /** Lets nodes and all that waits for them go. */
+    void forgetData(List<NodeId> ids) {
+        events.clear();
+        ids.forEach(meshes::remove);
+    }
+
+    /** Runs a node's code and charges its processor time to it. */
+    void charge(NodeId node, Runnable r) {
+        long from = CPU.getCurrentThreadCpuTime();
+        r.run();
+        meters.get(node).cpuNs += CPU.getCurrentThreadCpuTime() - from;
+    }
+
+    /** What an owner needs; its threads are this net's events. */
+    public Means means(long life) {
+        Executor later = r -> at(0, r);
+        return new Means(this::nowMs, life, later, hello -> {
+            HollowMesh m = new HollowMesh(hello);
+            meshes.put(hello.node(), m);
+            meters.put(hello.node(), new Meter());
+            return m;
+        });
+    }
+
+    private static Reach reach(Hello a, Hello b) {
+        return a.zone().equals(b.zone()) ? Reach.ZONE : a.region().equals(b.region()) ? Reach.ZONES : Reach.REGIONS;
+    }
+
+    private static double wayMs(Reach r) {
+        return r == Reach.ZONE ? 0.2 : r == Reach.ZONES ? 1.4 : 20;
+    }
+
+    private final class HollowMesh implements Mesh {
+        private final Hello self;
+        private final Set<NodeId> links = new HashSet<>();
+        private Ear ear;
+
+        HollowMesh(Hello self) {
+            this.self = self;
+        }
+
+        @Override
+        public void open(Ear e) {
+            ear = e;
+        }
+
+        @Override
+        public void dial(NodeId peer) {
+            HollowMesh other = meshes.get(peer);
+            if (other == null || other == this || links.contains(peer)) {
+                return;
+            }
+            at(2 * wayMs(reach(self, other.self)), () -> {
+                if (other.ear != null && links.add(peer) && other.links.add(self.node())) {
+                    count(this, other, self);
+                    count(other, this, other.self);
+                    charge(peer, () -> other.ear.opened(self));
+                    charge(self.node(), () -> ear.opened(other.self));
+                }
+            });
+        }
+
+        private void count(HollowMesh from, HollowMesh to, Msg m) {
+            int bytes = Codec.encode(m).length + FRAME_BYTES;
+            Meter out = meters.get(from.self.node());
+            out.outBytes[reach(from.self, to.self).ordinal()] += bytes;
+            out.outMessages++;
+            Meter in = meters.get(to.self.node());
+            in.inBytes += bytes;
+            in.inMessages++;
+        }
+
+        @Override
+        public void send(NodeId peer, Msg m) {
+            if (!links.contains(peer)) {
+                return;
+            }
+            HollowMesh other = meshes.get(peer);
+            byte[] bytes = Codec.encode(m);
+            Reach r = reach(self, other.self);
+            Meter out = meters.get(self.node());
+            out.outBytes[r.ordinal()] += bytes.length + FRAME_BYTES;
+            out.outMessages++;
+            at(wayMs(r), () -> {
+                if (other.links.contains(self.node())) {
+                    Meter in = meters.get(peer);
+                    in.inBytes += bytes.length + FRAME_BYTES;
+                    in.inMessages++;
+                    charge(peer, () -> other.ear.heard(self.node(), Codec.decode(bytes)));
+                }
+            });
+        }
+
+        @Override
+        public boolean up(NodeId peer) {
+            return links.contains(peer);
+        }
+
+        @Override
+        public void drop(NodeId peer) {
+            if (links.remove(peer)) {
+                HollowMesh other = meshes.get(peer);
+                other.links.remove(self.node());
+                ear.closed(peer);
+                other.ear.closed(self.node());
+            }
+        }
+
+        @Override
+        public void close() {
+            new ArrayList<>(links).forEach(this::drop);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ringspindle/sum/PresenceTest.java
@@ -0,0 +1,68 @@
+package ringspindle.sum;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import org.junit.jupiter.api.*;
+import ringspindle.wire.Msg.*;
+
+/** Only what changes is news, and silence is judged on steady time by the engine's own region. */
+class PresenceTest {
+    private static Engine engine(int coldMs, boolean draining) {
+        return new Engine(32, coldMs, draining, -1, 1, "s", "10.1.0.1:80", "a1", "v");
+    }
+
+    @Test
+    void heartbeatsThatSayNothingNewAreNoNews() {
+        Presence p = new Presence(1200);
+        int news = 0;
+        for (int i = 0; i < 50; i++) {
+            news += p.heard("i-1", engine(0, false), i, i * 1200L) ? 1 : 0;
+        }
+        assertEquals(1, news);
+        assertTrue(p.heard("i-1", engine(0, true), 50, 60_000), "that it leaves");
+        assertFalse(p.heard("i-1", engine(0, false), 49, 60_100), "a late call");
+    }
+
+    @Test
+    void coldEngineIsNewsAtItsStartAndOnceItIsWarm() {
+        Presence p = new Presence(1200);
+        List<Integer> news = new ArrayList<>();
+        int[] left = {3000, 1800, 600, 0, 0, 0};
+        for (int i = 0; i < left.length; i++) {
+            if (p.heard("i-1", engine(left[i], false), i, i * 1200L)) {
+                news.add(i);
+            }
+        }
+        assertEquals(List.of(0, 3), news);
+        assertTrue(p.heard("i-1", engine(3000, false), 9, 9000), "cold again");
+    }
+
+    @Test
+    void silentOnesBecomeFactsAndComeBack() {
+        Presence p = new Presence(1000);
+        p.heard("i-1", engine(0, false), 1, 0);
+        p.heard("i-2", engine(0, false), 1, 0);
+        assertEquals(List.of(), p.judge(e -> true, 5500), "a start of this node gives engines time");
+        for (long at = 6000; at <= 9000; at += 1000) {
+            p.heard("i-1", engine(0, false), at, at);
+        }
+        assertEquals(List.of(), p.judge(e -> false, 9100), "another region's are not ours to judge");
+        assertEquals(List.of(new Presence.Change("i-2", true, 1)), p.judge(e -> true, 9100));
+        assertEquals(List.of(), p.judge(e -> true, 9200));
+        // the region's other control node hears it
+        p.peers(Sum.of(new Report(1, 1, List.of(), List.of(new HeartbeatRow(Sum.key("i-2"), 300)), List.of())), 9500);
+        assertEquals(List.of(new Presence.Change("i-2", false, 1)), p.judge(e -> true, 9600));
+        assertEquals(List.of("i-1", "i-2"), p.forget(1000, 20_000).stream().sorted().toList());
+    }
+
+    @Test
+    void whoeverHearsItContradictsAndWhoeverDoesNotGivesIn() {
+        Presence p = new Presence(1000);
+        p.heard("i-1", engine(0, false), 7, 1000);
+        assertTrue(p.contradicts("i-1", 6, 1500), "heard since");
+        assertFalse(p.contradicts("i-1", 7, 1500), "nothing newer is known");
+        assertFalse(p.contradicts("i-1", 6, 20_000), "heard, but long ago");
+        assertFalse(p.contradicts("i-9", 6, 1500));
+    }
+}
--- a/src/test/java/ringspindle/wire/CodecTest.java
+++ b/src/test/java/ringspindle/wire/CodecTest.java
@@ -13,11 +13,14 @@
     private static final View VIEW = new View(4, List.of(A, B), List.of(B));
 
     private static List<Msg> all() {
-        return List.of(new Hello(A, 5, 1, B.bits(), "näme", "z", ""), new Pulse(1, 2, 7, 3, -1, 9, List.of(A, B)), VIEW,
+        return List.of(new Hello(A, 5, 1, B.bits(), "näme", "z", ""), new Heartbeat(1, 2, 7, 3, -1, 9, List.of(A, B)), VIEW,
                 new Prepare(5, 1025, VIEW), new Pledge(5, 1025, true, 6, 7, -1, 0, null, VIEW), new Accept(5, 9, VIEW),
                 new Accepted(5, 9, false, 11), new Decided(VIEW), new Synced(3, 4), new Confirm(1, 2), new Confirmed(1, 2, true),
-                new Relearn(8), new Relearned(8, 1, 2, 3, VIEW, null), new Licence(3, 9, 3000, 0), new Vote(1, 2, 3, null, VIEW),
-                new Engine(64, 0, true, -1, 7, "s", "10.0.0.1:80", "z", "v1"));
+                new Relearn(8), new Relearned(8, 1, 2, 3, VIEW, null), new Lease(3, 9, 3000), new Vote(1, 2, 3, null, VIEW),
+                new Engine(64, 0, true, -1, 7, "s", "10.0.0.1:80", "z", "v1"),
+                new Report(1, 2, List.of(new TallyRow(-5, 2, 1, 2, 3, 65000, 4000000000L, 1, 2, 3, 4, 5, 6)),
+                        List.of(new HeartbeatRow(9, 1200)), List.of(new SourceRow(A, 3, 4))),
+                new Load(1, 2, List.of(new EngineLoad(7, 1, 2, 3, 4)), List.of(new RegionLoad("r", "s", 1, 2, 3, 4, 5))));
     }
 
     @Test
