--- a/src/main/java/ringspindle/sum/Presence.java
+++ b/src/main/java/ringspindle/sum/Presence.java
@@ -39,6 +39,7 @@
     private final int silentMs;
     private final int beatMs;
     private final Long2ObjectMap<Row> rows = new Long2ObjectRBTreeMap<>();
+    private final Map<String, Row> byAddress = new HashMap<>();
     private long startMs = Long.MIN_VALUE;
 
     /** {@code new Presence(1200)} for engines that beat every 1.2 s. */
@@ -57,6 +58,11 @@
         Row r = row(id, nowMs);
         r.ownMs = nowMs;
         r.evidenceMs = Math.max(r.evidenceMs, nowMs);
+        Row before = byAddress.put(e.address(), r);
+        if (before != null && before != r) {
+            // another life answers at that address now
+            before.evidenceMs = Long.MIN_VALUE / 2;
+        }
         boolean news = seq > r.seq && (r.said == null || differs(r, e, nowMs));
         r.seq = Math.max(r.seq, seq);
         if (news) {
@@ -82,6 +88,7 @@
             r.seq = Math.max(r.seq, seq);
             r.said = e;
             r.saidMs = nowMs;
+            byAddress.putIfAbsent(e.address(), r);
         }
     }
 
@@ -149,9 +156,10 @@
     public List<String> forget(long afterMs, long nowMs) {
         List<String> out = new ArrayList<>();
         rows.values().removeIf(r -> {
-            boolean old = nowMs - r.evidenceMs > afterMs;
+            boolean old = nowMs - Math.max(r.evidenceMs, r.saidMs) > afterMs;
             if (old) {
                 out.add(r.id);
+                byAddress.values().remove(r);
             }
             return old;
         });
