--- a/src/main/java/ringspindle/api/Operation.java
+++ b/src/main/java/ringspindle/api/Operation.java
@@ -12,6 +12,9 @@
     GONE("DELETE", "instances", "id"),
     STATUS("GET", "status", ""),
     ENGINES("GET", "engines", ""),
+    RULES_GET("GET", "rules", ""),
+    RULES_PUT("PUT", "rules", ""),
+    LEDGER("GET", "ledger", ""),
     ROLLOUTS("GET", "rollouts", ""),
     ROLLOUT("POST", "rollouts", "service");
 
--- a/src/main/java/ringspindle/chain/Chain.java
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -57,11 +57,15 @@
     int GONE = 6;
     int READ = 7;
     int ROLLOUT = 8;
+    int RULES = 9;
 
     /** Kinds of marks. */
     int MARK_EVACUATED = 1;
     int MARK_LEAVING = 2;
     int MARK_ROLLOUT = 3;
+    int MARK_RULES = 4;
+    /** What a READ asks for beside the configuration. */
+    String READ_RULES = "rules";
 
     /** A message came. */
     List<Out> on(NodeId from, Msg m, long nowMs);
--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -58,10 +58,12 @@
     private static final class Reading {
         final NodeId origin;
         final long call;
+        final String what;
         final long sinceMs;
         final Set<NodeId> ok = new TreeSet<>();
 
-        Reading(NodeId origin, long call, long sinceMs) {
+        Reading(NodeId origin, long call, String what, long sinceMs) {
+            this.what = what;
             this.origin = origin;
             this.call = call;
             this.sinceMs = sinceMs;
@@ -881,7 +883,7 @@
 
     private void read(Held h) {
         long id = nextReading++;
-        readings.put(id, new Reading(h.origin, h.call.id(), nowMs));
+        readings.put(id, new Reading(h.origin, h.call.id(), h.call.arg(), nowMs));
         view.voters().forEach(v -> send(v, new Confirm(view.epoch(), id)));
     }
 
@@ -893,8 +895,12 @@
         r.ok.add(from);
         if (r.ok.size() >= view.majority()) {
             readings.remove(c.id());
-            boolean none = committed.config().length == 0;
-            answer(r.origin, r.call, none ? Outcome.NO_SUCH : Outcome.TAKEN, committed.config());
+            byte[] found = committed.config();
+            if (r.what.equals(READ_RULES)) {
+                Mark m = Content.mark(committed, MARK_RULES, "");
+                found = m == null ? NONE : m.value().getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            }
+            answer(r.origin, r.call, found.length == 0 ? Outcome.NO_SUCH : Outcome.TAKEN, found);
         }
     }
 
--- a/src/main/java/ringspindle/chain/Content.java
+++ b/src/main/java/ringspindle/chain/Content.java
@@ -4,6 +4,7 @@
 import java.util.*;
 import ringspindle.api.*;
 import ringspindle.conf.*;
+import ringspindle.rule.*;
 import ringspindle.wire.Msg.*;
 
 import static java.nio.charset.StandardCharsets.*;
@@ -44,6 +45,8 @@
             }
             case ROLLOUT:
                 return Rollouts.decide(s, c);
+            case RULES:
+                return decideRules(s, c);
             default:
                 return outcome(Outcome.NO_SUCH);
         }
@@ -90,6 +93,29 @@
         return op(c, next.revision(), digest, next.packed());
     }
 
+    /** Serving rules on top of the revision they were made for; checked against the configuration in force. */
+    private Decision decideRules(State s, Call c) {
+        Checked<ServingRules> checked = ServingRules.read(c.body());
+        if (checked instanceof Checked.Refused<ServingRules> bad) {
+            return invalid(bad.problems());
+        }
+        ServingRules next = ((Checked.Good<ServingRules>) checked).value();
+        Mark m = mark(s, MARK_RULES, "");
+        ServingRules now = m == null ? null : ((Checked.Good<ServingRules>) ServingRules.read(m.value().getBytes(UTF_8))).value();
+        long revision = now == null ? 0 : now.revision();
+        if (now != null && now.digest() == next.digest()) {
+            return outcome(Outcome.TAKEN);
+        }
+        if (c.base() != revision) {
+            return outcome(Outcome.OTHER_VERSION);
+        }
+        if (next.revision() <= revision) {
+            return invalid(List.of(new Problem.OldRevision(next.revision(), revision)));
+        }
+        List<Problem> problems = next.problems(s.config().length == 0 ? null : current(s), Set.of());
+        return problems.isEmpty() ? op(c, next.revision(), next.digest(), next.bytes()) : invalid(problems);
+    }
+
     private FleetConfig current(State s) {
         if (parsed == null || parsed.revision() != s.revision()) {
             parsed = ((Checked.Good<FleetConfig>) FleetConfig.read(FleetConfig.unpack(s.config()))).value();
@@ -145,6 +171,9 @@
             case ROLLOUT:
                 marks = marked(marks, new Mark(MARK_ROLLOUT, op.arg(), seq, new String(op.body(), UTF_8)));
                 break;
+            case RULES:
+                marks = marked(marks, new Mark(MARK_RULES, "", seq, new String(op.body(), UTF_8)));
+                break;
             default:
                 break;
         }
--- a/src/main/java/ringspindle/conf/Problem.java
+++ b/src/main/java/ringspindle/conf/Problem.java
@@ -67,4 +67,46 @@
             return "two items named " + name;
         }
     }
+
+    record UnknownField(String place, String field) implements Problem {
+        @Override
+        public String text() {
+            return (place.isEmpty() ? "the document" : place) + " has the unknown field " + field;
+        }
+    }
+
+    record OutOfRange(String place, String value, String wanted) implements Problem {
+        @Override
+        public String text() {
+            return (place.startsWith(".") ? place.substring(1) : place) + " is " + value + ", wanted " + wanted;
+        }
+    }
+
+    record UnknownName(String place, String name) implements Problem {
+        @Override
+        public String text() {
+            return place + " names " + name + ", which there is not";
+        }
+    }
+
+    record OutsideHomes(String place, String region) implements Problem {
+        @Override
+        public String text() {
+            return place + " names " + region + ", which is no home of the route";
+        }
+    }
+
+    record Unreachable(String place, String by) implements Problem {
+        @Override
+        public String text() {
+            return place + " is never reached: rule " + by + " before it takes all of its requests";
+        }
+    }
+
+    record TooLong(int bytes, int most) implements Problem {
+        @Override
+        public String text() {
+            return bytes + " bytes, at most " + most;
+        }
+    }
 }
--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -59,6 +59,7 @@
     private final Collector peers = new Collector(REPORT_TTL_MS);
     private final Map<String, Long> regionMs = new TreeMap<>();
     private final Map<String, List<RegionLoad>> regions = new TreeMap<>();
+    private final Ledgers ledgers = new Ledgers();
     private long sumSeq;
     private Sum total = Sum.NONE;
     private NodeId lastHead;
@@ -313,6 +314,10 @@
             synchronized (bookLock) {
                 reported(from, r, nowMs);
             }
+        } else if (m instanceof LedgerReport l) {
+            synchronized (bookLock) {
+                ledgers.take(from, l);
+            }
         } else if (m instanceof Load l) {
             synchronized (bookLock) {
                 for (RegionLoad g : l.regions()) {
@@ -447,6 +452,26 @@
         }
     }
 
+    /** The newest ledgers of nodes that report here, by node. */
+    Map<NodeId, List<Ledgers.Life>> ledgers() {
+        synchronized (bookLock) {
+            return ledgers.all();
+        }
+    }
+
+    /** Data nodes as known here, and whether their facts still hold. */
+    Map<Roster, Boolean> roster() {
+        synchronized (bookLock) {
+            long nowMs = clock.nowMs();
+            Map<Roster, Boolean> out = new LinkedHashMap<>();
+            for (Item i : book.all(Book.NODE)) {
+                Roster r = Roster.of(i.value());
+                out.put(r, r.ready() && holds(i, r, nowMs, 3000));
+            }
+            return out;
+        }
+    }
+
     /** The sums as this node last made them, for the operator. */
     Sum total() {
         synchronized (bookLock) {
@@ -507,6 +532,7 @@
             int kind = switch (m.kind()) {
                 case Chain.MARK_EVACUATED -> Book.EVACUATED;
                 case Chain.MARK_LEAVING -> Book.LEAVING;
+                case Chain.MARK_RULES -> Book.RULES;
                 default -> Book.ROLLOUT;
             };
             items.add(new Item(kind, m.key(), 0, m.version(), m.value().getBytes(java.nio.charset.StandardCharsets.UTF_8)));
@@ -730,6 +756,7 @@
                 row.put("node", p.hello().node().toString());
                 row.put("zone", p.hello().zone());
                 row.put("linked", p.linked());
+                row.put("control", p.hello().kind() == 0 ? new NodeId(p.hello().front()).toString() : "");
                 row.put("ready", (p.heartbeat().flags() & Heartbeat.READY) != 0);
                 out.add(row);
             }
--- a/src/main/java/ringspindle/cp/Fleet.java
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -6,8 +6,10 @@
 import jakarta.json.spi.*;
 import java.util.*;
 import ringspindle.chain.*;
+import ringspindle.conf.*;
 import ringspindle.know.*;
 import ringspindle.meet.*;
+import ringspindle.rule.*;
 import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
@@ -57,6 +59,43 @@
         return out.add("nodes", nodes).build();
     }
 
+    /** What nodes that report here say of their actions and rules, and which nodes there are. */
+    static JsonObject ledger(Control c) {
+        JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name());
+        State s = c.committed();
+        Mark m = s == null ? null : s.marks().stream().filter(x -> x.kind() == Chain.MARK_RULES).findFirst().orElse(null);
+        ServingRules rules = m != null && ServingRules.read(m.value().getBytes(UTF_8)) instanceof Checked.Good<ServingRules> good
+                ? good.value() : null;
+        out.add("revision", rules == null ? 0 : rules.revision()).add("digest", rules == null ? "" : Long.toHexString(rules.digest()));
+        JsonArrayBuilder idle = JSON.createArrayBuilder();
+        if (rules != null && s.config().length > 0 && FleetConfig.read(FleetConfig.unpack(s.config())) instanceof Checked.Good<FleetConfig> f) {
+            rules.idle(f.value()).forEach(idle::add);
+        }
+        out.add("idle", idle);
+        JsonArrayBuilder nodes = JSON.createArrayBuilder();
+        c.roster().forEach((r, holds) -> nodes.add(JSON.createObjectBuilder().add("node", r.hello().node().toString())
+                .add("name", r.hello().name()).add("zone", r.hello().zone()).add("region", r.hello().region())
+                .add("life", r.hello().life()).add("inTouch", holds)));
+        out.add("nodes", nodes);
+        JsonArrayBuilder lives = JSON.createArrayBuilder();
+        c.ledgers().forEach((node, of) -> of.forEach(l -> {
+            LedgerReport x = l.report();
+            JsonArrayBuilder rows = JSON.createArrayBuilder();
+            for (LedgerRow w : x.rows()) {
+                rows.add(JSON.createObjectBuilder().add("revision", w.revision()).add("class", w.cls()).add("admitted", w.admitted())
+                        .add("inProgress", w.inProgress()).add("completed", w.completed()).add("clientGone", w.clientGone())
+                        .add("overdue", w.overdue()).add("nodeEnds", w.nodeEnds()).add("givenUp", w.givenUp()).add("sent", w.sent())
+                        .add("notRun", w.notRun()).add("mayHaveRun", w.mayHaveRun()).add("resumed", w.resumed())
+                        .add("runTwice", w.runTwice()));
+            }
+            JsonArrayBuilder broken = JSON.createArrayBuilder();
+            Ledger.broken(x).forEach(b -> broken.add(b.name()));
+            lives.add(JSON.createObjectBuilder().add("node", node.toString()).add("life", x.life()).add("seq", x.seq())
+                    .add("revision", x.revision()).add("digest", Long.toHexString(x.digest())).add("broken", broken).add("rows", rows));
+        }));
+        return out.add("ledgers", lives).build();
+    }
+
     static JsonObject rollouts(Control c) {
         JsonArrayBuilder out = JSON.createArrayBuilder();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.ROLLOUT)))) {
@@ -75,7 +114,7 @@
             Tally t = total.all(Sum.key(i.key()));
             Item turn = c.ageMs(Book.TURN, i.key()) < 3000 ? c.book(b -> b.get(Book.TURN, i.key())) : null;
             out.add(JSON.createObjectBuilder().add("turn", turn == null ? "" : new String(turn.value(), UTF_8)).add("id", i.key()).add("service", e.service()).add("address", e.address())
-                    .add("zone", e.zone()).add("revision", e.revision()).add("weights", e.weights())
+                    .add("zone", e.zone()).add("region", c.config().regionOf(e.zone())).add("revision", e.revision()).add("weights", e.weights())
                     .add("state", leaving == null ? "ready" : new String(leaving.value(), UTF_8)).add("beatAgeMs", ageMs)
                     .add("callSeq", i.version()).add("running", t.running()).add("answered", t.answered())
                     .add("failed", t.failed()));
--- a/src/main/java/ringspindle/cp/Gate.java
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -19,6 +19,7 @@
 import ringspindle.edge.*;
 import ringspindle.know.*;
 import ringspindle.meet.*;
+import ringspindle.rule.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
@@ -69,6 +70,13 @@
             case GONE:
                 control.call(Chain.GONE, 0, arg, NONE, (o, body) -> end(response, callback, o, NONE));
                 return true;
+            case RULES_GET:
+                control.call(Chain.READ, 0, Chain.READ_RULES, NONE, (o, body) -> end(response, callback, o, o == Outcome.TAKEN ? body : NONE));
+                return true;
+            case RULES_PUT:
+                return rules(request, response, callback);
+            case LEDGER:
+                return end(response, callback, Outcome.TAKEN, Fleet.ledger(control).toString().getBytes(UTF_8));
             case ROLLOUTS:
                 return end(response, callback, Outcome.TAKEN, Fleet.rollouts(control).toString().getBytes(UTF_8));
             case ROLLOUT:
@@ -100,15 +108,42 @@
     }
 
     private boolean configuration(Request request, Response response, Callback callback, int kind) {
-        long base;
+        long base = base(request);
+        if (base < 0) {
+            return end(response, callback, Outcome.MALFORMED, NONE);
+        }
+        body(request, BODY_MAX, response, callback,
+                b -> control.call(kind, base, "", b, (o, text) -> end(response, callback, o, text)));
+        return true;
+    }
+
+    /** The version an order builds on, 0 for the first, below 0 if it cannot be read. */
+    private static long base(Request request) {
         try {
             String m = request.getHeaders().get(HttpHeader.IF_MATCH);
-            base = m == null ? 0 : Long.parseLong(m.replace("\"", "").trim());
+            return m == null ? 0 : Long.parseLong(m.replace("\"", "").trim());
         } catch (NumberFormatException x) {
+            return -1;
+        }
+    }
+
+    /** Serving rules: regions are known here, routes and models to the head of the chain. */
+    private boolean rules(Request request, Response response, Callback callback) {
+        long base = base(request);
+        if (base < 0) {
             return end(response, callback, Outcome.MALFORMED, NONE);
         }
-        body(request, BODY_MAX, response, callback,
-                b -> control.call(kind, base, "", b, (o, text) -> end(response, callback, o, text)));
+        body(request, ServingRules.BYTES_MAX, response, callback, b -> {
+            Checked<ServingRules> checked = ServingRules.read(b);
+            List<Problem> problems = checked instanceof Checked.Refused<ServingRules> bad ? bad.problems()
+                    : ((Good<ServingRules>) checked).value().problems(null, new TreeSet<>(control.config().regionOfZone().values()));
+            if (!problems.isEmpty()) {
+                end(response, callback, Outcome.INVALID,
+                        problems.stream().map(Problem::text).collect(java.util.stream.Collectors.joining("; ")).getBytes(UTF_8));
+                return;
+            }
+            control.call(Chain.RULES, base, "", b, (o, text) -> end(response, callback, o, text));
+        });
         return true;
     }
 
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -11,6 +11,7 @@
 import ringspindle.know.*;
 import ringspindle.meet.*;
 import ringspindle.pick.*;
+import ringspindle.rule.*;
 import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
@@ -21,6 +22,8 @@
     static final int TICK_MS = 100;
     private static final int SILENT_MS = 900;
     private static final int CONTROLS = 2;
+    /** The ledger goes out every so many ticks. */
+    private static final int LEDGER_TICKS = 20;
 
     private volatile NodeConfig config;
     private final NodeId me;
@@ -39,6 +42,7 @@
     private final long life;
     private NodeId collector;
     private long reportSeq;
+    private long ledgerSeq;
     private long reportedMs;
     private long ticks;
     private volatile boolean leaving;
@@ -160,6 +164,13 @@
                 }
             } else if (i.kind() == Book.ENGINE) {
                 picker.engine(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
+            } else if (i.kind() == Book.RULES) {
+                if (ServingRules.read(i.value()) instanceof Checked.Good<ServingRules> good) {
+                    front.rules(good.value());
+                    LOG.atInfo().log("serving rules %s in force", good.value().revision());
+                } else {
+                    LOG.atSevere().log("serving rules of seq %s cannot be read here", i.version());
+                }
             } else if (i.kind() == Book.SILENT) {
                 picker.silent(i.key(), i.value()[0] == 1, nowMs);
             }
@@ -218,6 +229,14 @@
                 mesh.send(collector, Sum.NONE.report(life, ++reportSeq));
             }
             collector = best;
+            if (best != null && ticks % LEDGER_TICKS == 0) {
+                LedgerReport l = front.ledger(life, ++ledgerSeq);
+                Set<Ledger.Broken> broken = Ledger.broken(l);
+                if (!broken.isEmpty()) {
+                    LOG.atSevere().log("the ledger breaks %s", broken);
+                }
+                mesh.send(best, l);
+            }
             Sum seen = picker.report(nowMs);
             if (best != null && (!seen.equals(Sum.NONE) || nowMs - reportedMs > 1400)) {
                 reportedMs = nowMs;
--- a/src/main/java/ringspindle/edge/Edge.java
+++ b/src/main/java/ringspindle/edge/Edge.java
@@ -2,12 +2,20 @@
 
 import java.util.*;
 import ringspindle.conf.*;
+import ringspindle.rule.*;
+import ringspindle.wire.Msg.*;
 
 /** The clients' side of a data node, as the owner of what the node knows sees it. */
 public interface Edge {
     /** The newest configuration in force here; older ones are ignored. */
     void config(FleetConfig c);
 
+    /** The newest serving rules; older ones are ignored. */
+    void rules(ServingRules r);
+
+    /** What became of this node's actions, and the rules in force here; {@code edge.ledger(life, seq)}. */
+    LedgerReport ledger(long life, long seq);
+
     /** A control node has told all that is in force. */
     void confirm();
 
--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -16,6 +16,7 @@
 import ringspindle.api.*;
 import ringspindle.conf.*;
 import ringspindle.pick.*;
+import ringspindle.rule.*;
 
 /** One request from its head to its last byte: the owner of an action. Events come in, one at a time. */
 final class Flow {
@@ -111,6 +112,10 @@
     private final int outTokens;
     private final long affinity;
     private final int sharedTokens;
+    /** The rules that the action was admitted under; all it does follows these, whatever comes since. */
+    private final ServingRules rules;
+    private final Rule rule;
+    private long waitSinceMs = -1;
     private final Set<String> tried = new HashSet<>(4);
     private Try now;
     private boolean answered;
@@ -139,19 +144,15 @@
         String[] tokens = header("Token-Count", "0,0").split(",");
         promptTokens = number(tokens[0]);
         outTokens = tokens.length > 1 ? number(tokens[1]) : 0;
-        String[] parts = header("Prompt-Prefix", "").split(",");
-        long hash = 0;
-        int shared = 0;
-        for (int i = 0; i < parts.length - 1; i++) {
-            int colon = parts[i].indexOf(':');
-            if (colon > 0) {
-                shared += number(parts[i].substring(colon + 1));
-                hash = hash * 31 + parts[i].substring(0, colon).hashCode();
-            }
-        }
-        // a short head is read again sooner than a request crosses to where it is kept
-        affinity = shared >= 1000 ? (hash == 0 ? 1 : hash) * 0x9E3779B97F4A7C15L : 0;
-        sharedTokens = shared;
+        rules = front.rules();
+        rule = rules == null ? null : rules.of(new Asked(mapping.name(), mapping.host(), request.getHttpURI().getPath(),
+                header("Model", ""), promptTokens, !mapping.homes().isEmpty()));
+        String prefix = header("Prompt-Prefix", "");
+        Affinity.Key key = rule == null || rule.affinity() == null ? Affinity.plain(prefix) : rule.affinity().key(prefix);
+        affinity = key.key();
+        sharedTokens = key.sharedTokens();
+        front.ledger().admitted(action.id(), rules == null ? 0 : rules.revision(), rule == null ? ServingRules.PLAIN : rule.name(),
+                policy.repeatable() || policy.resumable());
         String last = request.getHeaders().get("Last-Event-Id");
         lastId = last == null ? -1 : number(last);
     }
@@ -170,7 +171,20 @@
     }
 
     int rank() {
-        return mapping.priority();
+        return rule == null || rule.rank() < 0 ? mapping.priority() : rule.rank();
+    }
+
+    /** What the rule says of the choice; null where it says nothing, so that all is as without rules. */
+    private Picker.Steer steer(long nowMs) {
+        if (rule == null) {
+            return null;
+        }
+        double kept = rules.kept(rule);
+        if (kept <= 0 && rule.affinity() == null && rule.busy().isEmpty() && rule.gone().isEmpty()) {
+            return null;
+        }
+        return new Picker.Steer(kept, rule.affinity() == null ? 1.5 : rule.affinity().uneven(), rule.busy(), rule.gone(),
+                waitSinceMs < 0 ? 0 : nowMs - waitSinceMs);
     }
 
     long sinceMs() {
@@ -201,7 +215,7 @@
             return;
         }
         Picker.Ask ask = new Picker.Ask(service, mapping.homes(), affinity, sharedTokens, Math.max(0, promptTokens - sharedTokens),
-                outTokens, tried, resuming ? weights : -1, front.luck());
+                outTokens, tried, resuming ? weights : -1, front.luck(), steer(nowMs));
         Picker.Choice c = front.picker().choose(ask, nowMs);
         if (c instanceof Picker.NoneNow none) {
             comeBackMs = none.comeBackMs();
@@ -209,6 +223,7 @@
             return;
         }
         waitUntilMs = -1;
+        waitSinceMs = -1;
         Picker.Chosen chosen = (Picker.Chosen) c;
         Attempt a = action.attempt(nowMs, timeoutMs(ask));
         if (a == null) {
@@ -236,7 +251,8 @@
     private void await(long nowMs) {
         if (waitUntilMs < 0) {
             long patienceMs = action.mayHaveRun() || action.responseCommitted() ? 1500
-                    : Math.max(40, mapping.aimMs() / 5 - (nowMs - sinceMs));
+                    : rule != null && rule.waitMs() >= 0 ? rule.waitMs() : Math.max(40, mapping.aimMs() / 5 - (nowMs - sinceMs));
+            waitSinceMs = nowMs;
             waitUntilMs = Math.min(nowMs + patienceMs, action.deadlineMs() - 50);
         }
         if (nowMs >= waitUntilMs) {
@@ -288,6 +304,7 @@
             r = compose(t, nowMs);
             t.request = r;
             t.attempt.sent();
+            front.ledger().sent(action.id(), t.resume);
             sends++;
             t.sentMs = nowMs;
             t.heardMs = nowMs;
@@ -320,7 +337,7 @@
                     : t.attempt.deadlineMs() - nowMs)));
             h.put("Target-Instance", t.chosen.id());
             if (mapping.kind() == FleetConfig.Kind.STREAMING) {
-                h.put("Request-Urgency", Integer.toString(Math.max(0, Math.min(9, mapping.priority()))));
+                h.put("Request-Urgency", Integer.toString(Math.max(0, Math.min(9, rank()))));
             }
             if (t.resume) {
                 h.put("Last-Event-Id", Long.toString(lastId));
@@ -592,6 +609,9 @@
         }
         Action.Verdict v = action.ended(t.attempt, end, policy, nowMs);
         Action.End real = t.attempt.end();
+        if (t.sentMs >= 0 && real != null && real.notRun()) {
+            front.ledger().notRun(action.id());
+        }
         front.picker().ended(t.chosen.id(), t.ask, real == null ? end : real, t.firstMs, nowMs);
         if (t.wire != null) {
             Wires.Wire w = t.wire;
--- a/src/main/java/ringspindle/edge/Front.java
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -16,7 +16,9 @@
 import ringspindle.api.*;
 import ringspindle.conf.*;
 import ringspindle.pick.*;
+import ringspindle.rule.*;
 import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
 
 /** The consumers' side of a data node: mappings, flows, readiness. */
 public final class Front extends Handler.Abstract implements Action.Ear, Edge {
@@ -36,6 +38,8 @@
     private final AtomicLong ids = new AtomicLong();
     private final LongAdder active = new LongAdder();
     private final Map<String, LongAdder> ends = new ConcurrentHashMap<>();
+    private final Ledger ledger = new Ledger();
+    private volatile ServingRules rules;
     private volatile FleetConfig config;
     private volatile boolean confirmed;
     private volatile boolean leaving;
@@ -92,6 +96,20 @@
         }
     }
 
+    @Override
+    public void rules(ServingRules r) {
+        ServingRules old = rules;
+        if (old == null || r.revision() > old.revision()) {
+            rules = r;
+        }
+    }
+
+    @Override
+    public LedgerReport ledger(long life, long seq) {
+        ServingRules r = rules;
+        return ledger.report(life, seq, r == null ? 0 : r.revision(), r == null ? 0 : r.digest());
+    }
+
     /** A control node has told all that is in force; {@code front.confirm()}. */
     @Override
     public void confirm() {
@@ -155,6 +173,15 @@
         return picker;
     }
 
+    /** The serving rules in force, null while there are none. */
+    ServingRules rules() {
+        return rules;
+    }
+
+    Ledger ledger() {
+        return ledger;
+    }
+
     Wires wires() {
         return wires;
     }
@@ -194,6 +221,7 @@
     @Override
     public void ended(Action.Terminal t) {
         active.decrement();
+        ledger.ended(t);
         String how = t.state() + (t.cause() == null ? "" : " " + t.cause());
         ends.computeIfAbsent(how, k -> new LongAdder()).increment();
         if (t.state() != Action.State.COMPLETED && t.cause() != Action.Cause.CONSUMER_GONE) {
--- a/src/main/java/ringspindle/know/Book.java
+++ b/src/main/java/ringspindle/know/Book.java
@@ -17,6 +17,8 @@
     int TURN = 8;
     /** Whether control nodes hear an engine's heartbeats; rests on the number of the last one. */
     int SILENT = 9;
+    /** The operators' serving rules. */
+    int RULES = 10;
     int RANGES = 16;
 
     /** Takes what is newer; returns just that. {@code book.merge(news.items())}. */
--- a/src/main/java/ringspindle/ops/Cli.java
+++ b/src/main/java/ringspindle/ops/Cli.java
@@ -14,6 +14,7 @@
 import ringspindle.api.*;
 import ringspindle.conf.*;
 import ringspindle.conf.Checked.*;
+import ringspindle.rule.*;
 import ringspindle.wire.*;
 
 /** The operator's command line over the whole fleet, through any control node. */
@@ -95,6 +96,49 @@
         int patienceS = 120;
     }
 
+    @Parameters(commandDescription = "serving rules: get | check FILE | put FILE | diff FILE | explain | status")
+    static final class Rules extends Common {
+        @Parameter(description = "get | check FILE | put FILE | diff FILE | explain | status")
+        List<String> words = new ArrayList<>();
+
+        @Parameter(names = "--base", description = "the revision to build on (default: the one in force)")
+        Long base;
+
+        @Parameter(names = "--config", description = "check, explain: a configuration's file, to check routes and models against")
+        String config;
+
+        @Parameter(names = "--regions", description = "check: the regions there are, separated by commas")
+        List<String> regions = new ArrayList<>();
+
+        @Parameter(names = "--file", description = "explain: a rules file (default: those in force)")
+        String file;
+
+        @Parameter(names = "--route", description = "explain: the request's route")
+        String route = "";
+
+        @Parameter(names = "--host", description = "explain: its host")
+        String host = "";
+
+        @Parameter(names = "--path", description = "explain: its path")
+        String path = "/";
+
+        @Parameter(names = "--model", description = "explain: its model")
+        String model = "";
+
+        @Parameter(names = "--prompt", description = "explain: its prompt tokens")
+        int prompt;
+
+        @Parameter(names = "--prefix", description = "explain: its Prompt-Prefix")
+        String prefix = "";
+
+        @Parameter(names = "--home", description = "explain: it is bound to regions")
+        boolean home;
+    }
+
+    @Parameters(commandDescription = "what became of the requests, by class and revision of the serving rules")
+    static final class Ledger extends Common {
+    }
+
     /** What came back: an HTTP status, 0 if nobody was reached. */
     record Reply(int status, String body) {
     }
@@ -113,6 +157,8 @@
         commands.put("evacuate", new Evacuate());
         commands.put("restore", new Restore());
         commands.put("rollout", new Rollout());
+        commands.put("rules", new Rules());
+        commands.put("ledger", new Ledger());
     }
 
     /** The operator's commands, for the program's own list; {@code Cli.create(System.out, System.err)}. */
@@ -131,6 +177,12 @@
         if (c instanceof Config g && !g.words.isEmpty() && g.words.get(0).equals("check")) {
             return g.words.size() == 2 ? check(g.words.get(1)) : usage("config check FILE");
         }
+        if (c instanceof Rules r && !r.words.isEmpty() && r.words.get(0).equals("check")) {
+            return r.words.size() == 2 ? check(r, r.words.get(1)) : usage("rules check FILE");
+        }
+        if (c instanceof Rules r && r.file != null && r.words.equals(List.of("explain"))) {
+            return explain(r, r.file, List.of());
+        }
         if (c.control == null || c.control.isBlank()) {
             return usage("no control nodes: give --control ip:port,... or RINGSPINDLE_CONTROL");
         }
@@ -163,6 +215,12 @@
             if (c instanceof Restore e) {
                 return e.words.size() == 1 ? done(fleet.call(Operation.RESTORE, e.words.get(0), null, null)) : usage("restore ZONE");
             }
+            if (c instanceof Rules r) {
+                return rules(fleet, r);
+            }
+            if (c instanceof Ledger) {
+                return ledger(fleet, c);
+            }
             return rollout(fleet, (Rollout) c);
         } catch (Exception x) {
             err.println("failed: " + x.getMessage());
@@ -190,6 +248,218 @@
         return OK;
     }
 
+    private byte[] file(String name) throws IOException {
+        return Files.readAllBytes(Path.of(name));
+    }
+
+    /** The control plane's very checks, offline. */
+    private int check(Rules r, String name) {
+        try {
+            Checked<ServingRules> rules = ServingRules.read(file(name));
+            List<Problem> problems = new ArrayList<>();
+            if (rules instanceof Refused<ServingRules> bad) {
+                problems.addAll(bad.problems());
+            } else {
+                FleetConfig config = null;
+                if (r.config != null) {
+                    Checked<FleetConfig> c = FleetConfig.read(file(r.config));
+                    if (c instanceof Refused<FleetConfig> bad) {
+                        bad.problems().forEach(p -> err.println("refused: the configuration: " + p.text()));
+                        return REFUSED;
+                    }
+                    config = ((Good<FleetConfig>) c).value();
+                }
+                problems.addAll(((Good<ServingRules>) rules).value().problems(config, new TreeSet<>(r.regions)));
+            }
+            problems.forEach(p -> err.println("refused: " + p.text()));
+            if (problems.isEmpty()) {
+                out.println("valid");
+            }
+            return problems.isEmpty() ? OK : REFUSED;
+        } catch (IOException x) {
+            return usage("cannot read " + x.getMessage());
+        }
+    }
+
+    private int explain(Rules r, String name, List<Explain.Candidate> engines) {
+        try {
+            return explain(r, file(name), engines);
+        } catch (IOException x) {
+            return usage("cannot read " + name);
+        }
+    }
+
+    private int explain(Rules r, byte[] rules, List<Explain.Candidate> engines) {
+        if (ServingRules.read(rules) instanceof Refused<ServingRules> bad) {
+            bad.problems().forEach(p -> err.println("refused: " + p.text()));
+            return REFUSED;
+        }
+        Asked asked = new Asked(r.route, r.host, r.path, r.model, r.prompt, r.home);
+        Explain.lines(((Good<ServingRules>) ServingRules.read(rules)).value(), asked, r.prefix, engines).forEach(out::println);
+        return OK;
+    }
+
+    private int rules(Fleet fleet, Rules r) throws Exception {
+        String word = r.words.isEmpty() ? "" : r.words.get(0);
+        if (word.equals("get") && r.words.size() == 1) {
+            return show(r, fleet.call(Operation.RULES_GET, "", null, null), o -> out.println(o));
+        }
+        if (word.equals("status") && r.words.size() == 1) {
+            return followed(fleet, r);
+        }
+        if (word.equals("explain") && r.words.size() == 1) {
+            Reply now = fleet.call(Operation.RULES_GET, "", null, null);
+            if (now.status() != 200) {
+                return done(now);
+            }
+            return explain(r, now.body().getBytes(UTF_8), candidates(fleet, r));
+        }
+        if (!List.of("put", "diff").contains(word) || r.words.size() != 2) {
+            return usage("rules get | check FILE | put FILE | diff FILE | explain | status");
+        }
+        byte[] body;
+        try {
+            body = file(r.words.get(1));
+        } catch (IOException x) {
+            return usage("cannot read " + r.words.get(1));
+        }
+        Long base = r.base;
+        JsonObject current = null;
+        if (base == null || word.equals("diff")) {
+            Reply now = fleet.call(Operation.RULES_GET, "", null, null);
+            if (now.status() != 200 && now.status() != 404) {
+                return done(now);
+            }
+            current = now.status() == 200 ? parse(now.body()) : null;
+            base = base != null ? base : current == null ? Long.valueOf(0) : Long.valueOf(current.getJsonNumber("revision").longValue());
+        }
+        if (word.equals("diff")) {
+            if (!(FleetConfig.json(body) instanceof Good<JsonObject> mine)) {
+                err.println("refused: not a whole JSON object");
+                return REFUSED;
+            }
+            diffRules(current == null ? JsonValue.EMPTY_JSON_OBJECT : current, mine.value());
+            return OK;
+        }
+        return done(fleet.call(Operation.RULES_PUT, "", base, body));
+    }
+
+    /** Rules by name, and whether their order differs. */
+    private void diffRules(JsonObject now, JsonObject mine) {
+        out.println("revision " + now.get("revision") + " -> " + mine.get("revision"));
+        Map<String, JsonObject> a = named(now, "rules");
+        Map<String, JsonObject> b = named(mine, "rules");
+        Set<String> names = new TreeSet<>(a.keySet());
+        names.addAll(b.keySet());
+        for (String n : names) {
+            if (!a.containsKey(n)) {
+                out.println("+ " + n);
+            } else if (!b.containsKey(n)) {
+                out.println("- " + n);
+            } else if (!a.get(n).equals(b.get(n))) {
+                out.println("~ " + n);
+            }
+        }
+        if (!Objects.equals(now.get("default"), mine.get("default"))) {
+            out.println("~ default");
+        }
+        if (!order(now).equals(order(mine))) {
+            out.println("order " + order(now) + " -> " + order(mine));
+        }
+    }
+
+    private static List<String> order(JsonObject o) {
+        List<String> names = new ArrayList<>();
+        if (o.get("rules") instanceof JsonArray a) {
+            a.getValuesAs(JsonObject.class).forEach(x -> names.add(x.getString("name", "")));
+        }
+        return names;
+    }
+
+    private List<Explain.Candidate> candidates(Fleet fleet, Rules r) throws Exception {
+        Reply engines = fleet.call(Operation.ENGINES, "", null, null);
+        Reply config = fleet.call(Operation.CONFIG_GET, "", null, null);
+        List<Explain.Candidate> out = new ArrayList<>();
+        if (engines.status() != 200 || config.status() != 200 || !(FleetConfig.read(config.body().getBytes(UTF_8)) instanceof Good<FleetConfig> c)) {
+            return out;
+        }
+        FleetConfig.Mapping route = c.value().mappings().stream().filter(m -> m.name().equals(r.route)).findFirst().orElse(null);
+        for (JsonObject e : parse(engines.body()).getJsonArray("engines").getValuesAs(JsonObject.class)) {
+            boolean serves = route == null || route.targets().stream().anyMatch(t -> t.service().equals(e.getString("service")));
+            boolean home = route == null || route.homes().isEmpty() || route.homes().contains(e.getString("region", ""));
+            if (serves && home) {
+                out.add(new Explain.Candidate(e.getString("id"), e.getString("zone"), e.getString("region", ""), e.getString("state")));
+            }
+        }
+        return out;
+    }
+
+    /** What all control nodes that can be reached say, and who cannot; null after a message if there is nobody. */
+    private FleetLedger gathered(Fleet fleet, Set<String> unreached) throws Exception {
+        Reply status = fleet.call(Operation.STATUS, "", null, null);
+        if (status.status() != 200) {
+            done(status);
+            return null;
+        }
+        Set<String> all = new TreeSet<>(fleet.nodes);
+        for (JsonObject s : parse(status.body()).getJsonArray("sessions").getValuesAs(JsonObject.class)) {
+            if (!s.getString("control", "").isEmpty()) {
+                all.add(s.getString("control"));
+            }
+        }
+        FleetLedger out = new FleetLedger();
+        for (String node : all) {
+            Reply r = fleet.once(node, Operation.LEDGER);
+            if (r.status() == 200) {
+                out.add(parse(r.body()));
+            } else {
+                unreached.add(node);
+            }
+        }
+        return out;
+    }
+
+    private int followed(Fleet fleet, Rules c) throws Exception {
+        Set<String> unreached = new TreeSet<>();
+        FleetLedger l = gathered(fleet, unreached);
+        if (l == null) {
+            return NOT_REACHED;
+        }
+        boolean all = l.all() && unreached.isEmpty();
+        if (c.json) {
+            out.println(JSON.createObjectBuilder().add("revision", l.revision()).add("all", all).add("regions", l.regionTable())
+                    .add("unreached", String.join(", ", unreached)).add("idle", String.join(", ", l.idle())).build());
+        } else {
+            out.println("rules in force: " + (l.revision() == 0 ? "none" : "revision " + l.revision()));
+            table(l.regionTable(), "region", "follow", "other", "unheard", "notInTouch");
+            l.idle().forEach(n -> out.println("idle, as its route is not there: " + n));
+            unreached.forEach(n -> out.println("not reached, so nodes that report there are not known: " + n));
+            out.println(all ? "every node in touch follows them" : "not every node is known to follow them");
+        }
+        return all ? OK : FAILED;
+    }
+
+    private int ledger(Fleet fleet, Common c) throws Exception {
+        Set<String> unreached = new TreeSet<>();
+        FleetLedger l = gathered(fleet, unreached);
+        if (l == null) {
+            return NOT_REACHED;
+        }
+        List<String> broken = l.broken();
+        if (c.json) {
+            JsonArrayBuilder b = JSON.createArrayBuilder();
+            broken.forEach(b::add);
+            out.println(JSON.createObjectBuilder().add("classes", l.table()).add("broken", b).add("unreached", String.join(", ", unreached)).build());
+        } else {
+            table(l.table(), "revision", "class", "admitted", "inProgress", "unknown", "completed", "clientGone", "overdue", "nodeEnds", "givenUp",
+                    "sent", "notRun", "mayHaveRun", "resumed");
+            unreached.forEach(n -> out.println("not reached, so actions counted there are missing: " + n));
+            broken.forEach(b -> err.println("broken law: " + b));
+            out.println(broken.isEmpty() ? "all laws hold in what was heard" : broken.size() + " laws broken");
+        }
+        return broken.isEmpty() ? OK : FAILED;
+    }
+
     private int config(Fleet fleet, Config g) throws Exception {
         String word = g.words.isEmpty() ? "" : g.words.get(0);
         if (word.equals("get") && g.words.size() == 1) {
@@ -390,6 +660,16 @@
             return new Reply(0, "");
         }
 
+        /** Asks one node, once. */
+        Reply once(String node, Operation o) throws InterruptedException {
+            try {
+                ContentResponse c = http.newRequest("http://" + node + o.path("")).method(o.method()).timeout(3, TimeUnit.SECONDS).send();
+                return new Reply(c.getStatus(), c.getContentAsString());
+            } catch (TimeoutException | ExecutionException x) {
+                return new Reply(0, "");
+            }
+        }
+
         @Override
         public void close() {
             LifeCycleQuietly.stop(http);
--- a/src/main/java/ringspindle/pick/Picker.java
+++ b/src/main/java/ringspindle/pick/Picker.java
@@ -4,6 +4,7 @@
 import ringspindle.act.*;
 import ringspindle.api.*;
 import ringspindle.conf.*;
+import ringspindle.rule.*;
 import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
@@ -15,7 +16,22 @@
 
     /** What is to be placed. affinity 0 means that nothing is shared; weights below 0 that any will do. */
     record Ask(String service, Set<String> homes, long affinity, int sharedTokens, int tokens, int outTokens,
-            Set<String> tried, long weights, long luck) {
+            Set<String> tried, long weights, long luck, Steer steer) {
+        /** Without serving rules. */
+        public Ask(String service, Set<String> homes, long affinity, int sharedTokens, int tokens, int outTokens,
+                Set<String> tried, long weights, long luck) {
+            this(service, homes, affinity, sharedTokens, tokens, outTokens, tried, weights, luck, null);
+        }
+    }
+
+    /**
+     * What a serving rule says of the choice; it narrows what may be chosen and never widens it.
+     *
+     * @param kept the share of an engine's places that is kept for other classes
+     * @param uneven how many times the mean load the holder may have
+     * @param waitedMs how long the request has waited for a place
+     */
+    record Steer(double kept, double uneven, List<Step> busy, List<Step> gone, long waitedMs) {
     }
 
     /** An engine, or why there is none. */
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -6,6 +6,7 @@
 import ringspindle.act.*;
 import ringspindle.api.*;
 import ringspindle.conf.*;
+import ringspindle.rule.*;
 import ringspindle.sum.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
@@ -26,6 +27,8 @@
     private static final int PROBE_MAX_MS = 2000;
     private static final double KEEP = 0.8;
     private static final int MIN_NODES = 4;
+    /** Ours: so many tokens more than the mean are no unevenness yet. */
+    private static final int UNEVEN_TOKENS = 60_000;
     /** Ours: how long sums count; after that a node goes on with what it sees itself. */
     private static final int LOAD_MS = 2500;
     /** Ours: for so long an answer from a region shows that it can be reached, whatever control nodes hear of it. */
@@ -361,16 +364,22 @@
         boolean coldOnly = false;
         boolean anyFresh = false;
         List<Row> fit = new ArrayList<>(rows.size());
+        List<Row> permitted = ask.steer() == null ? null : new ArrayList<>();
         Set<String> inTurn = turns.getOrDefault(ask.service(), Set.of());
         for (Row r : rows.values()) {
-            if (!r.said.service().equals(ask.service()) || r.leaving || evacuated.contains(r.said.zone())
-                    || !ask.homes().isEmpty() && !ask.homes().contains(r.region) || ask.tried().contains(r.id)
-                    || inTurn.contains(r.id)) {
+            if (!r.said.service().equals(ask.service())
+                    || !ask.homes().isEmpty() && !ask.homes().contains(r.region) || ask.tried().contains(r.id)) {
                 continue;
             }
             if (ask.weights() >= 0 && r.said.weights() >= 0 && r.said.weights() != ask.weights()) {
                 continue;
             }
+            if (permitted != null) {
+                permitted.add(r);
+            }
+            if (r.leaving || evacuated.contains(r.said.zone()) || inTurn.contains(r.id)) {
+                continue;
+            }
             judge(r, nowMs);
             any = true;
             if (!r.suspect) {
@@ -379,6 +388,11 @@
             }
         }
         sparePoor(fit, ask.luck(), nowMs);
+        if (permitted != null) {
+            Row steered = steered(ask, service, fit, permitted, anyFresh, nowMs);
+            return steered == null ? new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, any ? 600 : 900)
+                    : chosen(steered, ask, service, nowMs);
+        }
         Row home = null;
         if (ask.affinity() != 0) {
             // the prompt's head lives where the rendezvous hash says, unless that engine has far more than its share
@@ -388,9 +402,9 @@
             }
             mean = fit.isEmpty() ? 0 : mean / fit.size();
             List<Row> ranked = new ArrayList<>(fit);
-            ranked.sort(Comparator.comparingLong((Row r) -> mix(r.hash ^ ask.affinity())));
+            ranked.sort(Comparator.comparingLong((Row r) -> Rendezvous.rank(r.hash, ask.affinity())));
             for (Row r : ranked) {
-                if (r.tokensNow(nowMs) + ask.tokens() <= 1.5 * mean + 60_000 && !(absent(r) && anyFresh)) {
+                if (r.tokensNow(nowMs) + ask.tokens() <= 1.5 * mean + UNEVEN_TOKENS && !(absent(r) && anyFresh)) {
                     home = r;
                     break;
                 }
@@ -404,14 +418,7 @@
                 coldOnly = true;
                 continue;
             }
-            double read = ask.tokens() + (r == home || home == null ? 0 : ask.sharedTokens());
-            int others = r.runningNow(nowMs) - r.running;
-            double cost = way(r) + read * tokenMs + (r.running + OTHERS * others) * SLOT_MS
-                    + (r.tokens + OTHERS * (r.tokensNow(nowMs) - r.tokens)) * tokenMs * 0.3
-                    + (mix(ask.luck() ^ r.hash) >>> 54) * 0.002;
-            if (r.coldUntilMs > nowMs) {
-                cost += 30;
-            }
+            double cost = cost(r, home, ask, nowMs);
             if (cost < bestCost) {
                 bestCost = cost;
                 best = r;
@@ -420,6 +427,20 @@
         if (best == null) {
             return new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, coldOnly ? 250 : any ? 600 : 900);
         }
+        return chosen(best, ask, service, nowMs);
+    }
+
+    private double cost(Row r, Row home, Ask ask, long nowMs) {
+        double read = ask.tokens() + (r == home || home == null ? 0 : ask.sharedTokens());
+        int others = r.runningNow(nowMs) - r.running;
+        double cost = way(r) + read * tokenMs + (r.running + OTHERS * others) * SLOT_MS
+                + (r.tokens + OTHERS * (r.tokensNow(nowMs) - r.tokens)) * tokenMs * 0.3
+                + (mix(ask.luck() ^ r.hash) >>> 54) * 0.002;
+        return r.coldUntilMs > nowMs ? cost + 30 : cost;
+    }
+
+    /** Counts the request as running there. */
+    private Chosen chosen(Row best, Ask ask, FleetConfig.Service service, long nowMs) {
         if (best.coldUntilMs > nowMs) {
             best.coldTokens -= 1;
             long turn = service == null || service.warmupPerS() <= 0 ? -1
@@ -433,6 +454,90 @@
         return new Chosen(best.id, best.address, best.said.zone(), wires);
     }
 
+    /**
+     * A choice under a serving rule: the holder, else the rule's places in their order, each once its wait is over. Only
+     * engines that may be asked anyway are looked at.
+     */
+    private Row steered(Ask ask, FleetConfig.Service service, List<Row> fit, List<Row> permitted, boolean anyFresh, long nowMs) {
+        Steer steer = ask.steer();
+        double mean = 0;
+        for (Row r : fit) {
+            mean += r.tokensNow(nowMs) / fit.size();
+        }
+        Row holder = null;
+        List<Row> ranked = new ArrayList<>(permitted);
+        if (ask.affinity() != 0) {
+            ranked.sort(Comparator.comparingLong((Row r) -> Rendezvous.rank(r.hash, ask.affinity())));
+            holder = ranked.isEmpty() ? null : ranked.get(0);
+        }
+        List<Row> open = new ArrayList<>(fit.size());
+        for (Row r : fit) {
+            boolean cold = r.coldUntilMs > nowMs;
+            int places = steer.kept() <= 0 ? Integer.MAX_VALUE : Math.max(1, (int) (r.said.capacity() * (1 - steer.kept())));
+            if (!(anyFresh && absent(r)) && !(cold && !coldRoom(r, service, nowMs)) && r.runningNow(nowMs) < places) {
+                open.add(r);
+            }
+        }
+        boolean there = holder != null && fit.contains(holder) && !(anyFresh && absent(holder)) && holder.coldUntilMs <= nowMs;
+        if (there && open.contains(holder) && holder.tokensNow(nowMs) + ask.tokens() <= steer.uneven() * mean + UNEVEN_TOKENS) {
+            return holder;
+        }
+        List<Step> steps = there ? steer.busy() : steer.gone();
+        if (holder == null || steps.isEmpty()) {
+            return cheapest(open, holder, ask, nowMs);
+        }
+        open.remove(holder);
+        long dueMs = 0;
+        for (Step step : steps) {
+            dueMs += step.waitMs();
+            if (steer.waitedMs() < dueMs) {
+                return null;
+            }
+            Row best = cheapest(at(step, open, ranked, holder), holder, ask, nowMs);
+            if (best != null) {
+                return best;
+            }
+        }
+        return null;
+    }
+
+    private List<Row> at(Step step, List<Row> open, List<Row> ranked, Row holder) {
+        if (step.to() == Step.To.NEXT) {
+            for (Row r : ranked) {
+                if (r != holder && !r.leaving && !r.suspect) {
+                    return open.contains(r) ? List.of(r) : List.of();
+                }
+            }
+            return List.of();
+        }
+        List<Row> out = new ArrayList<>();
+        for (Row r : open) {
+            boolean in = switch (step.to()) {
+                case ZONE -> r.said.zone().equals(node.zone());
+                case REGION -> r.region.equals(node.region());
+                case REGIONS -> step.regions().contains(r.region);
+                default -> true;
+            };
+            if (in) {
+                out.add(r);
+            }
+        }
+        return out;
+    }
+
+    private Row cheapest(List<Row> of, Row holder, Ask ask, long nowMs) {
+        Row best = null;
+        double bestCost = Double.MAX_VALUE;
+        for (Row r : of) {
+            double cost = cost(r, holder, ask, nowMs);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = r;
+            }
+        }
+        return best;
+    }
+
     /** Engines that do poorly get a trickle, unless so many do that the rest could not carry the load. */
     private static void sparePoor(List<Row> fit, long luck, long nowMs) {
         int poor = 0;
@@ -507,9 +612,7 @@
     }
 
     private static long mix(long z) {
-        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return (z ^ z >>> 31) & Long.MAX_VALUE;
+        return Rendezvous.mix(z);
     }
 
     @Override
--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -148,6 +148,17 @@
             ReportEncoder.SourcesEncoder o = e.sourcesCount(x.sources().size());
             x.sources().forEach(r -> o.next().node(r.node().bits()).sourceLife(r.life()).sourceSeq(r.seq()));
             end = e.limit();
+        } else if (m instanceof LedgerReport x) {
+            LedgerReportEncoder e = new LedgerReportEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq())
+                    .revision(x.revision()).digest(x.digest()).endedTwice(x.endedTwice());
+            LedgerReportEncoder.RowsEncoder g = e.rowsCount(x.rows().size());
+            for (LedgerRow r : x.rows()) {
+                g.next().revision(r.revision()).admitted(r.admitted()).inProgress((int) r.inProgress()).completed(r.completed())
+                        .clientGone(r.clientGone()).overdue(r.overdue()).nodeEnds((int) r.nodeEnds()).givenUp(r.givenUp())
+                        .sent(r.sent()).notRun(r.notRun()).mayHaveRun(r.mayHaveRun()).resumed(r.resumed()).runTwice((int) r.runTwice());
+                put(r.cls(), g::putCls);
+            }
+            end = e.limit();
         } else if (m instanceof Load x) {
             LoadEncoder e = new LoadEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq());
             LoadEncoder.EnginesEncoder t = e.enginesCount(x.engines().size());
@@ -347,6 +358,16 @@
                 }
                 return new Report(d.life(), d.seq(), tallies, heartbeats, sources);
             }
+            case LedgerReportDecoder.TEMPLATE_ID: {
+                LedgerReportDecoder d = new LedgerReportDecoder().wrapAndApplyHeader(b, 0, h);
+                List<LedgerRow> rows = new ArrayList<>();
+                for (LedgerReportDecoder.RowsDecoder g : d.rows()) {
+                    rows.add(new LedgerRow(g.revision(), g.admitted(), g.inProgress(), g.completed(), g.clientGone(), g.overdue(),
+                            g.nodeEnds(), g.givenUp(), g.sent(), g.notRun(), g.mayHaveRun(), g.resumed(), g.runTwice(),
+                            text(g.clsLength(), g::getCls)));
+                }
+                return new LedgerReport(d.life(), d.seq(), d.revision(), d.digest(), d.endedTwice(), rows);
+            }
             case LoadDecoder.TEMPLATE_ID: {
                 LoadDecoder d = new LoadDecoder().wrapAndApplyHeader(b, 0, h);
                 List<EngineLoad> engines = new ArrayList<>();
--- a/src/main/java/ringspindle/wire/Msg.java
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -130,6 +130,15 @@
             implements Msg {
     }
 
+    /** Actions of one class under one revision of the rules, as the node that held them counted. */
+    record LedgerRow(long revision, long admitted, long inProgress, long completed, long clientGone, long overdue, long nodeEnds,
+            long givenUp, long sent, long notRun, long mayHaveRun, long resumed, long runTwice, String cls) {
+    }
+
+    /** A data node's ledger, and the rules in force there. */
+    record LedgerReport(long life, long seq, long revision, long digest, long endedTwice, List<LedgerRow> rows) implements Msg {
+    }
+
     /** An engine of the region, summed over nodes. */
     record EngineLoad(long engine, int answered, int failed, int running, long tokens) {
     }
--- a/src/test/java/ringspindle/chain/ChainSim.java
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -23,6 +23,9 @@
         final Map<String, String> evacuations = new TreeMap<>();
         final Set<String> leaving = new TreeSet<>();
         final Map<String, String> marksAtEnd = new TreeMap<>();
+        /** The newest serving rules that were acknowledged, and who won on which base. */
+        long rules;
+        final Map<Long, Long> rulesWinner = new TreeMap<>();
         /** The target of the roll-out that was acknowledged last, and whether it was given up since. */
         long rollTarget = -1;
         boolean rollAborted;
@@ -47,6 +50,13 @@
                     out.add("zone " + zone + " ends as " + marksAtEnd.get(Chain.MARK_EVACUATED + zone) + ", acknowledged was " + value);
                 }
             });
+            if (rules > 0) {
+                String m = marksAtEnd.get(Chain.MARK_RULES + "");
+                if (m == null || !(ringspindle.rule.ServingRules.read(m.getBytes(UTF_8)) instanceof Checked.Good<ringspindle.rule.ServingRules> g)
+                        || g.value().revision() < rules) {
+                    out.add("serving rules " + rules + " were acknowledged, at the end there is " + m);
+                }
+            }
             if (rollTarget >= 0) {
                 String m = marksAtEnd.get(Chain.MARK_ROLLOUT + "s");
                 Rollout r = m == null ? null : Rollout.read(m);
@@ -180,6 +190,9 @@
         at(1600, () -> evacuate(0));
         at(1700, () -> leave(0));
         at(4000, () -> rollOut(0));
+        for (int op = 0; op < 2; op++) {
+            at(2500 + op * 40L, () -> rules(0));
+        }
         for (int i = 0; i < troubles; i++) {
             long t = 2000 + (long) (luck.nextDouble() * forMs);
             at(t, this::trouble);
@@ -456,6 +469,54 @@
         }
     }
 
+    /** Two operators change the serving rules, each on top of what it last knew to be in force. */
+    private void rules(long base) {
+        if (stress) {
+            long next = base + 1 + luck.nextInt(4);
+            String body = "{\"revision\":" + next + ",\"default\":{\"class\":{\"rank\":" + luck.nextInt(10) + ",\"waitMs\":" + luck.nextInt(30_000) + "}}}";
+            rules(base, next, body, 0);
+        }
+    }
+
+    private void rules(long base, long next, String body, int n) {
+        Node via = nodes.get(luck.nextInt(nodes.size()));
+        if (!stress || n > 12) {
+            at(300, () -> rules(history.rules));
+            return;
+        }
+        if (!up(via) || via.frozenUntilMs > nowMs) {
+            at(150, () -> rules(base, next, body, n + 1));
+            return;
+        }
+        long id = ++callId;
+        boolean[] done = {false};
+        calls.put(id, (outcome, text) -> {
+            if (done[0]) {
+                return;
+            }
+            done[0] = true;
+            if (outcome == Outcome.TAKEN) {
+                Long other = history.rulesWinner.put(base, next);
+                if (other != null && other != next) {
+                    history.wrong.add("two serving rules on " + base + ": " + other + " and " + next);
+                }
+                history.rules = Math.max(history.rules, next);
+                at(200 + luck.nextInt(900), () -> rules(next));
+            } else if (outcome == Outcome.UNCLEAR) {
+                at(150, () -> rules(base, next, body, n + 1));
+            } else {
+                at(100 + luck.nextInt(300), () -> rules(history.rules));
+            }
+        });
+        carry(via, via.machine.call(new Call(id, Chain.RULES, base, "", body.getBytes(UTF_8)), nowMs));
+        at(1500, () -> {
+            if (!done[0]) {
+                done[0] = true;
+                rules(base, next, body, n + 1);
+            }
+        });
+    }
+
     private void leave(int n) {
         if (stress) {
             insist(n % 3 == 2 ? Chain.GONE : Chain.DRAIN, "i-" + n, () -> {
--- a/src/test/java/ringspindle/chain/ChainSimTest.java
+++ b/src/test/java/ringspindle/chain/ChainSimTest.java
@@ -80,7 +80,8 @@
         h.sent.put(7L, "b");
         h.evacuations.put("z", "on");
         h.leaving.add("i-1");
+        h.rules = 3;
         List<String> problems = h.problems();
-        assertEquals(5, problems.size(), problems.toString());
+        assertEquals(6, problems.size(), problems.toString());
     }
 }
--- a/src/test/java/ringspindle/cp/HollowControl.java
+++ b/src/test/java/ringspindle/cp/HollowControl.java
@@ -68,6 +68,17 @@
         control.call(Chain.PUT, base, "", body, (o, b) -> then.accept(o));
     }
 
+    public void rules(long base, byte[] body, Consumer<Outcome> then) {
+        control.call(Chain.RULES, base, "", body, (o, b) -> then.accept(o));
+    }
+
+    /** What nodes that report here say they follow. */
+    public Map<NodeId, Long> followed() {
+        Map<NodeId, Long> out = new TreeMap<>();
+        control.ledgers().forEach((node, lives) -> lives.forEach(l -> out.merge(node, l.report().revision(), Math::max)));
+        return out;
+    }
+
     public boolean quorate() {
         return control.quorate();
     }
--- a/src/test/java/ringspindle/dp/HollowData.java
+++ b/src/test/java/ringspindle/dp/HollowData.java
@@ -4,7 +4,9 @@
 import ringspindle.conf.*;
 import ringspindle.edge.*;
 import ringspindle.pick.*;
+import ringspindle.rule.*;
 import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
 
 /** A real data node's knowledge and choices without its clients' side: ticked from outside. */
 public final class HollowData implements Edge {
@@ -12,6 +14,8 @@
     private final Picker picker;
     private boolean confirmed;
     private long revision = -1;
+    private long rules;
+    private long digest;
 
     public HollowData(NodeConfig config, Means means) throws Exception {
         picker = Picker.create(config);
@@ -41,6 +45,24 @@
         revision = c.revision();
     }
 
+    @Override
+    public void rules(ServingRules r) {
+        if (r.revision() > rules) {
+            rules = r.revision();
+            digest = r.digest();
+        }
+    }
+
+    @Override
+    public LedgerReport ledger(long life, long seq) {
+        return new Ledger().report(life, seq, rules, digest);
+    }
+
+    /** The serving rules in force here, 0 while there are none. */
+    public long rules() {
+        return rules;
+    }
+
     @Override
     public void confirm() {
         confirmed = true;
--- /dev/null
+++ b/src/test/java/ringspindle/ops/FleetLedgerTest.java
@@ -0,0 +1,71 @@
+package ringspindle.ops;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import jakarta.json.*;
+import java.io.*;
+import java.util.*;
+import org.junit.jupiter.api.*;
+
+/** Answers of several control nodes put together: each life once, nothing claimed that was not reported. */
+class FleetLedgerTest {
+    private static JsonObject answer(long revision, String nodes, String ledgers) {
+        String json = "{\"revision\":" + revision + ",\"digest\":\"d" + revision + "\",\"idle\":[],\"nodes\":[" + nodes + "],\"ledgers\":[" + ledgers + "]}";
+        return Json.createReader(new StringReader(json)).readObject();
+    }
+
+    private static String node(String name, String region, long life, boolean inTouch) {
+        return "{\"node\":\"" + name + ":1\",\"name\":\"" + name + "\",\"zone\":\"z\",\"region\":\"" + region + "\",\"life\":" + life + ",\"inTouch\":" + inTouch + "}";
+    }
+
+    private static String life(String name, long life, long seq, long revision, long admitted, long inProgress, long completed) {
+        return "{\"node\":\"" + name + ":1\",\"life\":" + life + ",\"seq\":" + seq + ",\"revision\":" + revision + ",\"digest\":\"d" + revision
+                + "\",\"broken\":[],\"rows\":[{\"revision\":" + revision + ",\"class\":\"c\",\"admitted\":" + admitted + ",\"inProgress\":" + inProgress
+                + ",\"completed\":" + completed + ",\"clientGone\":0,\"overdue\":0,\"nodeEnds\":0,\"givenUp\":0,\"sent\":" + admitted
+                + ",\"notRun\":0,\"mayHaveRun\":" + admitted + ",\"resumed\":0,\"runTwice\":0}]}";
+    }
+
+    @Test
+    void eachLifeCountsOnceByItsNewestReport() {
+        FleetLedger l = new FleetLedger()
+                .add(answer(3, node("a", "ahd", 1, true), life("a", 1, 9, 3, 100, 2, 98)))
+                .add(answer(3, node("a", "ahd", 1, true), life("a", 1, 4, 3, 50, 1, 49)));
+        assertEquals(100, l.lines().get(0).counts().get("admitted"));
+        assertEquals(2, l.lines().get(0).counts().get("inProgress"));
+        assertEquals(List.of(), l.broken());
+        assertTrue(l.all());
+    }
+
+    @Test
+    void actionsOfANodeThatDiedAreUnknownNeverAnswered() {
+        FleetLedger l = new FleetLedger().add(answer(3, node("a", "ahd", 2, true) + "," + node("b", "srt", 1, false),
+                life("a", 1, 9, 3, 100, 5, 95) + "," + life("a", 2, 1, 3, 10, 1, 9) + "," + life("b", 1, 3, 3, 7, 3, 4)));
+        Map<String, Long> c = l.lines().get(0).counts();
+        assertEquals(1, c.get("inProgress"));
+        assertEquals(8, c.get("unknown"));
+        assertEquals(108, c.get("completed"));
+        assertEquals(List.of(), l.broken());
+        assertEquals(List.of("b"), l.regions().get(1).notInTouch());
+    }
+
+    @Test
+    void nobodyIsSaidToFollowWhoHasNotSaidSo() {
+        FleetLedger other = new FleetLedger().add(answer(4, node("a", "ahd", 1, true), life("a", 1, 9, 3, 1, 0, 1)));
+        assertFalse(other.all());
+        assertEquals(List.of("a at 3"), other.regions().get(0).other());
+        FleetLedger unheard = new FleetLedger().add(answer(4, node("a", "ahd", 1, true), ""));
+        assertFalse(unheard.all());
+        assertEquals(List.of("a"), unheard.regions().get(0).unheard());
+        FleetLedger earlier = new FleetLedger().add(answer(4, node("a", "ahd", 2, true), life("a", 1, 9, 4, 1, 0, 1)));
+        assertFalse(earlier.all(), "what an earlier life said says nothing of this one");
+        FleetLedger mixed = new FleetLedger().add(answer(3, "", "")).add(answer(4, node("a", "ahd", 1, true), life("a", 1, 9, 4, 1, 0, 1)));
+        assertEquals(4, mixed.revision());
+        assertTrue(mixed.all());
+    }
+
+    @Test
+    void lostAnswersShow() {
+        FleetLedger l = new FleetLedger().add(answer(3, node("a", "ahd", 1, true), life("a", 1, 9, 3, 100, 2, 90)));
+        assertEquals(List.of("SUM over all nodes of c at 3"), l.broken());
+    }
+}
--- a/src/test/java/ringspindle/pick/PickerTest.java
+++ b/src/test/java/ringspindle/pick/PickerTest.java
@@ -8,6 +8,7 @@
 import ringspindle.act.Action.*;
 import ringspindle.conf.*;
 import ringspindle.pick.Picker.*;
+import ringspindle.rule.*;
 import ringspindle.sum.*;
 import ringspindle.wire.Msg.*;
 
@@ -383,4 +384,120 @@
         }
     }
 
+
+    private static Ask steered(Steer steer, long affinity) {
+        return new Ask("s", Set.of(), affinity, 13_000, 3000, 100, Set.of(), -1, 7, steer);
+    }
+
+    private static Step step(Step.To to, int waitMs) {
+        return new Step(to, List.of(), waitMs);
+    }
+
+    /** Six engines, three of them here; returns them by rank for the key 4711. */
+    private static List<String> six(Picker p) {
+        List<String> ids = new ArrayList<>();
+        for (int i = 1; i <= 6; i++) {
+            p.engine("i-" + i, engine(i % 2 == 0 ? "a1" : "b1", i, 0, false), 1, 0);
+            ids.add("i-" + i);
+        }
+        ids.sort(Comparator.comparingLong(id -> Rendezvous.rank(Sum.key(id), 4711)));
+        return ids;
+    }
+
+    @Test
+    void busyHolderIsWaitedForAndThenItsPlacesAreTriedInOrder() {
+        Picker p = picker("a1", "a");
+        List<String> ranked = six(p);
+        List<Step> busy = List.of(step(Step.To.NEXT, 100), step(Step.To.REGION, 200));
+        assertEquals(ranked.get(0), id(p.choose(steered(new Steer(0, 1.5, busy, List.of(), 0), 4711), 10)));
+        // far more than its share runs there
+        Map<String, int[]> seen = new HashMap<>();
+        ranked.forEach(i -> seen.put(i, new int[] {1, 0, 1}));
+        List<EngineLoad> rows = new ArrayList<>();
+        ranked.forEach(i -> rows.add(new EngineLoad(Sum.key(i), 1, 0, 1, i.equals(ranked.get(0)) ? 900_000 : 0)));
+        p.load(new Load(1, 1, rows, List.of()), 20);
+        assertEquals("none", id(p.choose(steered(new Steer(0, 1.5, busy, List.of(), 50), 4711), 30)), "not yet");
+        assertEquals(ranked.get(1), id(p.choose(steered(new Steer(0, 1.5, busy, List.of(), 120), 4711), 40)));
+        p.silent(ranked.get(1), true, 50);
+        assertEquals("none", id(p.choose(steered(new Steer(0, 1.5, busy, List.of(), 120), 4711), 60)), "the next is not there either");
+        String third = id(p.choose(steered(new Steer(0, 1.5, busy, List.of(), 310), 4711), 70));
+        assertTrue(Integer.parseInt(third.substring(2)) % 2 == 0, third + " is not of the region");
+        assertEquals("none", id(p.choose(steered(new Steer(0, 1.5, List.of(step(Step.To.NEXT, 0)), List.of(), 9000), 4711), 80)),
+                "at the end it is refused");
+    }
+
+    @Test
+    void goneHolderHasItsOwnPlaces() {
+        for (String how : List.of("draining", "evacuated", "silent", "cold", "suspect")) {
+            Picker p = picker("a1", "a");
+            List<String> ranked = six(p);
+            String holder = ranked.get(0);
+            boolean here = Integer.parseInt(holder.substring(2)) % 2 == 0;
+            switch (how) {
+                case "draining" -> p.leaving(holder, false, 5);
+                case "evacuated" -> p.evacuated(here ? "a1" : "b1", true, 5);
+                case "silent" -> p.silent(holder, true, 5);
+                case "cold" -> p.engine(holder, engine(here ? "a1" : "b1", 9, 9000, false), 2, 5);
+                default -> {
+                    p.choose(steered(new Steer(0, 1.5, List.of(), List.of(), 0), 4711), 5);
+                    p.ended(holder, any(), End.NOT_SENT, -1, 6);
+                }
+            }
+            Steer steer = new Steer(0, 1.5, List.of(step(Step.To.NEXT, 5000)), List.of(new Step(Step.To.REGIONS, List.of("b"), 0)), 0);
+            String got = id(p.choose(steered(steer, 4711), 10));
+            if (how.equals("evacuated") && !here) {
+                assertEquals("none", got, how);
+            } else {
+                assertTrue(!got.equals(holder) && Integer.parseInt(got.substring(2)) % 2 == 1, how + ": " + got);
+            }
+        }
+    }
+
+    @Test
+    void placesKeptForOthersStayFree() {
+        Picker p = picker("a1", "a");
+        p.engine("i-2", engine("a1", 2, 0, false), 1, 0);
+        Steer digests = new Steer(0.75, 100, List.of(), List.of(), 0);
+        int taken = 0;
+        while (p.choose(steered(digests, 4711), 10) instanceof Chosen) {
+            taken++;
+        }
+        assertEquals(16, taken, "a quarter of 64 places");
+        assertEquals("i-2", id(p.choose(any(), 20)), "the others' places are free");
+    }
+
+    /** Whatever a rule says: what may not be asked without rules is not asked with them. */
+    @Test
+    void rulesNarrowAndNeverWiden() {
+        Random luck = new Random(3);
+        for (int round = 0; round < 400; round++) {
+            Picker p = picker("a1", "a");
+            List<String> ranked = six(p);
+            Set<String> out = new HashSet<>();
+            if (luck.nextBoolean()) {
+                p.leaving(ranked.get(0), false, 1);
+                out.add(ranked.get(0));
+            }
+            if (luck.nextBoolean()) {
+                p.evacuated("b1", true, 1);
+                out.addAll(List.of("i-1", "i-3", "i-5"));
+            }
+            Set<String> homes = luck.nextInt(3) == 0 ? Set.of("b") : Set.of();
+            if (!homes.isEmpty()) {
+                out.addAll(List.of("i-2", "i-4", "i-6"));
+            }
+            if (luck.nextBoolean()) {
+                p.turn("s", Set.of("i-4"), 1);
+                out.add("i-4");
+            }
+            List<Step> steps = new ArrayList<>();
+            for (int i = luck.nextInt(4); i > 0; i--) {
+                Step.To to = Step.To.values()[luck.nextInt(5)];
+                steps.add(new Step(to, to == Step.To.REGIONS ? List.of(luck.nextBoolean() ? "a" : "b") : List.of(), 0));
+            }
+            Steer steer = new Steer(luck.nextInt(2) * 0.5, 1 + luck.nextInt(3), steps, steps, luck.nextInt(500));
+            String got = id(p.choose(new Ask("s", homes, luck.nextInt(2) * 4711L, 13_000, 3000, 100, Set.of("i-6"), -1, round, steer), 10));
+            assertFalse(out.contains(got) || got.equals("i-6"), "round " + round + ": " + got + " of " + out);
+        }
+    }
 }
--- a/src/test/java/ringspindle/scale/Net.java
+++ b/src/test/java/ringspindle/scale/Net.java
@@ -71,6 +71,35 @@
         ids.forEach(meshes::remove);
     }
 
+    private final Map<NodeId, Double> frozenUntilMs = new HashMap<>();
+    private final Map<String, Double> cutUntilMs = new HashMap<>();
+
+    /** True while a node does not run. */
+    boolean down(NodeId id) {
+        return frozenUntilMs.getOrDefault(id, 0.0) > nowMs;
+    }
+
+    /** A node stands still; what is sent to it waits. */
+    void freeze(NodeId id, double forMs) {
+        frozenUntilMs.put(id, nowMs + forMs);
+    }
+
+    /** Nothing passes between these and all others; what is sent is lost, as are connections dialled across. */
+    void cut(Set<NodeId> side, double forMs) {
+        for (NodeId a : side) {
+            for (NodeId b : meshes.keySet()) {
+                if (!side.contains(b)) {
+                    cutUntilMs.put(a + " " + b, nowMs + forMs);
+                    cutUntilMs.put(b + " " + a, nowMs + forMs);
+                }
+            }
+        }
+    }
+
+    private boolean cut(NodeId a, NodeId b) {
+        return cutUntilMs.getOrDefault(a + " " + b, 0.0) > nowMs;
+    }
+
     /** Runs a node's code and charges its processor time to it. */
     void charge(NodeId node, Runnable r) {
         long from = CPU.getCurrentThreadCpuTime();
@@ -114,11 +143,13 @@
         @Override
         public void dial(NodeId peer) {
             HollowMesh other = meshes.get(peer);
-            if (other == null || other == this || links.contains(peer)) {
+            if (other == null || other == this || links.contains(peer) || cut(self.node(), peer) || down(peer)) {
                 return;
             }
             at(2 * wayMs(reach(self, other.self)), () -> {
-                if (other.ear != null && links.add(peer) && other.links.add(self.node())) {
+                if (other.ear != null && !links.contains(peer) && !other.links.contains(self.node())) {
+                    links.add(peer);
+                    other.links.add(self.node());
                     count(this, other, self);
                     count(other, this, other.self);
                     charge(peer, () -> other.ear.opened(self));
@@ -148,14 +179,25 @@
             Meter out = meters.get(self.node());
             out.outBytes[r.ordinal()] += bytes.length + FRAME_BYTES;
             out.outMessages++;
-            at(wayMs(r), () -> {
-                if (other.links.contains(self.node())) {
-                    Meter in = meters.get(peer);
-                    in.inBytes += bytes.length + FRAME_BYTES;
-                    in.inMessages++;
-                    charge(peer, () -> other.ear.heard(self.node(), Codec.decode(bytes)));
-                }
-            });
+            if (cut(self.node(), peer)) {
+                // as on a connection whose other end is behind a cut: nothing arrives until silence ends it
+                return;
+            }
+            at(wayMs(r), () -> deliver(peer, other, bytes));
+        }
+
+        private void deliver(NodeId peer, HollowMesh other, byte[] bytes) {
+            if (!other.links.contains(self.node())) {
+                return;
+            }
+            if (down(peer)) {
+                at(frozenUntilMs.get(peer) - nowMs + 0.01, () -> deliver(peer, other, bytes));
+                return;
+            }
+            Meter in = meters.get(peer);
+            in.inBytes += bytes.length + FRAME_BYTES;
+            in.inMessages++;
+            charge(peer, () -> other.ear.heard(self.node(), Codec.decode(bytes)));
         }
 
         @Override
--- a/src/test/java/ringspindle/wire/CodecTest.java
+++ b/src/test/java/ringspindle/wire/CodecTest.java
@@ -20,6 +20,7 @@
                 new Engine(64, 0, true, -1, 7, "s", "10.0.0.1:80", "z", "v1"),
                 new Report(1, 2, List.of(new TallyRow(-5, 2, 1, 2, 3, 65000, 4000000000L, 1, 2, 3, 4, 5, 6)),
                         List.of(new HeartbeatRow(9, 1200)), List.of(new SourceRow(A, 3, 4))),
+                new LedgerReport(1, 2, 3, 4, 0, List.of(new LedgerRow(3, 9, 1, 2, 3, 1, 0, 2, 8, 1, 7, 0, 0, "digests"))),
                 new Load(1, 2, List.of(new EngineLoad(7, 1, 2, 3, 4)), List.of(new RegionLoad("r", "s", 1, 2, 3, 4, 5))));
     }
 
