--- a/src/test/java/ringspindle/ops/CliTest.java
+++ b/src/test/java/ringspindle/ops/CliTest.java
@@ -130,4 +130,46 @@
         assertEquals(2, Main.run(new String[] {"control-plane", "--settings", file("node.name=x")}));
         assertEquals(0, Main.run(new String[] {"rollout", "--help"}));
     }
+
+    private static final String RULES = "{\"revision\":3,\"rules\":[{\"name\":\"digests\",\"match\":{\"prompt\":{\"from\":5000}},"
+            + "\"class\":{\"rank\":2,\"waitMs\":900},\"affinity\":{\"by\":\"prompt\",\"parts\":1},\"busy\":[{\"to\":\"next\",\"waitMs\":100}]}]}";
+
+    @Test
+    void rulesAreCheckedOfflineExplainedAndCompared() throws Exception {
+        assertEquals(Cli.OK, run("rules", "check", file(RULES)));
+        assertEquals(Cli.REFUSED, run("rules", "check", file(RULES.replace("next", "moon"))));
+        assertTrue(err.toString(UTF_8).contains("rules[0].busy[0].to is moon"), err.toString(UTF_8));
+        assertEquals(Cli.REFUSED, run("rules", "check", file(RULES.replace("\"prompt\":{\"from\":5000}", "\"route\":\"none\"")), "--config", file(CONFIG)));
+        assertTrue(err.toString(UTF_8).contains("rules[0].match.route names none"), err.toString(UTF_8));
+        assertEquals(Cli.USAGE, run("rules", "check"));
+        assertEquals(Cli.OK, run("rules", "explain", "--file", file(RULES), "--prompt", "17000", "--prefix", "aa:13000,bb:4000"));
+        assertTrue(out.toString(UTF_8).contains("digests of revision 3"), out.toString(UTF_8));
+        assertTrue(out.toString(UTF_8).contains("after 100 ms next"), out.toString(UTF_8));
+        String node = control(200, RULES);
+        assertEquals(Cli.OK, run("rules", "diff", file(RULES.replace(":3,", ":4,").replace("900", "800")), "-c", node));
+        assertTrue(out.toString(UTF_8).contains("~ digests"), out.toString(UTF_8));
+        assertEquals(Cli.OK, run("rules", "put", file(RULES.replace(":3,", ":4,")), "-c", node));
+        assertEquals("PUT /ringspindle/rules HTTP/1.1 3", asked.get(asked.size() - 1));
+        assertEquals(Cli.REFUSED, run("rules", "put", file(RULES), "--base", "1", "-c", control(412, "{\"error\":\"OTHER_VERSION\",\"text\":\"\"}")));
+        assertEquals(Cli.NOT_REACHED, run("rules", "get", "-c", control(503, "")));
+        assertEquals(Cli.USAGE, run("rules", "dance", "-c", node));
+    }
+
+    @Test
+    void statusAndLedgerEndBadlyUnlessAllIsKnownAndWell() throws Exception {
+        String node = "{\"node\":\"a:1\",\"name\":\"a\",\"zone\":\"z\",\"region\":\"r\",\"life\":1,\"inTouch\":true}";
+        String row = "{\"revision\":3,\"class\":\"c\",\"admitted\":5,\"inProgress\":1,\"completed\":4,\"clientGone\":0,\"overdue\":0,\"nodeEnds\":0,"
+                + "\"givenUp\":0,\"sent\":5,\"notRun\":0,\"mayHaveRun\":5,\"resumed\":0,\"runTwice\":0}";
+        String life = "{\"node\":\"a:1\",\"life\":1,\"seq\":2,\"revision\":3,\"digest\":\"d\",\"broken\":[],\"rows\":[" + row + "]}";
+        String good = "{\"sessions\":[],\"revision\":3,\"digest\":\"d\",\"idle\":[],\"nodes\":[" + node + "],\"ledgers\":[" + life + "]}";
+        assertEquals(Cli.OK, run("rules", "status", "-c", control(200, good)));
+        assertTrue(out.toString(UTF_8).contains("every node in touch follows them"), out.toString(UTF_8));
+        assertEquals(Cli.OK, run("ledger", "-c", control(200, good)));
+        assertEquals(Cli.FAILED, run("rules", "status", "-c", control(200, good.replace("\"revision\":3,\"digest\":\"d\",\"broken\"", "\"revision\":2,\"digest\":\"d\",\"broken\""))));
+        assertTrue(out.toString(UTF_8).contains("a at 2"), out.toString(UTF_8));
+        assertEquals(Cli.FAILED, run("ledger", "-c", control(200, good.replace("\"completed\":4", "\"completed\":3"))));
+        assertTrue(err.toString(UTF_8).contains("broken law: SUM"), err.toString(UTF_8));
+        assertEquals(Cli.FAILED, run("rules", "status", "-c", control(200, good) + "," + "127.0.0.1:1"), "a control node that is not reached");
+        assertEquals(Cli.NOT_REACHED, run("ledger", "-c", control(503, "")));
+    }
 }
