Sums are added in one pass; one check for a control node that serves

Found on the last reading, behaviour as before: a report and a collector's sum copied the growing sum for each engine and source, now each is looked at once (Sum.all, merge rests on it); the same check of a control node stood in Control and Data, now Meet.Peer.serves; the collector's report was built twice, data peers were kept in a set beside the list, and resumable was asked beside repeatable, which holds it. 135 tests green, none changed.

--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -207,10 +207,8 @@
             int bestRank = region.equals(config.region()) ? 1 : 2;
             for (Meet.Peer p : meet.peers()) {
                 Hello h = p.hello();
-                boolean well = h.kind() == 0 && p.linked() && (p.heartbeat().flags() & Heartbeat.QUORATE) != 0
-                        && (p.heartbeat().flags() & Heartbeat.LEAVING) == 0;
                 int rank = h.zone().equals(zone) ? 0 : h.region().equals(region) ? 1 : 2;
-                if (well && rank < bestRank) {
+                if (p.serves() && rank < bestRank) {
                     best = h;
                     bestRank = rank;
                 }
@@ -399,8 +397,7 @@
         Sum own = sources.sum(nowMs);
         total = own.merge(peers.sum(nowMs));
         sumSeq++;
-        Report report = new Report(0, 0, own.report(0, 0).tallies(), presence.own(nowMs), sources.holds(nowMs));
-        report = new Report(life, sumSeq, report.tallies(), report.heartbeats(), report.sources());
+        Report report = new Report(life, sumSeq, own.report(life, sumSeq).tallies(), presence.own(nowMs), sources.holds(nowMs));
         NodeId speaker = me;
         for (Meet.Peer p : meet.peers()) {
             if (p.hello().kind() == 0 && p.linked() && p.hello().region().equals(config.region())) {
@@ -553,7 +550,6 @@
         Set<NodeId> live = new TreeSet<>();
         Map<NodeId, Set<NodeId>> links = new HashMap<>();
         List<NodeId> heartbeatTo = new ArrayList<>();
-        Set<NodeId> dataPeers = new HashSet<>();
         synchronized (bookLock) {
             for (NodeId n : meet.beat(nowMs)) {
                 pool.execute(() -> mesh.drop(n));
@@ -565,9 +561,8 @@
                     }
                     wanted.addAll(p.heartbeat().heard());
                 }
-                heartbeatTo.add(p.hello().node());
-                if (p.hello().kind() == 1) {
-                    dataPeers.add(p.hello().node());
+                if (ticks % (p.hello().kind() == 1 ? DATA_TICKS : 2) == 0 || leaving) {
+                    heartbeatTo.add(p.hello().node());
                 }
             }
         }
@@ -618,11 +613,7 @@
                 }
             }
         }
-        for (NodeId n : heartbeatTo) {
-            if (ticks % (dataPeers.contains(n) ? DATA_TICKS : 2) == 0 || leaving) {
-                heartbeat(n);
-            }
-        }
+        heartbeatTo.forEach(this::heartbeat);
         roll(view, nowMs);
         synchronized (bookLock) {
             grant(view, nowMs);
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -215,7 +215,7 @@
             NodeId best = null;
             int bestRank = Integer.MAX_VALUE;
             for (Meet.Peer p : meet.peers()) {
-                if (well(p)) {
+                if (p.serves()) {
                     int rank = (p.hello().zone().equals(config.zone()) ? 0 : p.hello().region().equals(config.region()) ? 2 : 4)
                             + (p.hello().node().equals(collector) ? 0 : 1);
                     if (rank < bestRank) {
@@ -245,16 +245,11 @@
         }
     }
 
-    private static boolean well(Meet.Peer p) {
-        return p.hello().kind() == 0 && p.linked() && (p.heartbeat().flags() & Heartbeat.QUORATE) != 0
-                && (p.heartbeat().flags() & Heartbeat.LEAVING) == 0;
-    }
-
     /** Keeps sessions with two control nodes that hear all news, and gossip with two other data nodes. */
     private void dial(long nowMs) {
         int good = 0;
         for (Meet.Peer p : meet.peers()) {
-            good += well(p) ? 1 : 0;
+            good += p.serves() ? 1 : 0;
         }
         if (good < CONTROLS) {
             // at most one new one a time, the nearest first: same machine order for all of a zone, by chance else
--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -152,7 +152,7 @@
         affinity = key.key();
         sharedTokens = key.sharedTokens();
         front.ledger().admitted(action.id(), rules == null ? 0 : rules.revision(), rule == null ? ServingRules.PLAIN : rule.name(),
-                policy.repeatable() || policy.resumable());
+                policy.repeatable());
         String last = request.getHeaders().get("Last-Event-Id");
         lastId = last == null ? -1 : number(last);
     }
@@ -234,7 +234,7 @@
         now = t;
         t.heardMs = nowMs;
         arm();
-        front.wires().take(chosen.id(), chosen.address(), chosen.maxWires(), policy.repeatable() || policy.resumable(), new Wires.Ready() {
+        front.wires().take(chosen.id(), chosen.address(), chosen.maxWires(), policy.repeatable(), new Wires.Ready() {
             @Override
             public void up(Wires.Wire w) {
                 wireUp(t, w);
--- a/src/main/java/ringspindle/meet/Meet.java
+++ b/src/main/java/ringspindle/meet/Meet.java
@@ -21,6 +21,12 @@
 
         /** How many heartbeats came over this connection. */
         long heardN();
+
+        /** True for a control node in touch that is in touch with a majority and does not leave. */
+        default boolean serves() {
+            int flags = heartbeat().flags();
+            return hello().kind() == 0 && linked() && (flags & Heartbeat.QUORATE) != 0 && (flags & Heartbeat.LEAVING) == 0;
+        }
     }
 
     /** A wire stands; {@code meet.opened(hello, nowMs)}. */
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -260,18 +260,18 @@
 
     @Override
     public synchronized Sum report(long nowMs) {
-        Sum out = Sum.NONE;
+        List<Sum> seen = new ArrayList<>();
         for (Row r : rows.values()) {
             r.reportedRunning = r.running;
             r.reportedTokens = (long) r.tokens;
             for (Kind k : Kind.values()) {
                 Tally t = r.window.tally(k, nowMs);
                 if (!t.empty()) {
-                    out = out.merge(Sum.of(r.hash, k, t));
+                    seen.add(Sum.of(r.hash, k, t));
                 }
             }
         }
-        return out;
+        return Sum.all(seen);
     }
 
     @Override
--- a/src/main/java/ringspindle/sum/Collector.java
+++ b/src/main/java/ringspindle/sum/Collector.java
@@ -55,16 +55,16 @@
 
     /** The sum of the newest reports that have not expired. */
     public Sum sum(long nowMs) {
-        Sum out = Sum.NONE;
+        List<Sum> count = new ArrayList<>();
         for (Iterator<Held> it = newest.values().iterator(); it.hasNext();) {
             Held h = it.next();
             if (nowMs - h.atMs() <= ttlMs) {
-                out = out.merge(h.sum());
+                count.add(h.sum());
             } else if (nowMs - h.atMs() > MEMORY_MS) {
                 it.remove();
             }
         }
-        return out;
+        return Sum.all(count);
     }
 
     /** The source has gone elsewhere with that report, or ended: what it said here before counts no more. */
--- a/src/main/java/ringspindle/sum/Sum.java
+++ b/src/main/java/ringspindle/sum/Sum.java
@@ -52,16 +52,20 @@
         return out;
     }
 
+    /** All together, each looked at once; {@code Sum.all(List.of(a, b))} equals {@code a.merge(b)}. */
+    public static Sum all(Iterable<Sum> sums) {
+        Sum out = new Sum(new Long2ObjectRBTreeMap<>(), new Long2IntRBTreeMap());
+        sums.forEach(out::addAll);
+        return out;
+    }
+
     /** Both together. */
     public Sum merge(Sum o) {
-        Sum out = new Sum(new Long2ObjectRBTreeMap<>(), new Long2IntRBTreeMap(agoMs));
-        out.addAll(this);
-        out.addAll(o);
-        o.agoMs.forEach((k, v) -> out.agoMs.merge((long) k, (int) v, Math::min));
-        return out;
+        return all(List.of(this, o));
     }
 
     private void addAll(Sum o) {
+        o.agoMs.forEach((k, v) -> agoMs.merge((long) k, (int) v, Math::min));
         o.tallies.forEach((k, byKind) -> {
             for (int i = 0; i < byKind.length; i++) {
                 if (byKind[i] != null) {
