Voters change in both directions; a view names the base that nothing acknowledged lies before

Cause: ChainMachine.compose only ever added voters, so a machine gone for good voted for ever: after one replacement three voters were four, of which three ran, and one more lost disk left no majority. A member of the last chain counted as one that remembers, though its copy may have been stale. Time to be taken back into the chain grew to 6 s, as long as catchUpS.

Change: Membership chooses the next voters: one that leaves, or that nobody has heard of for 2 s, gives up its seat, one a view, as long as 2f+1 remain; joiners take seats, also at the bound of nine. A start with too few voters confirms nothing while another node may still join. Views are told when connections open; an image is taken at what is synced, and is not sent again and again while it is under way. An evacuation or roll-out order names the version it replaces, as known where it was taken: one held up since gets no clear answer. Orders are known again over 1,024 changes, and beyond that get no clear answer. Proposals expire over a pause.

--- a/src/main/java/ringspindle/chain/Chain.java
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -46,6 +46,11 @@
         default boolean leaving(NodeId n) {
             return false;
         }
+
+        /** True for a peer that lost its disk and has not relearned yet what was promised: it can neither vote nor hold state. */
+        default boolean blank(NodeId n) {
+            return false;
+        }
     }
 
     /** Kinds of calls and ops. */
@@ -82,6 +87,9 @@
     /** The records of that token are synced. */
     List<Out> stored(long token, long nowMs);
 
+    /** True while this node has to relearn what was promised before it can vote. */
+    boolean blank();
+
     /** The newest view, null if unknown. */
     View view();
 
--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -16,11 +16,23 @@
     static final long HELD_MS = 950;
     static final long HELD_CONFIG_MS = 2500;
     static final long STALL_MS = 1200;
-    static final long READD_MS = 700;
-    /** More do not make the control state safer, and every one of them is a sync and a hop to each order. */
-    static final int VOTERS_MAX = 9;
-    /** How long a first start waits for as many voters as its losses ask for. */
+    /** A voter that is back is taken into the chain after so long; longer, up to the bound, if that keeps failing. */
+    static final long READD_MS = 300;
+    static final long READD_MAX_MS = 1200;
+    /** How long a node that may join is waited for before the voters change. */
+    static final long JOIN_MS = 300;
+    static final long JOIN_FOUNDING_MS = 600;
+    /** How long a start with too few voters waits for nodes that it has not heard of yet. */
     static final long FOUNDING_MS = 8000;
+    static final long RESTART_FOUNDING_MS = 3000;
+    /** After so long nothing is waited for: a node that never joins must not hold up orders for good. */
+    static final long FOUNDING_MAX_MS = 30_000;
+    /** A proposal older than this is given up, also by a node that was frozen meanwhile. */
+    static final long PROPOSAL_MS = 700;
+    /** A gap between two ticks that is taken for a pause of this node; after it links are given time to show. */
+    static final long PAUSE_MS = 500;
+    private static final long RESEND_MS = 400;
+    private static final long RESEND_MAX_MS = 6400;
     /** Steps that the search for a chain over broken links may take. */
     private static final int PATH_STEPS = 4000;
     private static final byte[] NONE = {};
@@ -107,9 +119,14 @@
     private long fencedMs;
     private long uncommittedMs;
     private long readdMs = READD_MS;
-    private final int leastVoters;
-    private boolean founds;
-    private long foundingUntilMs = -1;
+    private long resendMs = RESEND_MS;
+    private final Membership membership;
+    private final boolean bootstrap;
+    private long startedMs = -1;
+    private long lastBeatMs = -1;
+    private long pausedMs = Long.MIN_VALUE / 2;
+    /** The state as of {@link #synced}, which an image may hold though newer orders are not on disk yet. */
+    private State syncedState;
     private int pathSteps;
     private Reach reach;
     private List<Out> out = new ArrayList<>();
@@ -117,9 +134,12 @@
 
     ChainMachine(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck, int leastVoters) {
         this.me = me;
-        this.leastVoters = Math.min(VOTERS_MAX, leastVoters);
+        this.bootstrap = bootstrap;
+        membership = new Membership(me, Math.min(Membership.VOTERS_MAX, leastVoters));
         this.seeds = List.copyOf(seeds);
         this.luck = new Random(luck);
+        // numbers of an earlier life of this node must not be taken for this one's
+        nextReading = this.luck.nextLong();
         State empty = new State(-1, 0, 0, List.of(), List.of(), NONE);
         last = empty;
         for (Msg m : found) {
@@ -137,16 +157,16 @@
             }
         }
         synced = last.seq();
-        founds = bootstrap && view == null;
         if (view == null) {
             if (bootstrap && seeds.contains(me)) {
                 List<NodeId> order = new ArrayList<>(seeds);
-                view = new View(1, List.copyOf(order), List.copyOf(order));
+                view = new View(1, List.copyOf(order), List.copyOf(order), new Position(1, 0));
                 last = new State(1, 0, 0, List.of(), List.of(), NONE);
             } else {
                 wiped = true;
             }
         }
+        syncedState = last;
     }
 
     @Override
@@ -166,16 +186,32 @@
         }
         if (!view.voters().contains(me)) {
             // a learner passes calls on; it hears what is committed as facts
-            return view.voters().size() >= VOTERS_MAX && !wiped;
+            return view.voters().size() >= Membership.VOTERS_MAX && !wiped;
         }
         return committed != null && last.lineage() == view.epoch()
                 && view.chain().contains(me) && (!fenced() || nowMs - fencedMs < 1500);
     }
 
+    @Override
+    public boolean blank() {
+        return wiped || view == null;
+    }
+
+    /** Too few voters to bear the losses asked for: orders wait for nodes that may still join. */
     @Override
     public boolean founding(long nowMs) {
-        return founds && (view == null || view.voters().size() < leastVoters)
-                && (foundingUntilMs < 0 || nowMs < foundingUntilMs);
+        if (view != null && view.voters().size() >= membership.leastVoters()) {
+            return false;
+        }
+        if (view == null || startedMs < 0) {
+            return true;
+        }
+        long waitedMs = nowMs - startedMs;
+        return waitedMs < (bootstrap ? FOUNDING_MS : RESTART_FOUNDING_MS) || waitedMs < FOUNDING_MAX_MS && joinerInTouch();
+    }
+
+    private boolean joinerInTouch() {
+        return reach != null && reach.live().stream().anyMatch(n -> !view.voters().contains(n) && !leaving(n));
     }
 
     @Override
@@ -237,8 +273,15 @@
     public List<Out> opened(NodeId peer, long nowMs) {
         this.nowMs = nowMs;
         announce();
+        if (wiped) {
+            send(peer, new Relearn(nextToken++));
+        } else if (view != null) {
+            // whichever of the two missed a view learns it
+            send(peer, new Decided(view));
+        }
         if (view != null && peer.equals(successor())) {
             sentDown = -1;
+            resendMs = RESEND_MS;
             pushDown();
         }
         if (view != null) {
@@ -252,10 +295,20 @@
     public List<Out> call(Call c, long nowMs) {
         this.nowMs = nowMs;
         announce();
-        hold(me, c);
+        hold(me, c.since(knownVersion(c)));
         return finish();
     }
 
+    /** How new what a caller's order may replace is, as far as this node knows; orders on revisions name theirs. */
+    private long knownVersion(Call c) {
+        Mark mark = switch (c.kind()) {
+            case EVACUATE, RESTORE -> Content.mark(last, MARK_EVACUATED, c.arg());
+            case ROLLOUT -> Content.mark(last, MARK_ROLLOUT, c.arg());
+            default -> null;
+        };
+        return mark == null ? c.base() : Math.max(c.base(), mark.version());
+    }
+
     /** The first view and state go to disk before anything else is said or written. */
     private void announce() {
         if (announced || view == null || wiped) {
@@ -362,18 +415,19 @@
     }
 
     private void startView() {
+        synced = -1;
         sentDown = -1;
         ackedDown = -1;
+        resendMs = RESEND_MS;
         uncommittedMs = nowMs;
-        readdMs = view.chain().size() == view.voters().size() ? READD_MS : Math.min(readdMs * 2, 6000);
+        readdMs = view.chain().size() == view.voters().size() ? READD_MS : Math.min(readdMs * 2, READD_MAX_MS);
         // calls behind these were answered nothing; their origins still hold them, and they are decided anew
         waiting.clear();
         held.keySet().removeIf(n -> !n.equals(me));
         if (view.chain().contains(me) && view.head().equals(me) && last.lineage() >= 0 && last.lineage() < view.epoch()) {
             last = new State(view.epoch(), last.seq(), last.revision(), last.past(), last.marks(), last.config());
-            long seq = last.seq();
-            long epoch = view.epoch();
-            store(List.of(vote(), last), true, () -> localSynced(epoch, seq));
+            State first = last;
+            store(List.of(vote(), first), true, () -> localSynced(first));
         } else {
             store(List.of(vote()), false, () -> { });
         }
@@ -415,6 +469,10 @@
         if (proposal == null || proposal.accepting || proposal.epoch != p.epoch() || proposal.ballot != p.ballot()) {
             return;
         }
+        if (expired(proposal)) {
+            abandon();
+            return;
+        }
         if (!p.granted()) {
             round = Math.max(round, p.promised() >> 10);
             abandon();
@@ -424,6 +482,11 @@
         maybeAccept();
     }
 
+    /** A promise that came in before a pause of this node may be of a voter that has lost its disk since. */
+    private boolean expired(Proposal p) {
+        return nowMs - p.sinceMs > PROPOSAL_MS;
+    }
+
     private void abandon() {
         proposal = null;
         nextProposeMs = nowMs + 150 + luck.nextInt(400);
@@ -432,7 +495,7 @@
     /** Goes on once a majority promised; waits a little for the others that seem to be there. */
     private void maybeAccept() {
         Proposal p = proposal;
-        if (p == null || p.accepting || p.promises.size() < view.majority()) {
+        if (p == null || p.accepting || p.promises.size() < view.majority() || expired(p)) {
             return;
         }
         int expected = 0;
@@ -482,19 +545,14 @@
                 head = v;
             }
         }
-        if (head == null || newest.lineage() < 0 || !remembered(p)) {
+        if (head == null || newest.lineage() < 0 || !remembered(p) || newest.position().compareTo(view.base()) < 0) {
             return null;
         }
-        List<NodeId> voters = new ArrayList<>(view.voters());
+        List<NodeId> voters = reach == null ? new ArrayList<>(view.voters())
+                : membership.nextVoters(view, p.promises.keySet(), head, reach, nowMs);
         List<NodeId> members = new ArrayList<>(p.promises.keySet());
-        if (reach != null) {
-            for (NodeId n : reach.live()) {
-                if (!voters.contains(n) && voters.size() < VOTERS_MAX && !leaving(n)) {
-                    voters.add(n);
-                    members.add(n);
-                }
-            }
-        }
+        members.retainAll(voters);
+        voters.stream().filter(n -> !view.voters().contains(n)).forEach(members::add);
         members.remove(head);
         int need = voters.size() / 2 + 1;
         long stay = members.stream().filter(n -> !leaving(n)).count();
@@ -504,14 +562,31 @@
         members.sort(Comparator.comparingInt(voters::indexOf));
         group(head, members);
         List<NodeId> path = longestPath(head, members);
-        if (path.size() < need && voters.size() > view.voters().size()) {
-            // joiners make the majority too large: leave them out for now
+        if (path.size() < need && !voters.equals(view.voters())) {
+            // with other voters there is no chain over a majority of them: leave them as they are for now
             voters = new ArrayList<>(view.voters());
-            members.retainAll(voters);
+            members = new ArrayList<>(p.promises.keySet());
+            members.remove(head);
+            group(head, members);
             path = longestPath(head, members);
             need = voters.size() / 2 + 1;
         }
-        return path.size() < need ? null : new View(p.epoch, List.copyOf(voters), List.copyOf(path));
+        return path.size() < need ? null : new View(p.epoch, List.copyOf(voters), List.copyOf(path), safeBase(p));
+    }
+
+    /**
+     * A position from which on every state holds all that was acknowledged so far. What this view acknowledged, every member
+     * of its chain has on disk; a member that kept its disk and holds nothing of this view shows that it acknowledged nothing.
+     */
+    private Position safeBase(Proposal p) {
+        Position least = null;
+        for (NodeId member : view.chain()) {
+            Pledge pledge = p.promises.get(member);
+            if (pledge != null && pledge.lineage() >= 0 && (least == null || pledge.position().compareTo(least) < 0)) {
+                least = pledge.position();
+            }
+        }
+        return least != null && least.lineage() == view.epoch() ? least : view.base();
     }
 
     private boolean leaving(NodeId n) {
@@ -605,6 +680,10 @@
         if (p == null || !p.accepting || p.epoch != a.epoch() || p.ballot != a.ballot()) {
             return;
         }
+        if (expired(p)) {
+            abandon();
+            return;
+        }
         if (!a.granted()) {
             round = Math.max(round, a.promised() >> 10);
             abandon();
@@ -679,6 +758,13 @@
 
     // ---- the chain
 
+    private void localSynced(State state) {
+        if (view != null && state.lineage() == view.epoch() && state.seq() >= synced) {
+            syncedState = state;
+        }
+        localSynced(state.lineage(), state.seq());
+    }
+
     private void localSynced(long epoch, long seq) {
         if (view == null || epoch != view.epoch()) {
             return;
@@ -714,12 +800,13 @@
     }
 
     private void sendImage(NodeId next) {
-        if (synced < last.seq()) {
+        if (syncedState.lineage() != view.epoch()) {
             return;
         }
-        send(next, new Install(view.epoch(), last.seq(), Codec.encode(last)));
-        sentDown = last.seq();
+        send(next, new Install(view.epoch(), syncedState.seq(), Codec.encode(syncedState)));
+        sentDown = syncedState.seq();
         sentDownMs = nowMs;
+        pushDown();
     }
 
     private void onInstall(NodeId from, Install i) {
@@ -735,8 +822,9 @@
         last = (State) Codec.decode(i.image());
         pending.clear();
         sentDown = -1;
-        long seq = last.seq();
-        store(List.of(vote(), last), true, () -> localSynced(i.epoch(), seq));
+        synced = -1;
+        State installed = last;
+        store(List.of(vote(), installed), true, () -> localSynced(installed));
     }
 
     private void onEntry(NodeId from, Entry e) {
@@ -768,8 +856,9 @@
         last = Content.apply(last, (Op) Codec.decode(op));
         long seq = last.seq();
         long epoch = view.epoch();
-        pending.add(new Pending(seq, last, op, origin, call));
-        store(List.of(new Entry(epoch, seq, op)), false, () -> localSynced(epoch, seq));
+        State state = last;
+        pending.add(new Pending(seq, state, op, origin, call));
+        store(List.of(new Entry(epoch, seq, op)), false, () -> localSynced(state));
     }
 
     private void onSynced(NodeId from, Synced s) {
@@ -777,6 +866,7 @@
             return;
         }
         ackedDown = Math.max(ackedDown, s.seq());
+        resendMs = RESEND_MS;
         commit(Math.min(s.seq(), last.seq()));
     }
 
@@ -922,7 +1012,8 @@
 
     private void onReply(Reply r) {
         Map<Long, Held> of = held.get(me);
-        if (of != null && of.remove(r.id()) != null) {
+        boolean known = r.outcome() >= 0 && r.outcome() < Outcome.values().length;
+        if (known && of != null && of.remove(r.id()) != null) {
             out.add(new Out.Answer(r.id(), Outcome.values()[r.outcome()], r.body()));
         }
     }
@@ -933,9 +1024,15 @@
     public List<Out> beat(long nowMs, Reach reach) {
         this.nowMs = nowMs;
         this.reach = reach;
-        if (founds && foundingUntilMs < 0) {
-            foundingUntilMs = nowMs + FOUNDING_MS;
+        if (startedMs < 0) {
+            startedMs = nowMs;
+        }
+        if (lastBeatMs >= 0 && nowMs - lastBeatMs > PAUSE_MS) {
+            pausedMs = nowMs;
+            wrongSinceMs = -1;
+            membership.forgetSilence();
         }
+        lastBeatMs = nowMs;
         announce();
         for (Map<Long, Held> of : held.values()) {
             of.values().removeIf(h -> {
@@ -977,7 +1074,9 @@
             if (next != null && reach.linked(me, next)) {
                 if (sentDown < 0) {
                     pushDown();
-                } else if (ackedDown < last.seq() && nowMs - sentDownMs > 400) {
+                } else if (ackedDown < last.seq() && nowMs - sentDownMs > resendMs) {
+                    // a large image over a slow link takes its time: sending it ever more often would never end
+                    resendMs = Math.min(resendMs * 2, RESEND_MAX_MS);
                     sentDown = -1;
                     pushDown();
                 }
@@ -999,14 +1098,15 @@
         if (voters >= view.majority()) {
             quorumMs = nowMs;
         }
+        membership.observe(view, reach, nowMs);
         if (proposal != null) {
             maybeAccept();
-            if (proposal != null && nowMs - proposal.sinceMs > 700) {
+            if (proposal != null && expired(proposal)) {
                 abandon();
             }
             return;
         }
-        if (voters < view.majority() || !view.voters().contains(me)) {
+        if (voters < view.majority() || !view.voters().contains(me) || nowMs - pausedMs < PAUSE_MS) {
             wrongSinceMs = -1;
             return;
         }
@@ -1055,7 +1155,7 @@
             return 200;
         }
         for (NodeId v : view.voters()) {
-            if (!chain.contains(v) && !leaving(v)) {
+            if (!chain.contains(v) && !leaving(v) && !reach.blank(v)) {
                 for (NodeId c : chain) {
                     if (reach.linked(c, v) && (c.equals(me) || reach.linked(me, c)) && reach.linked(me, v)) {
                         return readdMs;
@@ -1063,12 +1163,11 @@
                 }
             }
         }
-        if (view.voters().size() < VOTERS_MAX) {
-            for (NodeId n : reach.live()) {
-                if (!view.voters().contains(n) && !leaving(n)) {
-                    return founding(nowMs) ? 600 : 2000;
-                }
-            }
+        if (reach.blank(view.head())) {
+            return 200;
+        }
+        if (membership.changeDue(view, reach, nowMs)) {
+            return founding(nowMs) ? JOIN_FOUNDING_MS : JOIN_MS;
         }
         return -1;
     }
--- a/src/main/java/ringspindle/chain/Content.java
+++ b/src/main/java/ringspindle/chain/Content.java
@@ -12,7 +12,10 @@
 
 /** What the control state holds and how calls change it. Pure. */
 final class Content {
-    private static final int PAST_MAX = 256;
+    /** Orders on configurations that are known again when they are sent again. */
+    static final int PAST_MAX = 1024;
+    /** In place of a revision: the order was on serving rules. */
+    private static final long NO_REVISION = -1;
     private static final int LEAVING_MAX = 400;
 
     /** What a call comes to: an op to commit, or an outcome at once. */
@@ -33,7 +36,7 @@
                 if ((m != null && m.value().equals("on")) == on) {
                     return outcome(Outcome.TAKEN);
                 }
-                return op(c, 0, 0, c.body());
+                return overtaken(c, m) ? outcome(Outcome.UNCLEAR) : op(c, 0, 0, c.body());
             }
             case DRAIN:
             case GONE: {
@@ -52,6 +55,11 @@
         }
     }
 
+    /** True if what the order would replace is newer than what was known when it was taken: it was held up on its way. */
+    static boolean overtaken(Call c, Mark replaced) {
+        return replaced != null && replaced.version() > c.base();
+    }
+
     static Decision outcome(Outcome o) {
         return new Decision(null, o, new byte[0]);
     }
@@ -61,11 +69,9 @@
     }
 
     private Decision decideConfig(State s, Call c) {
-        long digest = Hashing.sha256().newHasher().putInt(c.kind()).putLong(c.base()).putBytes(c.body()).hash().asLong();
-        for (long[] p : s.past()) {
-            if (p[1] == digest) {
-                return outcome(Outcome.TAKEN);
-            }
+        long digest = digest(c);
+        if (takenBefore(s, digest)) {
+            return outcome(Outcome.TAKEN);
         }
         Checked<FleetConfig> checked;
         if (c.kind() == PUT) {
@@ -76,7 +82,7 @@
                 return invalid(bad.problems());
             }
             if (s.config().length == 0 || c.base() != s.revision()) {
-                return outcome(Outcome.OTHER_VERSION);
+                return otherVersion(s, c);
             }
             checked = current(s).patched(((Checked.Good<jakarta.json.JsonObject>) patch).value());
         }
@@ -85,7 +91,7 @@
         }
         FleetConfig next = ((Checked.Good<FleetConfig>) checked).value();
         if (c.base() != s.revision()) {
-            return outcome(Outcome.OTHER_VERSION);
+            return otherVersion(s, c);
         }
         if (next.revision() <= s.revision()) {
             return invalid(List.of(new Problem.OldRevision(next.revision(), s.revision())));
@@ -93,6 +99,47 @@
         return op(c, next.revision(), digest, next.packed());
     }
 
+    /**
+     * An order's identity: 64 bits of SHA-256 over kind, base and body as sent. Two of the {@link #PAST_MAX} kept and a new
+     * one meet by chance less than once in 10^16 orders; callers are trusted not to look for a collision.
+     */
+    private static long digest(Call c) {
+        return Hashing.sha256().newHasher().putInt(c.kind()).putLong(c.base()).putBytes(c.body()).hash().asLong();
+    }
+
+    private static boolean takenBefore(State s, long digest) {
+        for (long[] p : s.past()) {
+            if (p[1] == digest) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** A stale base is refused only while it is certain that the order was not taken long ago and then forgotten. */
+    private static Decision otherVersion(State s, Call c) {
+        boolean forgotten = s.past().size() >= PAST_MAX && c.base() < oldestRevision(s);
+        return outcome(forgotten ? Outcome.UNCLEAR : Outcome.OTHER_VERSION);
+    }
+
+    private static long oldestRevision(State s) {
+        for (long[] p : s.past()) {
+            if (p[0] != NO_REVISION) {
+                return p[0];
+            }
+        }
+        return s.revision();
+    }
+
+    private static List<long[]> remember(List<long[]> past, long revision, long digest) {
+        List<long[]> out = new ArrayList<>(past);
+        out.add(new long[] {revision, digest});
+        if (out.size() > PAST_MAX) {
+            out.remove(0);
+        }
+        return out;
+    }
+
     /** Serving rules on top of the revision they were made for; checked against the configuration in force. */
     private Decision decideRules(State s, Call c) {
         Checked<ServingRules> checked = ServingRules.read(c.body());
@@ -103,7 +150,7 @@
         Mark m = mark(s, MARK_RULES, "");
         ServingRules now = m == null ? null : ((Checked.Good<ServingRules>) ServingRules.read(m.value().getBytes(UTF_8))).value();
         long revision = now == null ? 0 : now.revision();
-        if (now != null && now.digest() == next.digest()) {
+        if (now != null && now.digest() == next.digest() || takenBefore(s, digest(c))) {
             return outcome(Outcome.TAKEN);
         }
         if (c.base() != revision) {
@@ -113,7 +160,7 @@
             return invalid(List.of(new Problem.OldRevision(next.revision(), revision)));
         }
         List<Problem> problems = next.problems(s.config().length == 0 ? null : current(s), Set.of());
-        return problems.isEmpty() ? op(c, next.revision(), next.digest(), next.bytes()) : invalid(problems);
+        return problems.isEmpty() ? op(c, next.revision(), digest(c), next.bytes()) : invalid(problems);
     }
 
     private FleetConfig current(State s) {
@@ -148,11 +195,7 @@
         switch (op.kind()) {
             case PUT:
             case PATCH:
-                past = new ArrayList<>(past);
-                past.add(new long[] {op.revision(), op.digest()});
-                if (past.size() > PAST_MAX) {
-                    past.remove(0);
-                }
+                past = remember(past, op.revision(), op.digest());
                 config = op.body();
                 revision = op.revision();
                 break;
@@ -172,6 +215,7 @@
                 marks = marked(marks, new Mark(MARK_ROLLOUT, op.arg(), seq, new String(op.body(), UTF_8)));
                 break;
             case RULES:
+                past = remember(past, NO_REVISION, op.digest());
                 marks = marked(marks, new Mark(MARK_RULES, "", seq, new String(op.body(), UTF_8)));
                 break;
             default:
--- /dev/null
+++ b/src/main/java/ringspindle/chain/Membership.java
@@ -0,0 +1,128 @@
+package ringspindle.chain;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
+
+/**
+ * Chooses the voters of the next view. Nodes that join take a seat; a voter that leaves or stays silent loses its seat, one
+ * voter a view, as long as enough voters remain for the losses that have to be borne. A voter that was only cut off or
+ * frozen joins again like any other node.
+ */
+final class Membership {
+    /** More voters bear no loss that is asked for, and each of them is one more sync and hop for every order. */
+    static final int VOTERS_MAX = 9;
+    /** How long nobody may have heard of a voter before its seat is given away. */
+    static final long SILENT_VOTER_MS = 2000;
+
+    private final NodeId self;
+    private final int leastVoters;
+    private final Map<NodeId, Long> silentSinceMs = new TreeMap<>();
+
+    /**
+     * @param leastVoters as many voters as remain at least: 2f + 1 for the loss of f disks
+     */
+    Membership(NodeId self, int leastVoters) {
+        this.self = self;
+        this.leastVoters = leastVoters;
+    }
+
+    int leastVoters() {
+        return leastVoters;
+    }
+
+    /** Notes which voters nobody in touch hears of. */
+    void observe(View view, Chain.Reach reach, long nowMs) {
+        silentSinceMs.keySet().retainAll(view.voters());
+        for (NodeId voter : view.voters()) {
+            if (heardOf(voter, view, reach)) {
+                silentSinceMs.remove(voter);
+            } else {
+                silentSinceMs.putIfAbsent(voter, nowMs);
+            }
+        }
+    }
+
+    /** After a pause of this node it cannot tell how long the others were silent. */
+    void forgetSilence() {
+        silentSinceMs.clear();
+    }
+
+    private boolean heardOf(NodeId voter, View view, Chain.Reach reach) {
+        if (voter.equals(self) || reach.linked(self, voter)) {
+            return true;
+        }
+        for (NodeId witness : view.voters()) {
+            if (!witness.equals(voter) && reach.linked(self, witness) && reach.linked(witness, voter)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** True while another set of voters would be better than the one in force. */
+    boolean changeDue(View view, Chain.Reach reach, long nowMs) {
+        return !nextVoters(view, Set.of(), null, reach, nowMs).equals(view.voters());
+    }
+
+    /**
+     * The voters of the next view, those of the present one in their order and joiners behind them.
+     *
+     * @param promised voters that have just promised, and so are not silent
+     * @param keep a voter that must stay since nobody else holds as much, null if there is none
+     */
+    List<NodeId> nextVoters(View view, Collection<NodeId> promised, NodeId keep, Chain.Reach reach, long nowMs) {
+        List<NodeId> joiners = joiners(view, reach);
+        List<NodeId> voters = new ArrayList<>(view.voters());
+        NodeId gone = departed(view, promised, keep, reach, nowMs);
+        if (gone != null && voters.size() - 1 + joiners.size() >= leastVoters) {
+            voters.remove(gone);
+        }
+        for (NodeId joiner : joiners) {
+            if (voters.size() < VOTERS_MAX) {
+                voters.add(joiner);
+            }
+        }
+        return voters;
+    }
+
+    /** The voter whose seat is given up next: one that leaves, else the one silent for longest; null if there is none. */
+    private NodeId departed(View view, Collection<NodeId> promised, NodeId keep, Chain.Reach reach, long nowMs) {
+        for (NodeId voter : view.voters()) {
+            if (!voter.equals(keep) && reach.leaving(voter)) {
+                return voter;
+            }
+        }
+        return view.voters().stream()
+                .filter(voter -> !voter.equals(keep) && !promised.contains(voter))
+                .filter(voter -> nowMs - silentSinceMs.getOrDefault(voter, nowMs) >= SILENT_VOTER_MS)
+                .min(Comparator.comparing(silentSinceMs::get))
+                .orElse(null);
+    }
+
+    /** Nodes that may vote: in touch, not leaving, with memory of what was promised, and heard by most voters. */
+    private List<NodeId> joiners(View view, Chain.Reach reach) {
+        List<NodeId> joiners = new ArrayList<>();
+        for (NodeId node : reach.live()) {
+            if (!view.voters().contains(node) && !reach.leaving(node) && !reach.blank(node)
+                    && votersInTouch(node, view, reach) >= view.majority()) {
+                joiners.add(node);
+            }
+        }
+        return joiners;
+    }
+
+    private static int votersInTouch(NodeId node, View view, Chain.Reach reach) {
+        int inTouch = 0;
+        for (NodeId voter : view.voters()) {
+            inTouch += reach.linked(node, voter) ? 1 : 0;
+        }
+        return inTouch;
+    }
+}
--- a/src/main/java/ringspindle/chain/Rollouts.java
+++ b/src/main/java/ringspindle/chain/Rollouts.java
@@ -34,6 +34,14 @@
 
     private static Content.Decision decide(State s, Call c, JsonObject o, Rollout now) {
         String order = o.getString("order");
+        Content.Decision decision = decide(s, c, o, now, order);
+        // an operator's order that was held up must not undo a newer one; the duty's own orders name their epoch
+        boolean operators = !o.containsKey("epoch");
+        return operators && decision.op() != null && Content.overtaken(c, Content.mark(s, MARK_ROLLOUT, c.arg()))
+                ? Content.outcome(Outcome.UNCLEAR) : decision;
+    }
+
+    private static Content.Decision decide(State s, Call c, JsonObject o, Rollout now, String order) {
         boolean open = now != null && (now.state() == Rollout.Standing.RUNNING || now.state() == Rollout.Standing.PAUSED);
         switch (order) {
             case "start": {
--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -34,7 +34,8 @@
             x.heard().forEach(n -> g.next().node(n.bits()));
             end = e.limit();
         } else if (m instanceof View x) {
-            ViewEncoder e = new ViewEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch());
+            ViewEncoder e = new ViewEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch())
+                    .baseLineage(x.base().lineage()).baseSeq(x.base().seq());
             ViewEncoder.VotersEncoder v = e.votersCount(x.voters().size());
             x.voters().forEach(n -> v.next().node(n.bits()));
             ViewEncoder.ChainEncoder c = e.chainCount(x.chain().size());
@@ -218,6 +219,8 @@
             }
             case ViewDecoder.TEMPLATE_ID: {
                 ViewDecoder d = new ViewDecoder().wrapAndApplyHeader(b, 0, h);
+                long lineage = d.baseLineage();
+                Position base = lineage == ViewDecoder.baseLineageNullValue() ? Position.NONE : new Position(lineage, d.baseSeq());
                 List<NodeId> voters = new ArrayList<>();
                 for (ViewDecoder.VotersDecoder g : d.voters()) {
                     voters.add(new NodeId(g.node()));
@@ -226,7 +229,7 @@
                 for (ViewDecoder.ChainDecoder g : d.chain()) {
                     chain.add(new NodeId(g.node()));
                 }
-                return new View(d.epoch(), voters, chain);
+                return new View(d.epoch(), voters, chain, base);
             }
             case PrepareDecoder.TEMPLATE_ID: {
                 PrepareDecoder d = new PrepareDecoder().wrapAndApplyHeader(b, 0, h);
--- a/src/main/java/ringspindle/wire/Msg.java
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -18,8 +18,28 @@
         public static final int QUORATE = 4;
     }
 
-    /** A view: its epoch, who votes on the next one, and the chain from head to tail. */
-    record View(long epoch, List<NodeId> voters, List<NodeId> chain) implements Msg {
+    /** How far a copy of the control state has come: the view it stems from, then the number of its last order. */
+    record Position(long lineage, long seq) implements Comparable<Position> {
+        /** Before every state: of a node that holds none. */
+        public static final Position NONE = new Position(-1, 0);
+
+        @Override
+        public int compareTo(Position o) {
+            return lineage != o.lineage ? Long.compare(lineage, o.lineage) : Long.compare(seq, o.seq);
+        }
+    }
+
+    /**
+     * A view: its epoch, who votes on the next one, and the chain from head to tail.
+     *
+     * @param base every state from here on holds all that was acknowledged in earlier views
+     */
+    record View(long epoch, List<NodeId> voters, List<NodeId> chain, Position base) implements Msg {
+        /** A view whose base is not known; {@code new View(1, abc, abc)}. */
+        public View(long epoch, List<NodeId> voters, List<NodeId> chain) {
+            this(epoch, voters, chain, Position.NONE);
+        }
+
         /** {@code new View(1, abc, abc).majority()} is 2 for three voters. */
         public int majority() {
             return voters.size() / 2 + 1;
@@ -41,6 +61,10 @@
 
     record Pledge(long epoch, long ballot, boolean granted, long promised, long acceptedBallot, long lineage, long seq,
             View accepted, View view) implements Msg {
+        /** How far the voter's copy has come; {@code pledge.position().compareTo(view.base()) >= 0}. */
+        public Position position() {
+            return new Position(lineage, seq);
+        }
     }
 
     record Accept(long epoch, long ballot, View view) implements Msg {
@@ -74,7 +98,17 @@
             implements Msg {
     }
 
+    /**
+     * An order or reading that some node took from a caller.
+     *
+     * @param base the revision that it builds on; for orders without one, the version of what they replace that the node
+     *     knew of when it took them: an order held up since must not undo a newer one
+     */
     record Call(long id, int kind, long base, String arg, byte[] body) implements Msg {
+        /** The same call on another base; {@code call.since(7).base()} is 7. */
+        public Call since(long base) {
+            return new Call(id, kind, base, arg, body);
+        }
     }
 
     record Reply(long id, int outcome, byte[] body) implements Msg {
--- a/src/test/java/ringspindle/chain/ChainSim.java
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -180,6 +180,62 @@
         return !cut(a, b) && !cut(b, a) && x.frozenUntilMs <= nowMs && y.frozenUntilMs <= nowMs;
     }
 
+    /** Something to be done at a given time of the run. */
+    void script(long atMs, Runnable step) {
+        at(atMs, step);
+    }
+
+    /** A new node with an empty disk at a new address, as a replacement is. */
+    private Node join() {
+        Node n = new Node(NodeId.of("10.1." + joined++ % 3 + "." + joined + ":7000"));
+        byId.put(n.id, n);
+        nodes.add(n);
+        start(n);
+        return n;
+    }
+
+    private int joined;
+
+    private void removeForGood(Node n) {
+        nodes.remove(n);
+        n.machine = null;
+        n.life++;
+        n.inbox.clear();
+    }
+
+    /** The new one first; then the old one is told to end, and ends once it has handed over or its time is up. */
+    void replacePlanned(int index) {
+        Node old = nodes.get(index);
+        join();
+        at(3000, () -> old.leaving = true);
+        at(3900, () -> removeForGood(old));
+    }
+
+    /** One is gone for good, an empty one comes a second later at another address. */
+    void replaceLost(int index) {
+        removeForGood(nodes.get(index));
+        at(1000, this::join);
+    }
+
+    void loseDisk(int index, long forMs) {
+        crash(nodes.get(index), true, forMs);
+    }
+
+    /** As a closing fault does it: some lose their disks, all others their power. */
+    void loseDisksAndPower(Set<Integer> indexes) {
+        for (int i = 0; i < nodes.size(); i++) {
+            crash(nodes.get(i), indexes.contains(i), 500 + luck.nextInt(900));
+        }
+    }
+
+    int size() {
+        return nodes.size();
+    }
+
+    long acknowledgedAfter(long atMs) {
+        return history.acked.stream().filter(a -> a.atMs() >= atMs).count();
+    }
+
     History run(int troubles, long forMs) {
         for (Node n : nodes) {
             beat(n, n.life);
@@ -242,6 +298,12 @@
                     return byId.get(o).leaving;
                 }
 
+                @Override
+                public boolean blank(NodeId o) {
+                    Node peer = byId.get(o);
+                    return up(peer) && peer.machine.blank();
+                }
+
                 @Override
                 public String place(NodeId o) {
                     return Long.toString((o.bits() >>> 24) % 3);
@@ -337,6 +399,14 @@
         until(nowMs + forMs);
     }
 
+    List<NodeId> votersOfNewest() {
+        return newest().voters();
+    }
+
+    List<NodeId> running() {
+        return nodes.stream().map(n -> n.id).sorted().toList();
+    }
+
     /** Voters of the newest view. */
     int voters() {
         return nodes.stream().filter(n -> up(n) && n.machine.view() != null).map(n -> n.machine.view())
@@ -605,7 +675,13 @@
         List<Node> few = new ArrayList<>(nodes);
         Collections.shuffle(few, luck);
         few = few.subList(0, lost);
-        switch (luck.nextInt(lost == 1 ? 8 : 10)) {
+        switch (luck.nextInt(lost == 1 ? 10 : 12)) {
+            case 8:
+                replacePlanned(nodes.indexOf(n));
+                break;
+            case 9:
+                replaceLost(nodes.indexOf(n));
+                break;
             case 0:
                 few.forEach(x -> crash(x, false, forMs));
                 break;
@@ -616,11 +692,12 @@
                 // it is told to end, says so, and ends a moment later
                 n.leaving = true;
                 at(900, () -> {
-                    n.leaving = false;
-                    crash(n, false, forMs);
+                    if (nodes.contains(n)) {
+                        crash(n, false, forMs);
+                    }
                 });
                 break;
-            case 8:
+            case 10:
                 // one loses its disk, the other is cut off
                 crash(few.get(0), true, forMs);
                 for (Node o : nodes) {
@@ -630,7 +707,7 @@
                     }
                 }
                 break;
-            case 9:
+            case 11:
                 // as many as may lose their disks, all others their power
                 for (Node o : nodes) {
                     crash(o, few.contains(o), 200 + luck.nextInt(1500));
@@ -689,21 +766,26 @@
         }
         int life = n.life;
         at(forMs, () -> {
-            if (n.life != life || n.machine != null) {
+            if (n.life != life || n.machine != null || !nodes.contains(n)) {
                 return;
             }
-            n.machine = machine(n.id, false, n.disk);
-            n.upMs = nowMs;
-            n.diskFreeMs = nowMs;
-            beat(n, life);
-            at(150, () -> {
-                for (Node o : nodes) {
-                    if (o != n && up(o) && up(n)) {
-                        carry(o, o.machine.opened(n.id, nowMs));
-                        carry(n, n.machine.opened(o.id, nowMs));
-                    }
+            start(n);
+        });
+    }
+
+    private void start(Node n) {
+        n.machine = machine(n.id, false, n.disk);
+        n.upMs = nowMs;
+        n.diskFreeMs = nowMs;
+        n.leaving = false;
+        beat(n, n.life);
+        at(150, () -> {
+            for (Node o : List.copyOf(nodes)) {
+                if (o != n && up(o) && up(n)) {
+                    carry(o, o.machine.opened(n.id, nowMs));
+                    carry(n, n.machine.opened(o.id, nowMs));
                 }
-            });
+            }
         });
     }
 }
--- a/src/test/java/ringspindle/chain/ChainSimTest.java
+++ b/src/test/java/ringspindle/chain/ChainSimTest.java
@@ -33,12 +33,57 @@
             ChainSim.History h = sim.run(7, 45_000);
             assertEquals(List.of(), h.problems(), () -> "seed and size " + sim.name() + sim.standing());
             assertTrue(h.readBack >= 0, "nothing could be read back, seed " + seed);
-            assertEquals(Math.min(size, ChainMachine.VOTERS_MAX), sim.voters(), () -> "all vote in the end " + sim.name() + sim.standing());
+            assertEquals(Math.min(size, Membership.VOTERS_MAX), sim.voters(), () -> "all vote in the end " + sim.name() + sim.standing());
             acked += h.acked.size();
         }
         assertTrue(acked > 40 * 12, "too little was acknowledged to show anything: " + acked);
     }
 
+    /** A second loss right after a replacement: of the voters of the deployment a majority is left, whoever is lost. */
+    @ParameterizedTest
+    @CsvSource({"3,1,true", "3,1,false", "6,2,true", "6,2,false"})
+    void lossRightAfterAReplacementLeavesAMajority(int size, int lost, boolean planned) {
+        for (long seed = 1; seed <= 2L * size; seed++) {
+            ChainSim sim = new ChainSim(seed, size, 3, lost);
+            int first = (int) (seed / 2 % size);
+            int second = (int) (seed % size);
+            // the replacement has had the time to catch up, four seconds from its start, and no more
+            sim.script(9_000, () -> replace(sim, planned, first));
+            sim.script(planned ? 14_000 : 14_100, () -> sim.loseDisksAndPower(lost == 1 ? Set.of(second) : Set.of(second, (second + 1) % size)));
+            ChainSim.History h = sim.run(0, 22_000);
+            assertEquals(List.of(), h.problems(), () -> sim.name() + sim.standing());
+            assertTrue(sim.acknowledgedAfter(17_500) > 0, () -> "nothing is acknowledged after the second loss " + sim.name() + sim.standing());
+            assertEquals(sim.running(), sim.votersOfNewest().stream().sorted().toList(), sim::name);
+        }
+    }
+
+    private static void replace(ChainSim sim, boolean planned, int index) {
+        if (planned) {
+            sim.replacePlanned(index);
+        } else {
+            sim.replaceLost(index);
+        }
+    }
+
+    /** All nodes of a deployment replaced one after the other, half of them without notice, and a lost disk behind it. */
+    @ParameterizedTest
+    @CsvSource({"3,1", "6,2"})
+    void everyNodeReplacedInTurn(int size, int lost) {
+        for (long seed = 1; seed <= 4; seed++) {
+            ChainSim sim = new ChainSim(seed, size, 3, lost);
+            for (int i = 0; i < size; i++) {
+                boolean planned = (seed + i) % 2 == 0;
+                sim.script(9_000 + i * 7_500L, () -> replace(sim, planned, 0));
+            }
+            long lastMs = 9_000 + size * 7_500L;
+            sim.script(lastMs, () -> sim.loseDisk(0, 2500));
+            ChainSim.History h = sim.run(0, lastMs + 8_000);
+            assertEquals(List.of(), h.problems(), () -> sim.name() + sim.standing());
+            assertTrue(sim.acknowledgedAfter(lastMs + 4_000) > 0, () -> sim.name() + sim.standing());
+            assertEquals(sim.running(), sim.votersOfNewest().stream().sorted().toList(), sim::name);
+        }
+    }
+
     /** A head that is told to end hands its place over first: orders go on being taken, and the view has let it go. */
     @Test
     void leavingHeadHandsOver() {
@@ -59,7 +104,7 @@
         ChainSim sim = new ChainSim(3, 12, 3, 2);
         ChainSim.History h = sim.run(0, 25_000);
         assertEquals(List.of(), h.problems(), () -> sim.name() + sim.standing());
-        assertEquals(ChainMachine.VOTERS_MAX, sim.voters());
+        assertEquals(Membership.VOTERS_MAX, sim.voters());
         assertTrue(h.acked.size() > 10, "acknowledged " + h.acked.size());
     }
 
--- a/src/test/java/ringspindle/chain/RollSim.java
+++ b/src/test/java/ringspindle/chain/RollSim.java
@@ -114,7 +114,9 @@
 
     /** Sends an order; a stale epoch must be refused. */
     Outcome order(String json) {
-        Content.Decision d = content.decide(state, new Call(1, Chain.ROLLOUT, 0, "s", json.getBytes(UTF_8)));
+        // whoever takes the order knows of all that came before it
+        Call call = new Call(1, Chain.ROLLOUT, 0, "s", json.getBytes(UTF_8)).since(state.seq());
+        Content.Decision d = content.decide(state, call);
         if (d.op() == null) {
             return d.outcome();
         }
