A refusal or "already so" needs the same proof as a reading: a majority confirms the view

Change: whatever is answered without an entry in the chain, refusals and "already so" as well as readings, goes out only after a majority of the voters confirmed, later than the call came, that the view is the newest. Numbers of confirmations start at random in each life, so that one of an earlier life does not count.

--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -40,7 +40,7 @@
     private record Pending(long seq, State state, byte[] op, NodeId origin, long call) {
     }
 
-    /** A refusal, or a reading of the state, that waits until all before it is committed. */
+    /** A confirmed answer that waits until all that it rests on is committed. */
     private record Waiting(long seq, NodeId origin, long call, Outcome outcome, byte[] body) {
     }
 
@@ -67,17 +67,24 @@
         final Set<NodeId> accepts = new TreeSet<>();
     }
 
-    private static final class Reading {
+    /**
+     * An answer that changes nothing and so rests on this node's state alone: a reading, a refusal, or "already so". It goes
+     * out only after a majority of voters confirmed, later than the call came, that the view is still the newest.
+     */
+    private static final class Unconfirmed {
         final NodeId origin;
-        final long call;
-        final String what;
+        final Call call;
         final long sinceMs;
-        final Set<NodeId> ok = new TreeSet<>();
+        /** What was decided on the state of that number; null for a reading, which is made once it is confirmed. */
+        final Content.Decision decision;
+        final long seq;
+        final Set<NodeId> confirmedBy = new TreeSet<>();
 
-        Reading(NodeId origin, long call, String what, long sinceMs) {
-            this.what = what;
+        Unconfirmed(NodeId origin, Call call, Content.Decision decision, long seq, long sinceMs) {
             this.origin = origin;
             this.call = call;
+            this.decision = decision;
+            this.seq = seq;
             this.sinceMs = sinceMs;
         }
     }
@@ -100,14 +107,14 @@
     private final ArrayDeque<Pending> pending = new ArrayDeque<>();
     private final List<Waiting> waiting = new ArrayList<>();
     private final Map<NodeId, Map<Long, Held>> held = new TreeMap<>();
-    private final Long2ObjectMap<Reading> readings = new Long2ObjectLinkedOpenHashMap<>();
+    private final Long2ObjectMap<Unconfirmed> unconfirmed = new Long2ObjectLinkedOpenHashMap<>();
     private final Long2ObjectMap<Runnable> thens = new Long2ObjectOpenHashMap<>();
     private final Map<NodeId, Relearned> relearned = new TreeMap<>();
     private final ArrayDeque<Msg> toSelf = new ArrayDeque<>();
     private Proposal proposal;
     private long round;
     private long nextToken;
-    private long nextReading;
+    private long nextConfirm;
     private long synced = -1;
     private long sentDown = -1;
     private long ackedDown = -1;
@@ -139,7 +146,7 @@
         this.seeds = List.copyOf(seeds);
         this.luck = new Random(luck);
         // numbers of an earlier life of this node must not be taken for this one's
-        nextReading = this.luck.nextLong();
+        nextConfirm = this.luck.nextLong();
         State empty = new State(-1, 0, 0, List.of(), List.of(), NONE);
         last = empty;
         for (Msg m : found) {
@@ -410,7 +417,7 @@
         wrongSinceMs = -1;
         nextProposeMs = nowMs + 300;
         out.add(new Out.Viewed(v));
-        readings.clear();
+        unconfirmed.clear();
         startView();
     }
 
@@ -930,7 +937,7 @@
                     if (h.sentEpoch != view.epoch() && established() && (read || !founding(nowMs))) {
                         h.sentEpoch = view.epoch();
                         if (read) {
-                            read(h);
+                            confirm(h, null);
                         } else {
                             decide(h);
                         }
@@ -963,35 +970,44 @@
         Content.Decision d = content.decide(last, h.call);
         if (d.op() != null) {
             append(Codec.encode(d.op()), h.origin, h.call.id());
-        } else if (committed.seq() >= last.seq()) {
-            reply(h.origin, h.call.id(), d.outcome(), d.body());
-            drained.add(h);
         } else {
-            waiting.add(new Waiting(last.seq(), h.origin, h.call.id(), d.outcome(), d.body()));
+            confirm(h, d);
         }
     }
 
-    private void read(Held h) {
-        long id = nextReading++;
-        readings.put(id, new Reading(h.origin, h.call.id(), h.call.arg(), nowMs));
+    /** Asks the voters whether this view is still the newest, before an answer that rests on the state held here. */
+    private void confirm(Held h, Content.Decision decision) {
+        long id = nextConfirm++;
+        unconfirmed.put(id, new Unconfirmed(h.origin, h.call, decision, last.seq(), nowMs));
         view.voters().forEach(v -> send(v, new Confirm(view.epoch(), id)));
     }
 
     private void onConfirmed(NodeId from, Confirmed c) {
-        Reading r = readings.get(c.id());
-        if (r == null || !c.ok() || view == null || c.epoch() != view.epoch() || !view.tail().equals(me) || !established()) {
+        Unconfirmed u = unconfirmed.get(c.id());
+        if (u == null || !c.ok() || view == null || c.epoch() != view.epoch() || !established()) {
             return;
         }
-        r.ok.add(from);
-        if (r.ok.size() >= view.majority()) {
-            readings.remove(c.id());
-            byte[] found = committed.config();
-            if (r.what.equals(READ_RULES)) {
-                Mark m = Content.mark(committed, MARK_RULES, "");
-                found = m == null ? NONE : m.value().getBytes(java.nio.charset.StandardCharsets.UTF_8);
-            }
-            answer(r.origin, r.call, found.length == 0 ? Outcome.NO_SUCH : Outcome.TAKEN, found);
+        u.confirmedBy.add(from);
+        if (u.confirmedBy.size() < view.majority()) {
+            return;
+        }
+        unconfirmed.remove(c.id());
+        if (u.decision == null) {
+            answerReading(u);
+        } else if (committed.seq() >= u.seq) {
+            answer(u.origin, u.call.id(), u.decision.outcome(), u.decision.body());
+        } else {
+            waiting.add(new Waiting(u.seq, u.origin, u.call.id(), u.decision.outcome(), u.decision.body()));
+        }
+    }
+
+    private void answerReading(Unconfirmed reading) {
+        byte[] found = committed.config();
+        if (reading.call.arg().equals(READ_RULES)) {
+            Mark m = Content.mark(committed, MARK_RULES, "");
+            found = m == null ? NONE : m.value().getBytes(java.nio.charset.StandardCharsets.UTF_8);
         }
+        answer(reading.origin, reading.call.id(), found.length == 0 ? Outcome.NO_SUCH : Outcome.TAKEN, found);
     }
 
     private void answer(NodeId origin, long call, Outcome o, byte[] body) {
@@ -1045,7 +1061,7 @@
                 return true;
             });
         }
-        readings.values().removeIf(r -> nowMs - r.sinceMs > HELD_CONFIG_MS);
+        unconfirmed.values().removeIf(u -> nowMs - u.sinceMs > HELD_CONFIG_MS);
         if (wiped) {
             if (nowMs >= nextRelearnMs) {
                 nextRelearnMs = nowMs + 300;
--- a/src/test/java/ringspindle/chain/ChainMachineTest.java
+++ b/src/test/java/ringspindle/chain/ChainMachineTest.java
@@ -53,6 +53,23 @@
         return outs.stream().filter(o -> o instanceof Out.Send).map(o -> ((Out.Send) o).m()).filter(type::isInstance).toList();
     }
 
+    /** What follows once one more voter says that the view is still the newest. */
+    private static List<Out> confirmed(Chain c, List<Out> outs) {
+        List<Out> all = new ArrayList<>();
+        for (Msg m : sent(outs, Confirm.class)) {
+            Confirm asked = (Confirm) m;
+            all.addAll(c.on(B, new Confirmed(asked.epoch(), asked.id(), true), 10));
+        }
+        return all;
+    }
+
+    /** The answers to a call that changes nothing: none before a majority has confirmed the view. */
+    private static List<Outcome> answersOnceConfirmed(Chain c, Call call, long nowMs) {
+        List<Out> outs = c.call(call, nowMs);
+        assertEquals(List.of(), answers(outs), "answered by a head that may have been deposed");
+        return answers(confirmed(c, outs));
+    }
+
     /** A head whose followers have synced the first image. */
     private static Chain head() {
         Chain a = Chain.create(A, ALL, true, List.of(), 1, 1);
@@ -81,6 +98,7 @@
         synced(a, a.call(put(1, 0, 3), 30));
         List<Out> refused = synced(a, a.call(put(2, 0, 5), 31));
         assertEquals(List.of(), answers(refused), "final though the winner may yet be lost");
+        assertEquals(List.of(), answers(confirmed(a, refused)), "final though the winner may yet be lost");
         assertEquals(List.of(Outcome.TAKEN, Outcome.OTHER_VERSION), answers(a.on(B, new Synced(1, 1), 40)));
     }
 
@@ -91,12 +109,92 @@
         a.on(B, new Synced(1, 1), 40);
         synced(a, a.call(put(2, 3, 7), 50));
         a.on(B, new Synced(1, 2), 60);
-        assertEquals(List.of(Outcome.TAKEN), answers(a.call(put(3, 0, 3), 70)), "the very one that was taken");
-        assertEquals(List.of(Outcome.OTHER_VERSION), answers(a.call(put(4, 0, 9), 70)));
-        assertEquals(List.of(Outcome.INVALID), answers(a.call(put(5, 7, 7), 70)), "a revision that does not rise");
+        assertEquals(List.of(Outcome.TAKEN), answersOnceConfirmed(a, put(3, 0, 3), 70), "the very one that was taken");
+        assertEquals(List.of(Outcome.OTHER_VERSION), answersOnceConfirmed(a, put(4, 0, 9), 70));
+        assertEquals(List.of(Outcome.INVALID), answersOnceConfirmed(a, put(5, 7, 7), 70), "a revision that does not rise");
         assertEquals(7, a.committed().revision());
     }
 
+    /** A head that was cut off, while the others went on without it, neither confirms nor refuses on its old state. */
+    @Test
+    void deposedHeadAnswersNothing() {
+        Chain a = head();
+        synced(a, a.call(put(1, 0, 3), 30));
+        a.on(B, new Synced(1, 1), 40);
+        for (Call c : List.of(put(2, 0, 3), put(3, 0, 9), put(4, 3, 2))) {
+            List<Out> outs = a.call(c, 50);
+            for (Msg m : sent(outs, Confirm.class)) {
+                Confirm asked = (Confirm) m;
+                assertEquals(List.of(), answers(a.on(B, new Confirmed(1, asked.id(), false), 60)));
+                assertEquals(List.of(), answers(a.on(C, new Confirmed(1, asked.id() + 1, true), 60)), "another's confirmation");
+            }
+        }
+    }
+
+    /** An order that was held up on its way, while its caller repeated it elsewhere and then took it back, has no effect. */
+    @Test
+    void orderFromBeforeANewerOneIsNotActedUpon() {
+        Chain a = head();
+        Call held = new Call(1, Chain.EVACUATE, 0, "z", new byte[0]);
+        synced(a, a.call(new Call(2, Chain.EVACUATE, 0, "z", new byte[0]), 30));
+        synced(a, a.call(new Call(3, Chain.RESTORE, 0, "z", new byte[0]), 40));
+        a.on(B, new Synced(1, 2), 50);
+        List<Out> late = a.on(C, held, 60);
+        assertEquals(List.of(), sent(synced(a, late), Entry.class));
+        Reply reply = (Reply) sent(confirmed(a, late), Reply.class).get(0);
+        assertEquals(Outcome.UNCLEAR.ordinal(), reply.outcome());
+        assertEquals("off", a.committed().marks().get(0).value());
+        synced(a, a.call(new Call(4, Chain.EVACUATE, 0, "z", new byte[0]), 70));
+        a.on(B, new Synced(1, 3), 80);
+        assertEquals("on", a.committed().marks().get(0).value(), "an order taken later counts");
+    }
+
+    /** Beyond what is kept an order sent again gets no clear answer, which is neither a confirmation nor a refusal. */
+    @Test
+    void orderSentAgainAfterHundredsOfChangesIsNeverRefused() {
+        Chain a = head();
+        int changes = Content.PAST_MAX + 10;
+        for (int i = 1; i <= changes; i++) {
+            synced(a, a.call(put(i, i - 1, i), 100 + i));
+            a.on(B, new Synced(1, i), 100 + i);
+        }
+        assertEquals(changes, a.committed().revision());
+        assertEquals(List.of(Outcome.UNCLEAR), answersOnceConfirmed(a, put(5000, 0, 1), 9000));
+        assertEquals(List.of(Outcome.TAKEN), answersOnceConfirmed(a, put(5001, 300, 301), 9000), "one that is still kept");
+        assertEquals(List.of(Outcome.OTHER_VERSION), answersOnceConfirmed(a, put(5002, 300, 302), 9000), "one that was never taken");
+    }
+
+    /** A copy that was stale when the view was decided may not lead the next one. */
+    @Test
+    void staleMemberOfTheChainDoesNotDecideWhatWasTaken() {
+        Chain c = Chain.create(C, ALL, true, List.of(), 1, 3);
+        synced(c, c.beat(0, TOUCH));
+        View two = new View(2, ALL, List.of(A, C), new Position(1, 5));
+        synced(c, c.on(A, new Decided(two), 5));
+        Reach withB = new Reach() {
+            @Override
+            public boolean linked(NodeId a, NodeId b) {
+                return !a.equals(A) && !b.equals(A);
+            }
+
+            @Override
+            public Collection<NodeId> live() {
+                return List.of(B);
+            }
+        };
+        List<Msg> accepts = new ArrayList<>();
+        for (long nowMs = 100; nowMs < 4000; nowMs += 100) {
+            List<Out> outs = synced(c, c.beat(nowMs, withB));
+            for (Msg m : sent(outs, Prepare.class)) {
+                Prepare p = (Prepare) m;
+                // B, too, holds less than the base of the view: both of them together may lack what A acknowledged
+                Pledge pledge = new Pledge(p.epoch(), p.ballot(), true, p.ballot(), 0, 1, 4, null, two);
+                accepts.addAll(sent(synced(c, c.on(B, pledge, nowMs)), Accept.class));
+            }
+        }
+        assertEquals(List.of(), accepts);
+    }
+
     @Test
     void fencedVoterRefusesTheOldEpochAndAnOlderBallot() {
         Chain b = Chain.create(B, ALL, true, List.of(), 1, 1);
@@ -147,6 +245,7 @@
         Chain again = Chain.create(A, List.of(A), true, a.durable(), 2, 1);
         synced(again, again.beat(0, TOUCH));
         assertEquals(3, again.committed().revision());
-        assertEquals(List.of(Outcome.OTHER_VERSION), answers(again.call(put(2, 0, 5), 40)));
+        List<Out> outs = again.call(put(2, 0, 5), 40);
+        assertEquals(List.of(Outcome.OTHER_VERSION), answers(outs), "its own word is the majority of one voter");
     }
 }
