ChainMachine falls into agreement, planning, replication, orders and monitoring

No change of behaviour is meant. ChainMachine (1,200 lines) hands each input to the part whose job it is: Replica (what the parts share), Acceptor, Proposer, ViewPlanner, ViewMonitor, Membership, Relearning, Replication, Orders. Named constants, typed parts, explicit imports.

Result: ChainMachineTest, ChainSimTest, RollTest and CodecTest pass as before.

--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -1,1202 +1,284 @@
 package ringspindle.chain;
 
-import it.unimi.dsi.fastutil.longs.*;
-import java.util.*;
-import ringspindle.api.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.List;
+import java.util.Random;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Accept;
+import ringspindle.wire.Msg.Accepted;
+import ringspindle.wire.Msg.Call;
+import ringspindle.wire.Msg.Confirm;
+import ringspindle.wire.Msg.Confirmed;
+import ringspindle.wire.Msg.Decided;
+import ringspindle.wire.Msg.Entry;
+import ringspindle.wire.Msg.Install;
+import ringspindle.wire.Msg.Pledge;
+import ringspindle.wire.Msg.Position;
+import ringspindle.wire.Msg.Prepare;
+import ringspindle.wire.Msg.Relearn;
+import ringspindle.wire.Msg.Relearned;
+import ringspindle.wire.Msg.Reply;
+import ringspindle.wire.Msg.State;
+import ringspindle.wire.Msg.Synced;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.Msg.Vote;
+import ringspindle.wire.NodeId;
 
 /**
- * Chain replication under views. A view is decided by single-decree agreement of a majority of the previous view's
- * voters; a voter that promised the next epoch refuses the entries of the old one. The head of a new view is the
- * promiser with the newest state, so that nothing acknowledged is lost.
+ * Chain replication under views. A view is decided by single-decree agreement of a majority of the previous view's voters; a
+ * voter that promised the next epoch refuses the entries of the old one. The head of a new view is the promiser with the
+ * newest state, so that nothing acknowledged is lost. This class hands each input to the part whose job it is.
  */
 final class ChainMachine implements Chain {
-    static final long SILENT_MS = 400;
-    static final long HELD_MS = 950;
-    static final long HELD_CONFIG_MS = 2500;
-    static final long STALL_MS = 1200;
-    /** A voter that is back is taken into the chain after so long; longer, up to the bound, if that keeps failing. */
-    static final long READD_MS = 300;
-    static final long READD_MAX_MS = 1200;
-    /** How long a node that may join is waited for before the voters change. */
-    static final long JOIN_MS = 300;
-    static final long JOIN_FOUNDING_MS = 600;
-    /** How long a start with too few voters waits for nodes that it has not heard of yet. */
-    static final long FOUNDING_MS = 8000;
-    static final long RESTART_FOUNDING_MS = 3000;
-    /** After so long nothing is waited for: a node that never joins must not hold up orders for good. */
-    static final long FOUNDING_MAX_MS = 30_000;
-    /** A proposal older than this is given up, also by a node that was frozen meanwhile. */
-    static final long PROPOSAL_MS = 700;
-    /** A gap between two ticks that is taken for a pause of this node; after it links are given time to show. */
-    static final long PAUSE_MS = 500;
-    private static final long RESEND_MS = 400;
-    private static final long RESEND_MAX_MS = 6400;
-    /** Steps that the search for a chain over broken links may take. */
-    private static final int PATH_STEPS = 4000;
     private static final byte[] NONE = {};
+    /** A node that has promised another view may answer for the old one no longer than this. */
+    private static final long FENCED_MS = 1500;
+
+    private final Replica replica;
+    private final Acceptor acceptor;
+    private final Proposer proposer;
+    private final Relearning relearning;
+    private final Replication replication;
+    private final Orders orders;
+    private final ViewMonitor monitor;
+    private boolean announced;
 
-    private record Pending(long seq, State state, byte[] op, NodeId origin, long call) {
-    }
-
-    /** A confirmed answer that waits until all that it rests on is committed. */
-    private record Waiting(long seq, NodeId origin, long call, Outcome outcome, byte[] body) {
-    }
-
-    private static final class Held {
-        final NodeId origin;
-        final Call call;
-        final long sinceMs;
-        long sentEpoch = -1;
-
-        Held(NodeId origin, Call call, long sinceMs) {
-            this.origin = origin;
-            this.call = call;
-            this.sinceMs = sinceMs;
+    ChainMachine(NodeId self, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long randomSeed, int leastVoters) {
+        replica = new Replica(self, seeds, new Random(randomSeed));
+        Membership membership = new Membership(self, Math.min(Membership.VOTERS_MAX, leastVoters));
+        monitor = new ViewMonitor(replica, membership, bootstrap);
+        acceptor = new Acceptor(replica, this::position);
+        proposer = new Proposer(replica, acceptor, new ViewPlanner(replica, membership), this::learn);
+        relearning = new Relearning(replica);
+        orders = new Orders(replica, () -> !monitor.founding(replica.nowMs()));
+        replication = new Replication(replica, acceptor, orders);
+        orders.over(replication);
+        found.forEach(this::load);
+        if (replica.view() == null) {
+            if (bootstrap && seeds.contains(self)) {
+                found(seeds);
+            } else {
+                replica.blank(true);
+            }
         }
     }
 
-    private static final class Proposal {
-        long epoch;
-        long ballot;
-        long sinceMs;
-        boolean accepting;
-        View value;
-        final Map<NodeId, Pledge> promises = new TreeMap<>();
-        final Set<NodeId> accepts = new TreeSet<>();
+    private Position position() {
+        return replication.position();
     }
 
-    /**
-     * An answer that changes nothing and so rests on this node's state alone: a reading, a refusal, or "already so". It goes
-     * out only after a majority of voters confirmed, later than the call came, that the view is still the newest.
-     */
-    private static final class Unconfirmed {
-        final NodeId origin;
-        final Call call;
-        final long sinceMs;
-        /** What was decided on the state of that number; null for a reading, which is made once it is confirmed. */
-        final Content.Decision decision;
-        final long seq;
-        final Set<NodeId> confirmedBy = new TreeSet<>();
-
-        Unconfirmed(NodeId origin, Call call, Content.Decision decision, long seq, long sinceMs) {
-            this.origin = origin;
-            this.call = call;
-            this.decision = decision;
-            this.seq = seq;
-            this.sinceMs = sinceMs;
+    private void load(Msg record) {
+        if (record instanceof Vote vote) {
+            replica.view(vote.view());
+            acceptor.restore(vote.promisedEpoch(), vote.promised(), vote.acceptedBallot(), vote.accepted());
+        } else if (record instanceof State state) {
+            replication.load(state);
+        } else if (record instanceof Entry entry) {
+            replication.load(entry);
         }
     }
 
-    private final NodeId me;
-    private final List<NodeId> seeds;
-    private final Content content = new Content();
-    private final Random luck;
-
-    private View view;
-    private long promisedEpoch;
-    private long promised;
-    private long acceptedBallot;
-    private View accepted;
-    private State last;
-    private State committed;
-    private boolean wiped;
-    private boolean announced;
-
-    private final ArrayDeque<Pending> pending = new ArrayDeque<>();
-    private final List<Waiting> waiting = new ArrayList<>();
-    private final Map<NodeId, Map<Long, Held>> held = new TreeMap<>();
-    private final Long2ObjectMap<Unconfirmed> unconfirmed = new Long2ObjectLinkedOpenHashMap<>();
-    private final Long2ObjectMap<Runnable> thens = new Long2ObjectOpenHashMap<>();
-    private final Map<NodeId, Relearned> relearned = new TreeMap<>();
-    private final ArrayDeque<Msg> toSelf = new ArrayDeque<>();
-    private Proposal proposal;
-    private long round;
-    private long nextToken;
-    private long nextConfirm;
-    private long synced = -1;
-    private long sentDown = -1;
-    private long ackedDown = -1;
-    private long sentDownMs;
-    private long wrongSinceMs = -1;
-    private long nextProposeMs;
-    private long nextRelearnMs;
-    private long quorumMs = Long.MIN_VALUE / 2;
-    private long fencedMs;
-    private long uncommittedMs;
-    private long readdMs = READD_MS;
-    private long resendMs = RESEND_MS;
-    private final Membership membership;
-    private final boolean bootstrap;
-    private long startedMs = -1;
-    private long lastBeatMs = -1;
-    private long pausedMs = Long.MIN_VALUE / 2;
-    /** The state as of {@link #synced}, which an image may hold though newer orders are not on disk yet. */
-    private State syncedState;
-    private int pathSteps;
-    private Reach reach;
-    private List<Out> out = new ArrayList<>();
-    private long nowMs;
-
-    ChainMachine(NodeId me, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long luck, int leastVoters) {
-        this.me = me;
-        this.bootstrap = bootstrap;
-        membership = new Membership(me, Math.min(Membership.VOTERS_MAX, leastVoters));
-        this.seeds = List.copyOf(seeds);
-        this.luck = new Random(luck);
-        // numbers of an earlier life of this node must not be taken for this one's
-        nextConfirm = this.luck.nextLong();
-        State empty = new State(-1, 0, 0, List.of(), List.of(), NONE);
-        last = empty;
-        for (Msg m : found) {
-            if (m instanceof Vote v) {
-                promisedEpoch = v.promisedEpoch();
-                promised = v.promised();
-                acceptedBallot = v.acceptedBallot();
-                accepted = v.accepted();
-                view = v.view();
-            } else if (m instanceof State s) {
-                last = s;
-                pending.clear();
-            } else if (m instanceof Entry e && e.epoch() == last.lineage() && e.seq() == last.seq() + 1) {
-                last = Content.apply(last, (Op) Codec.decode(e.op()));
-            }
-        }
-        synced = last.seq();
-        if (view == null) {
-            if (bootstrap && seeds.contains(me)) {
-                List<NodeId> order = new ArrayList<>(seeds);
-                view = new View(1, List.copyOf(order), List.copyOf(order), new Position(1, 0));
-                last = new State(1, 0, 0, List.of(), List.of(), NONE);
-            } else {
-                wiped = true;
-            }
-        }
-        syncedState = last;
+    /** The first start of a system: its seeds are the first voters. */
+    private void found(List<NodeId> seeds) {
+        State first = new State(1, 0, 0, List.of(), List.of(), NONE);
+        replica.view(new View(1, List.copyOf(seeds), List.copyOf(seeds), new Position(1, 0)));
+        replication.load(first);
     }
 
+    // ---- what others see
+
     @Override
     public View view() {
-        return view;
+        return replica.view();
     }
 
     @Override
     public State committed() {
-        return committed;
+        return replication.committed();
     }
 
     @Override
     public boolean current(long nowMs) {
-        if (view == null || nowMs - quorumMs >= 1200) {
+        if (replica.view() == null || !monitor.quorumProven(nowMs)) {
             return false;
         }
-        if (!view.voters().contains(me)) {
-            // a learner passes calls on; it hears what is committed as facts
-            return view.voters().size() >= Membership.VOTERS_MAX && !wiped;
+        if (!replica.votes()) {
+            // beyond the bound a node learns: it passes calls on, and hears what is committed as facts
+            return replica.view().voters().size() >= Membership.VOTERS_MAX && !replica.blank();
         }
-        return committed != null && last.lineage() == view.epoch()
-                && view.chain().contains(me) && (!fenced() || nowMs - fencedMs < 1500);
+        return committed() != null && replication.ofThisView() && replica.inChain() && !acceptor.fencedFor(FENCED_MS);
     }
 
     @Override
     public boolean blank() {
-        return wiped || view == null;
+        return replica.blank() || replica.view() == null;
     }
 
-    /** Too few voters to bear the losses asked for: orders wait for nodes that may still join. */
     @Override
     public boolean founding(long nowMs) {
-        if (view != null && view.voters().size() >= membership.leastVoters()) {
-            return false;
-        }
-        if (view == null || startedMs < 0) {
-            return true;
-        }
-        long waitedMs = nowMs - startedMs;
-        return waitedMs < (bootstrap ? FOUNDING_MS : RESTART_FOUNDING_MS) || waitedMs < FOUNDING_MAX_MS && joinerInTouch();
-    }
-
-    private boolean joinerInTouch() {
-        return reach != null && reach.live().stream().anyMatch(n -> !view.voters().contains(n) && !leaving(n));
+        return monitor.founding(nowMs);
     }
 
     @Override
     public List<Msg> durable() {
-        return List.of(vote(), last);
+        return List.of(acceptor.vote(), replication.last());
     }
 
     /** Where it stands, for tests and logs. */
     String standing() {
-        return "view " + (view == null ? null : view.epoch() + " " + view.chain()) + " promised " + promisedEpoch + "/" + promised
-                + " accepted " + acceptedBallot + " lineage " + last.lineage() + " seq " + last.seq() + " committed "
-                + (committed == null ? null : committed.lineage() + "/" + committed.seq()) + " synced " + synced + " down "
-                + sentDown + "/" + ackedDown + " wiped " + wiped + " held " + held.size() + " proposal " + (proposal != null);
-    }
-
-    private Vote vote() {
-        return new Vote(promisedEpoch, promised, acceptedBallot, accepted, view);
-    }
-
-    private boolean fenced() {
-        return view != null && promisedEpoch > view.epoch();
-    }
-
-    private boolean active() {
-        return view != null && !wiped && !fenced() && last.lineage() == view.epoch() && view.chain().contains(me);
-    }
-
-    private NodeId successor() {
-        int i = view.chain().indexOf(me);
-        return i < 0 || i + 1 >= view.chain().size() ? null : view.chain().get(i + 1);
-    }
-
-    private NodeId predecessor() {
-        int i = view.chain().indexOf(me);
-        return i <= 0 ? null : view.chain().get(i - 1);
+        View view = replica.view();
+        return "view " + (view == null ? null : view.epoch() + " " + view.chain()) + " " + acceptor + " " + replication + " blank "
+                + replica.blank() + " " + orders + " proposes " + proposer.proposing();
     }
 
     // ---- inputs
 
     @Override
-    public List<Out> on(NodeId from, Msg m, long nowMs) {
-        this.nowMs = nowMs;
+    public List<Out> on(NodeId from, Msg message, long nowMs) {
+        replica.at(nowMs);
         announce();
-        take(from, m);
+        take(from, message);
         return finish();
     }
 
     @Override
     public List<Out> stored(long token, long nowMs) {
-        this.nowMs = nowMs;
-        Runnable then = thens.remove(token);
-        if (then != null) {
-            then.run();
-        }
+        replica.at(nowMs);
+        replica.stored(token);
         return finish();
     }
 
     @Override
     public List<Out> opened(NodeId peer, long nowMs) {
-        this.nowMs = nowMs;
+        replica.at(nowMs);
         announce();
-        if (wiped) {
-            send(peer, new Relearn(nextToken++));
-        } else if (view != null) {
+        if (replica.blank()) {
+            relearning.ask(peer);
+        } else if (replica.view() != null) {
             // whichever of the two missed a view learns it
-            send(peer, new Decided(view));
-        }
-        if (view != null && peer.equals(successor())) {
-            sentDown = -1;
-            resendMs = RESEND_MS;
-            pushDown();
-        }
-        if (view != null) {
-            held.getOrDefault(me, Map.of()).values().forEach(h -> h.sentEpoch = peer.equals(view.head()) ? -1 : h.sentEpoch);
-            retryHeld();
+            replica.send(peer, new Decided(replica.view()));
         }
+        replication.onOpened(peer);
+        orders.onOpened(peer);
         return finish();
     }
 
     @Override
-    public List<Out> call(Call c, long nowMs) {
-        this.nowMs = nowMs;
+    public List<Out> call(Call call, long nowMs) {
+        replica.at(nowMs);
         announce();
-        hold(me, c.since(knownVersion(c)));
+        orders.take(call);
         return finish();
     }
 
-    /** How new what a caller's order may replace is, as far as this node knows; orders on revisions name theirs. */
-    private long knownVersion(Call c) {
-        Mark mark = switch (c.kind()) {
-            case EVACUATE, RESTORE -> Content.mark(last, MARK_EVACUATED, c.arg());
-            case ROLLOUT -> Content.mark(last, MARK_ROLLOUT, c.arg());
-            default -> null;
-        };
-        return mark == null ? c.base() : Math.max(c.base(), mark.version());
-    }
-
-    /** The first view and state go to disk before anything else is said or written. */
-    private void announce() {
-        if (announced || view == null || wiped) {
-            return;
-        }
-        announced = true;
-        uncommittedMs = nowMs;
-        out.add(new Out.Viewed(view));
-        long seq = last.seq();
-        long epoch = view.epoch();
-        store(durable(), true, () -> {
-            if (active() && view.epoch() == epoch && view.head().equals(me)) {
-                // the head of a view goes on from what its disk holds
-                localSynced(epoch, seq);
-            }
-        });
-    }
-
-    private List<Out> finish() {
-        while (!toSelf.isEmpty()) {
-            take(me, toSelf.poll());
-        }
-        List<Out> o = out;
-        out = new ArrayList<>();
-        return o;
-    }
-
-    private void send(NodeId to, Msg m) {
-        if (to.equals(me)) {
-            toSelf.add(m);
-        } else {
-            out.add(new Out.Send(to, m));
-        }
-    }
-
-    private void store(List<Msg> records, boolean image, Runnable then) {
-        long token = nextToken++;
-        thens.put(token, then);
-        out.add(new Out.Store(token, records, image));
-    }
-
-    private void take(NodeId from, Msg m) {
-        if (m instanceof Prepare x) {
-            onPrepare(from, x);
-        } else if (m instanceof Pledge x) {
-            onPledge(from, x);
-        } else if (m instanceof Accept x) {
-            onAccept(from, x);
-        } else if (m instanceof Accepted x) {
-            onAccepted(from, x);
-        } else if (m instanceof Decided x) {
-            learn(x.view());
-        } else if (m instanceof Install x) {
-            onInstall(from, x);
-        } else if (m instanceof Entry x) {
-            onEntry(from, x);
-        } else if (m instanceof Synced x) {
-            onSynced(from, x);
-        } else if (m instanceof Confirm x) {
-            send(from, new Confirmed(x.epoch(), x.id(), view != null && view.epoch() == x.epoch() && !fenced() && !wiped));
-        } else if (m instanceof Confirmed x) {
-            onConfirmed(from, x);
-        } else if (m instanceof Relearn x) {
-            if (!wiped && view != null) {
-                Vote v = vote();
-                // the promise has to be on disk before it is told
-                store(List.of(v), false, () -> send(from, new Relearned(x.id(), v.promisedEpoch(), v.promised(),
-                        v.acceptedBallot(), v.accepted(), v.view())));
-            }
-        } else if (m instanceof Relearned x) {
-            onRelearned(from, x);
-        } else if (m instanceof Call x) {
-            // whoever passes a call on asks the next view's head anew, so an old one must not wait here for its chance
-            if (view != null && (x.kind() == READ ? view.tail() : view.head()).equals(me)) {
-                hold(from, x);
-            }
-        } else if (m instanceof Reply x) {
-            onReply(x);
-        }
-    }
-
-    // ---- agreement on views
-
-    private void learn(View v) {
-        if (v == null || view != null && v.epoch() <= view.epoch()) {
-            return;
-        }
-        view = v;
-        if (wiped) {
-            // a wiped node must not act in any view before it has relearned
-            return;
-        }
-        if (promisedEpoch <= v.epoch()) {
-            acceptedBallot = 0;
-            accepted = null;
-            promised = 0;
-        }
-        proposal = null;
-        wrongSinceMs = -1;
-        nextProposeMs = nowMs + 300;
-        out.add(new Out.Viewed(v));
-        unconfirmed.clear();
-        startView();
-    }
-
-    private void startView() {
-        synced = -1;
-        sentDown = -1;
-        ackedDown = -1;
-        resendMs = RESEND_MS;
-        uncommittedMs = nowMs;
-        readdMs = view.chain().size() == view.voters().size() ? READD_MS : Math.min(readdMs * 2, READD_MAX_MS);
-        // calls behind these were answered nothing; their origins still hold them, and they are decided anew
-        waiting.clear();
-        held.keySet().removeIf(n -> !n.equals(me));
-        if (view.chain().contains(me) && view.head().equals(me) && last.lineage() >= 0 && last.lineage() < view.epoch()) {
-            last = new State(view.epoch(), last.seq(), last.revision(), last.past(), last.marks(), last.config());
-            State first = last;
-            store(List.of(vote(), first), true, () -> localSynced(first));
-        } else {
-            store(List.of(vote()), false, () -> { });
-        }
-        retryHeld();
-    }
-
-    private void onPrepare(NodeId from, Prepare p) {
-        learn(p.view());
-        if (wiped || view == null) {
-            return;
-        }
-        if (p.epoch() != view.epoch() + 1) {
-            if (p.epoch() <= view.epoch()) {
-                send(from, new Decided(view));
-            }
-            return;
-        }
-        if (!view.voters().contains(me)) {
-            return;
-        }
-        if (promisedEpoch > p.epoch() || promisedEpoch == p.epoch() && p.ballot() <= promised) {
-            send(from, new Pledge(p.epoch(), p.ballot(), false, promised, 0, 0, 0, null, view));
-            return;
-        }
-        if (promisedEpoch < p.epoch()) {
-            fencedMs = nowMs;
-            acceptedBallot = 0;
-            accepted = null;
-        }
-        promisedEpoch = p.epoch();
-        promised = p.ballot();
-        Pledge reply = new Pledge(p.epoch(), p.ballot(), true, promised, acceptedBallot, last.lineage(), last.seq(),
-                accepted, view);
-        store(List.of(vote()), false, () -> send(from, reply));
-    }
-
-    private void onPledge(NodeId from, Pledge p) {
-        learn(p.view());
-        if (proposal == null || proposal.accepting || proposal.epoch != p.epoch() || proposal.ballot != p.ballot()) {
-            return;
-        }
-        if (expired(proposal)) {
-            abandon();
-            return;
-        }
-        if (!p.granted()) {
-            round = Math.max(round, p.promised() >> 10);
-            abandon();
-            return;
-        }
-        proposal.promises.put(from, p);
-        maybeAccept();
-    }
-
-    /** A promise that came in before a pause of this node may be of a voter that has lost its disk since. */
-    private boolean expired(Proposal p) {
-        return nowMs - p.sinceMs > PROPOSAL_MS;
-    }
-
-    private void abandon() {
-        proposal = null;
-        nextProposeMs = nowMs + 150 + luck.nextInt(400);
-    }
-
-    /** Goes on once a majority promised; waits a little for the others that seem to be there. */
-    private void maybeAccept() {
-        Proposal p = proposal;
-        if (p == null || p.accepting || p.promises.size() < view.majority() || expired(p)) {
-            return;
-        }
-        int expected = 0;
-        for (NodeId v : view.voters()) {
-            expected += v.equals(me) || reach != null && reach.linked(me, v) ? 1 : 0;
-        }
-        if (p.promises.size() < expected && nowMs - p.sinceMs < 250) {
-            return;
-        }
-        View value = null;
-        long best = 0;
-        for (Pledge x : p.promises.values()) {
-            if (x.accepted() != null && x.acceptedBallot() > best) {
-                best = x.acceptedBallot();
-                value = x.accepted();
-            }
-        }
-        if (value == null) {
-            value = compose(p);
-        }
-        if (value == null) {
-            abandon();
-            return;
-        }
-        p.accepting = true;
-        p.value = value;
-        for (NodeId v : view.voters()) {
-            send(v, new Accept(p.epoch, p.ballot, value));
-        }
-    }
-
-    private View compose(Proposal p) {
-        NodeId head = null;
-        Pledge newest = null;
-        for (NodeId v : view.chain()) {
-            newest = newer(newest, p.promises.get(v));
-        }
-        for (NodeId v : view.voters()) {
-            newest = newer(newest, p.promises.get(v));
-        }
-        List<NodeId> order = new ArrayList<>(view.chain());
-        view.voters().stream().filter(v -> !order.contains(v)).forEach(order::add);
-        for (NodeId v : order) {
-            // whoever leaves hands the head over, if another holds just as much
-            if (newest != null && newer(newest, p.promises.get(v)) == newest && newer(p.promises.get(v), newest) == p.promises.get(v)
-                    && p.promises.get(v) != null && (head == null || leaving(head) && !leaving(v))) {
-                head = v;
-            }
-        }
-        if (head == null || newest.lineage() < 0 || !remembered(p) || newest.position().compareTo(view.base()) < 0) {
-            return null;
-        }
-        List<NodeId> voters = reach == null ? new ArrayList<>(view.voters())
-                : membership.nextVoters(view, p.promises.keySet(), head, reach, nowMs);
-        List<NodeId> members = new ArrayList<>(p.promises.keySet());
-        members.retainAll(voters);
-        voters.stream().filter(n -> !view.voters().contains(n)).forEach(members::add);
-        members.remove(head);
-        int need = voters.size() / 2 + 1;
-        long stay = members.stream().filter(n -> !leaving(n)).count();
-        if (stay + 1 >= need) {
-            members.removeIf(this::leaving);
-        }
-        members.sort(Comparator.comparingInt(voters::indexOf));
-        group(head, members);
-        List<NodeId> path = longestPath(head, members);
-        if (path.size() < need && !voters.equals(view.voters())) {
-            // with other voters there is no chain over a majority of them: leave them as they are for now
-            voters = new ArrayList<>(view.voters());
-            members = new ArrayList<>(p.promises.keySet());
-            members.remove(head);
-            group(head, members);
-            path = longestPath(head, members);
-            need = voters.size() / 2 + 1;
-        }
-        return path.size() < need ? null : new View(p.epoch, List.copyOf(voters), List.copyOf(path), safeBase(p));
-    }
-
-    /**
-     * A position from which on every state holds all that was acknowledged so far. What this view acknowledged, every member
-     * of its chain has on disk; a member that kept its disk and holds nothing of this view shows that it acknowledged nothing.
-     */
-    private Position safeBase(Proposal p) {
-        Position least = null;
-        for (NodeId member : view.chain()) {
-            Pledge pledge = p.promises.get(member);
-            if (pledge != null && pledge.lineage() >= 0 && (least == null || pledge.position().compareTo(least) < 0)) {
-                least = pledge.position();
-            }
-        }
-        return least != null && least.lineage() == view.epoch() ? least : view.base();
-    }
-
-    private boolean leaving(NodeId n) {
-        return reach != null && reach.leaving(n);
-    }
-
-    /** True if a member of the last chain that kept its disk is among the promisers: else what was taken may be unknown. */
-    private boolean remembered(Proposal p) {
-        for (NodeId v : view.chain()) {
-            Pledge x = p.promises.get(v);
-            if (x != null && x.lineage() >= 0) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private static Pledge newer(Pledge a, Pledge b) {
-        if (a == null || b == null) {
-            return a == null ? b : a;
-        }
-        return b.lineage() > a.lineage() || b.lineage() == a.lineage() && b.seq() > a.seq() ? b : a;
-    }
-
-    /** Orders members by place, the head's first, so that the chain crosses each long link once. */
-    private void group(NodeId head, List<NodeId> members) {
-        if (reach == null) {
-            return;
-        }
-        List<String> places = new ArrayList<>(List.of(reach.place(head)));
-        for (NodeId n : members) {
-            if (!places.contains(reach.place(n))) {
-                places.add(reach.place(n));
-            }
-        }
-        members.sort(Comparator.comparingInt(n -> places.indexOf(reach.place(n))));
-    }
-
-    /** The longest path from the head over links that stand, or the best that a bounded search finds. */
-    private List<NodeId> longestPath(NodeId head, List<NodeId> rest) {
-        pathSteps = PATH_STEPS;
-        return path(head, rest);
-    }
-
-    private List<NodeId> path(NodeId head, List<NodeId> rest) {
-        List<NodeId> best = List.of(head);
-        if (--pathSteps < 0) {
-            return best;
-        }
-        for (NodeId n : rest) {
-            if (reach == null || reach.linked(head, n)) {
-                List<NodeId> less = new ArrayList<>(rest);
-                less.remove(n);
-                List<NodeId> tail = path(n, less);
-                if (tail.size() + 1 > best.size()) {
-                    best = new ArrayList<>();
-                    best.add(head);
-                    best.addAll(tail);
-                    if (best.size() == rest.size() + 1) {
-                        return best;
-                    }
-                }
-            }
-        }
-        return best;
-    }
-
-    private void onAccept(NodeId from, Accept a) {
-        if (wiped || view == null || a.epoch() != view.epoch() + 1 || !view.voters().contains(me)) {
-            if (view != null && a.epoch() <= view.epoch()) {
-                send(from, new Decided(view));
-            }
-            return;
-        }
-        if (promisedEpoch == a.epoch() && a.ballot() < promised) {
-            send(from, new Accepted(a.epoch(), a.ballot(), false, promised));
-            return;
-        }
-        if (promisedEpoch < a.epoch()) {
-            fencedMs = nowMs;
-        }
-        promisedEpoch = a.epoch();
-        promised = a.ballot();
-        acceptedBallot = a.ballot();
-        accepted = a.view();
-        store(List.of(vote()), false, () -> send(from, new Accepted(a.epoch(), a.ballot(), true, a.ballot())));
-    }
-
-    private void onAccepted(NodeId from, Accepted a) {
-        Proposal p = proposal;
-        if (p == null || !p.accepting || p.epoch != a.epoch() || p.ballot != a.ballot()) {
-            return;
-        }
-        if (expired(p)) {
-            abandon();
-            return;
-        }
-        if (!a.granted()) {
-            round = Math.max(round, a.promised() >> 10);
-            abandon();
-            return;
-        }
-        p.accepts.add(from);
-        if (p.accepts.size() >= view.majority()) {
-            Set<NodeId> all = new TreeSet<>(view.voters());
-            all.addAll(p.value.voters());
-            if (reach != null) {
-                // learners, too, pass calls on to the head
-                all.addAll(reach.live());
-            }
-            View v = p.value;
-            all.remove(me);
-            all.forEach(n -> send(n, new Decided(v)));
-            learn(v);
-        }
-    }
-
-    // ---- relearning after a lost disk, or joining
-
-    private void onRelearned(NodeId from, Relearned r) {
-        if (!wiped || r.view() == null) {
-            learn(r.view());
-            return;
-        }
-        relearned.put(from, r);
-        View newest = view;
-        for (Relearned x : relearned.values()) {
-            if (newest == null || x.view().epoch() > newest.epoch()) {
-                newest = x.view();
-            }
-        }
-        view = newest;
-        int n = 0;
-        long epoch = newest.epoch();
-        long ballot = 0;
-        long acceptedAt = 0;
-        View value = null;
-        for (Map.Entry<NodeId, Relearned> e : relearned.entrySet()) {
-            Relearned x = e.getValue();
-            if (!newest.voters().contains(e.getKey())) {
-                continue;
-            }
-            n++;
-            if (x.promisedEpoch() > epoch || x.promisedEpoch() == epoch && x.promised() > ballot) {
-                ballot = x.promised();
-                epoch = x.promisedEpoch();
-            }
-        }
-        if (n < newest.majority()) {
-            return;
-        }
-        for (Relearned x : relearned.values()) {
-            if (x.promisedEpoch() == epoch && epoch > newest.epoch() && x.acceptedBallot() > acceptedAt) {
-                acceptedAt = x.acceptedBallot();
-                value = x.accepted();
-            }
-        }
-        wiped = false;
-        promisedEpoch = epoch;
-        promised = ballot;
-        acceptedBallot = acceptedAt;
-        accepted = value;
-        fencedMs = nowMs;
-        relearned.clear();
-        last = new State(-1, 0, 0, List.of(), List.of(), NONE);
-        out.add(new Out.Viewed(view));
-        store(List.of(vote(), last), true, () -> { });
-    }
-
-    // ---- the chain
-
-    private void localSynced(State state) {
-        if (view != null && state.lineage() == view.epoch() && state.seq() >= synced) {
-            syncedState = state;
-        }
-        localSynced(state.lineage(), state.seq());
-    }
-
-    private void localSynced(long epoch, long seq) {
-        if (view == null || epoch != view.epoch()) {
-            return;
-        }
-        synced = Math.max(synced, seq);
-        if (fenced()) {
-            return;
-        }
-        if (successor() == null) {
-            commit(seq);
-        } else {
-            pushDown();
-        }
-    }
-
-    /** Sends what is synced here and was not sent to the successor. */
-    private void pushDown() {
-        NodeId next = successor();
-        if (next == null || !active()) {
-            return;
-        }
-        if (sentDown < 0) {
-            sendImage(next);
-            return;
-        }
-        for (Pending p : pending) {
-            if (p.seq() > sentDown && p.seq() <= synced) {
-                send(next, new Entry(view.epoch(), p.seq(), p.op()));
-                sentDown = p.seq();
-                sentDownMs = nowMs;
-            }
-        }
-    }
-
-    private void sendImage(NodeId next) {
-        if (syncedState.lineage() != view.epoch()) {
-            return;
-        }
-        send(next, new Install(view.epoch(), syncedState.seq(), Codec.encode(syncedState)));
-        sentDown = syncedState.seq();
-        sentDownMs = nowMs;
-        pushDown();
-    }
-
-    private void onInstall(NodeId from, Install i) {
-        if (view == null || wiped || fenced() || i.epoch() != view.epoch() || !from.equals(predecessor())) {
-            return;
-        }
-        if (last.lineage() == i.epoch() && last.seq() >= i.seq()) {
-            sentDown = -1;
-            localSynced(i.epoch(), synced);
-            reack();
-            return;
-        }
-        last = (State) Codec.decode(i.image());
-        pending.clear();
-        sentDown = -1;
-        synced = -1;
-        State installed = last;
-        store(List.of(vote(), installed), true, () -> localSynced(installed));
-    }
-
-    private void onEntry(NodeId from, Entry e) {
-        if (!active() || e.epoch() != view.epoch() || !from.equals(predecessor())) {
-            return;
-        }
-        if (e.seq() <= last.seq()) {
-            localSynced(e.epoch(), synced);
-            reack();
-            return;
-        }
-        if (e.seq() != last.seq() + 1) {
-            return;
-        }
-        append(e.op(), null, -1);
-    }
-
-    private void reack() {
-        long seq = committed == null || committed.lineage() != view.epoch() ? -1 : committed.seq();
-        if (seq >= 0 && predecessor() != null) {
-            send(predecessor(), new Synced(view.epoch(), seq));
-        }
-    }
-
-    private void append(byte[] op, NodeId origin, long call) {
-        if (committed != null && committed.seq() >= last.seq()) {
-            uncommittedMs = nowMs;
-        }
-        last = Content.apply(last, (Op) Codec.decode(op));
-        long seq = last.seq();
-        long epoch = view.epoch();
-        State state = last;
-        pending.add(new Pending(seq, state, op, origin, call));
-        store(List.of(new Entry(epoch, seq, op)), false, () -> localSynced(state));
-    }
-
-    private void onSynced(NodeId from, Synced s) {
-        if (view == null || s.epoch() != view.epoch() || !from.equals(successor()) || last.lineage() != view.epoch()) {
-            return;
-        }
-        ackedDown = Math.max(ackedDown, s.seq());
-        resendMs = RESEND_MS;
-        commit(Math.min(s.seq(), last.seq()));
-    }
-
-    private void commit(long seq) {
-        State now = committed;
-        while (!pending.isEmpty() && pending.peek().seq() <= seq) {
-            Pending p = pending.poll();
-            now = p.state();
-            if (p.origin() != null) {
-                answer(p.origin(), p.call(), Outcome.TAKEN, NONE);
-            }
-        }
-        if (pending.isEmpty() && last.seq() <= seq) {
-            now = last;
-        }
-        if (now != null && (committed == null || now.seq() > committed.seq() || now.lineage() > committed.lineage())) {
-            uncommittedMs = nowMs;
-            committed = now.lineage() == view.epoch() ? now
-                    : new State(view.epoch(), now.seq(), now.revision(), now.past(), now.marks(), now.config());
-            out.add(new Out.Committed(committed));
-        }
-        if (predecessor() != null) {
-            send(predecessor(), new Synced(view.epoch(), seq));
-        }
-        if (!waiting.isEmpty()) {
-            waiting.removeIf(w -> {
-                if (w.seq() <= seq) {
-                    answer(w.origin(), w.call(), w.outcome(), w.body());
-                    return true;
-                }
-                return false;
-            });
-        }
-        retryHeld();
-    }
-
-    private boolean established() {
-        return active() && committed != null && committed.lineage() == view.epoch();
-    }
-
-    // ---- calls
-
-    private void hold(NodeId origin, Call c) {
-        held.computeIfAbsent(origin, k -> new TreeMap<>()).put(c.id(), new Held(origin, c, nowMs));
-        retryHeld();
-    }
-
-    private void retryHeld() {
-        if (held.isEmpty() || view == null || wiped) {
-            return;
-        }
-        for (Map<Long, Held> of : held.values()) {
-            for (Held h : of.values()) {
-                if (overdue(h)) {
-                    // after a freeze: whoever asked has long asked elsewhere, and may have gone on from there
-                    continue;
-                }
-                boolean read = h.call.kind() == READ;
-                NodeId target = read ? view.tail() : view.head();
-                if (target.equals(me)) {
-                    if (h.sentEpoch != view.epoch() && established() && (read || !founding(nowMs))) {
-                        h.sentEpoch = view.epoch();
-                        if (read) {
-                            confirm(h, null);
-                        } else {
-                            decide(h);
-                        }
-                    }
-                } else if (h.sentEpoch != view.epoch() && h.origin.equals(me)) {
-                    if (reach == null || reach.linked(me, target)) {
-                        h.sentEpoch = view.epoch();
-                        send(target, h.call);
-                    }
-                }
-            }
-        }
-        drained.forEach(k -> {
-            Map<Long, Held> of = held.get(k.origin);
-            if (of != null) {
-                of.remove(k.call.id());
-            }
-        });
-        drained.clear();
-    }
-
-    private final List<Held> drained = new ArrayList<>();
-
-    private boolean overdue(Held h) {
-        boolean config = h.call.kind() == PUT || h.call.kind() == PATCH;
-        return nowMs - h.sinceMs >= (config ? HELD_CONFIG_MS : HELD_MS);
-    }
-
-    private void decide(Held h) {
-        Content.Decision d = content.decide(last, h.call);
-        if (d.op() != null) {
-            append(Codec.encode(d.op()), h.origin, h.call.id());
-        } else {
-            confirm(h, d);
-        }
-    }
-
-    /** Asks the voters whether this view is still the newest, before an answer that rests on the state held here. */
-    private void confirm(Held h, Content.Decision decision) {
-        long id = nextConfirm++;
-        unconfirmed.put(id, new Unconfirmed(h.origin, h.call, decision, last.seq(), nowMs));
-        view.voters().forEach(v -> send(v, new Confirm(view.epoch(), id)));
-    }
-
-    private void onConfirmed(NodeId from, Confirmed c) {
-        Unconfirmed u = unconfirmed.get(c.id());
-        if (u == null || !c.ok() || view == null || c.epoch() != view.epoch() || !established()) {
-            return;
-        }
-        u.confirmedBy.add(from);
-        if (u.confirmedBy.size() < view.majority()) {
-            return;
-        }
-        unconfirmed.remove(c.id());
-        if (u.decision == null) {
-            answerReading(u);
-        } else if (committed.seq() >= u.seq) {
-            answer(u.origin, u.call.id(), u.decision.outcome(), u.decision.body());
-        } else {
-            waiting.add(new Waiting(u.seq, u.origin, u.call.id(), u.decision.outcome(), u.decision.body()));
-        }
-    }
-
-    private void answerReading(Unconfirmed reading) {
-        byte[] found = committed.config();
-        if (reading.call.arg().equals(READ_RULES)) {
-            Mark m = Content.mark(committed, MARK_RULES, "");
-            found = m == null ? NONE : m.value().getBytes(java.nio.charset.StandardCharsets.UTF_8);
-        }
-        answer(reading.origin, reading.call.id(), found.length == 0 ? Outcome.NO_SUCH : Outcome.TAKEN, found);
-    }
-
-    private void answer(NodeId origin, long call, Outcome o, byte[] body) {
-        Map<Long, Held> of = held.get(origin);
-        if (of != null && of.containsKey(call)) {
-            drained.add(of.get(call));
-        }
-        reply(origin, call, o, body);
-    }
-
-    private void reply(NodeId origin, long call, Outcome o, byte[] body) {
-        if (origin.equals(me)) {
-            out.add(new Out.Answer(call, o, body));
-        } else {
-            send(origin, new Reply(call, o.ordinal(), body));
-        }
-    }
-
-    private void onReply(Reply r) {
-        Map<Long, Held> of = held.get(me);
-        boolean known = r.outcome() >= 0 && r.outcome() < Outcome.values().length;
-        if (known && of != null && of.remove(r.id()) != null) {
-            out.add(new Out.Answer(r.id(), Outcome.values()[r.outcome()], r.body()));
-        }
-    }
-
-    // ---- time
-
     @Override
     public List<Out> beat(long nowMs, Reach reach) {
-        this.nowMs = nowMs;
-        this.reach = reach;
-        if (startedMs < 0) {
-            startedMs = nowMs;
+        if (replica.tick(nowMs, reach)) {
+            monitor.onPause();
         }
-        if (lastBeatMs >= 0 && nowMs - lastBeatMs > PAUSE_MS) {
-            pausedMs = nowMs;
-            wrongSinceMs = -1;
-            membership.forgetSilence();
-        }
-        lastBeatMs = nowMs;
         announce();
-        for (Map<Long, Held> of : held.values()) {
-            of.values().removeIf(h -> {
-                if (!overdue(h)) {
-                    return false;
-                }
-                if (h.origin.equals(me)) {
-                    out.add(new Out.Answer(h.call.id(), Outcome.UNCLEAR, NONE));
-                }
-                return true;
-            });
-        }
-        unconfirmed.values().removeIf(u -> nowMs - u.sinceMs > HELD_CONFIG_MS);
-        if (wiped) {
-            if (nowMs >= nextRelearnMs) {
-                nextRelearnMs = nowMs + 300;
-                Set<NodeId> ask = new TreeSet<>(seeds);
-                ask.addAll(reach.live());
-                if (view != null) {
-                    ask.addAll(view.voters());
-                }
-                ask.remove(me);
-                ask.forEach(n -> send(n, new Relearn(nextToken++)));
-            }
-            return finish();
-        }
-        if (view == null) {
-            return finish();
-        }
-        if (!view.voters().contains(me) && nowMs >= nextRelearnMs && !reach.live().isEmpty()) {
-            // a learner that missed a view asks one that may know better
-            nextRelearnMs = nowMs + 2000;
-            List<NodeId> live = new ArrayList<>(reach.live());
-            send(live.get(luck.nextInt(live.size())), new Relearn(nextToken++));
-        }
-        retryHeld();
-        if (active()) {
-            NodeId next = successor();
-            if (next != null && reach.linked(me, next)) {
-                if (sentDown < 0) {
-                    pushDown();
-                } else if (ackedDown < last.seq() && nowMs - sentDownMs > resendMs) {
-                    // a large image over a slow link takes its time: sending it ever more often would never end
-                    resendMs = Math.min(resendMs * 2, RESEND_MAX_MS);
-                    sentDown = -1;
-                    pushDown();
-                }
-            }
+        monitor.tick();
+        orders.tick();
+        if (replica.blank()) {
+            relearning.askAll();
+        } else if (replica.view() != null) {
+            relearning.askOne();
+            orders.goOn();
+            replication.tick();
+            judge();
         }
-        judge();
         return finish();
     }
 
     private void judge() {
-        int voters = 0;
-        List<NodeId> live = new ArrayList<>();
-        for (NodeId v : view.voters()) {
-            if (v.equals(me) || reach.linked(me, v)) {
-                voters++;
-                live.add(v);
-            }
-        }
-        if (voters >= view.majority()) {
-            quorumMs = nowMs;
-        }
-        membership.observe(view, reach, nowMs);
-        if (proposal != null) {
-            maybeAccept();
-            if (proposal != null && expired(proposal)) {
-                abandon();
-            }
-            return;
-        }
-        if (voters < view.majority() || !view.voters().contains(me) || nowMs - pausedMs < PAUSE_MS) {
-            wrongSinceMs = -1;
-            return;
-        }
-        long patienceMs = patience();
-        if (patienceMs < 0) {
-            wrongSinceMs = -1;
-            return;
-        }
-        if (wrongSinceMs < 0) {
-            wrongSinceMs = nowMs;
-        }
-        int rank = 0;
-        List<NodeId> order = new ArrayList<>(view.chain());
-        view.voters().stream().filter(v -> !order.contains(v)).forEach(order::add);
-        for (NodeId v : order) {
-            if (v.equals(me)) {
-                break;
-            }
-            rank += live.contains(v) ? 1 : 0;
-        }
-        if (nowMs - wrongSinceMs >= patienceMs + rank * 350L && nowMs >= nextProposeMs) {
-            propose();
+        if (proposer.proposing()) {
+            proposer.tick();
+        } else if (monitor.proposalDue(replication, acceptor) && proposer.mayPropose()) {
+            proposer.propose();
         }
     }
 
-    /** How long to bear what is wrong with the view, below 0 if nothing is. */
-    private long patience() {
-        if (fenced()) {
-            return 500;
-        }
-        List<NodeId> chain = view.chain();
-        for (int i = 0; i + 1 < chain.size(); i++) {
-            if (!reach.linked(chain.get(i), chain.get(i + 1))) {
-                return 200;
-            }
-        }
-        long staying = chain.stream().filter(n -> !leaving(n)).count();
-        if (staying < chain.size() && staying >= view.majority()) {
-            return 0;
-        }
-        if (view.head().equals(me) && active() && last.seq() > (committed == null ? -1 : committed.seq())
-                && nowMs - uncommittedMs > STALL_MS) {
-            return 0;
-        }
-        if (view.head().equals(me) && last.lineage() < view.epoch()) {
-            return 200;
-        }
-        for (NodeId v : view.voters()) {
-            if (!chain.contains(v) && !leaving(v) && !reach.blank(v)) {
-                for (NodeId c : chain) {
-                    if (reach.linked(c, v) && (c.equals(me) || reach.linked(me, c)) && reach.linked(me, v)) {
-                        return readdMs;
-                    }
-                }
-            }
-        }
-        if (reach.blank(view.head())) {
-            return 200;
-        }
-        if (membership.changeDue(view, reach, nowMs)) {
-            return founding(nowMs) ? JOIN_FOUNDING_MS : JOIN_MS;
+    private List<Out> finish() {
+        for (Msg message = replica.pollSelf(); message != null; message = replica.pollSelf()) {
+            take(replica.self, message);
         }
-        return -1;
+        return replica.takeOutputs();
     }
 
-    private void propose() {
-        Proposal p = new Proposal();
-        p.epoch = view.epoch() + 1;
-        round = Math.max(round, promisedEpoch == p.epoch ? promised >> 10 : 0) + 1;
-        p.ballot = round << 10 | view.voters().indexOf(me) + 1;
-        p.sinceMs = nowMs;
-        proposal = p;
-        for (NodeId v : view.voters()) {
-            send(v, new Prepare(p.epoch, p.ballot, view));
+    /** The first view and state go to disk before anything else is said or written. */
+    private void announce() {
+        if (announced || replica.view() == null || replica.blank()) {
+            return;
+        }
+        announced = true;
+        replica.emit(new Out.Viewed(replica.view()));
+        replication.writeFirst();
+    }
+
+    private void take(NodeId from, Msg message) {
+        if (message instanceof Prepare prepare) {
+            learn(prepare.view());
+            acceptor.onPrepare(from, prepare);
+        } else if (message instanceof Pledge pledge) {
+            learn(pledge.view());
+            proposer.onPledge(from, pledge);
+        } else if (message instanceof Accept accept) {
+            acceptor.onAccept(from, accept);
+        } else if (message instanceof Accepted accepted) {
+            proposer.onAccepted(from, accepted);
+        } else if (message instanceof Decided decided) {
+            learn(decided.view());
+        } else if (message instanceof Relearn relearn) {
+            acceptor.onRelearn(from, relearn);
+        } else if (message instanceof Relearned relearned) {
+            onRelearned(from, relearned);
+        } else if (message instanceof Install install) {
+            replication.onInstall(from, install);
+        } else if (message instanceof Entry entry) {
+            replication.onEntry(from, entry);
+        } else if (message instanceof Synced synced) {
+            replication.onSynced(from, synced);
+        } else if (message instanceof Confirm confirm) {
+            replica.send(from, new Confirmed(confirm.epoch(), confirm.id(), confirms(confirm.epoch())));
+        } else if (message instanceof Confirmed confirmed) {
+            orders.onConfirmed(from, confirmed);
+        } else if (message instanceof Call call) {
+            orders.onCall(from, call);
+        } else if (message instanceof Reply reply) {
+            orders.onReply(reply);
+        }
+    }
+
+    /** True while this node knows of no newer view, decided or promised. */
+    private boolean confirms(long epoch) {
+        return replica.view() != null && replica.epoch() == epoch && !acceptor.fenced() && !replica.blank();
+    }
+
+    // ---- views
+
+    private void learn(View view) {
+        if (view == null || replica.view() != null && view.epoch() <= replica.epoch()) {
+            return;
+        }
+        replica.view(view);
+        if (replica.blank()) {
+            // a node without memory must not act in any view before it has relearned
+            return;
+        }
+        acceptor.settled(view);
+        proposer.startView();
+        monitor.startView();
+        replica.emit(new Out.Viewed(view));
+        replication.startView();
+        orders.startView();
+    }
+
+    private void onRelearned(NodeId from, Relearned relearned) {
+        if (!replica.blank() || relearned.view() == null) {
+            learn(relearned.view());
+        } else if (relearning.onRelearned(from, relearned, acceptor)) {
+            replica.blank(false);
+            replica.emit(new Out.Viewed(replica.view()));
+            replication.reset();
         }
     }
 }
--- /dev/null
+++ b/src/main/java/ringspindle/chain/ViewMonitor.java
@@ -0,0 +1,171 @@
+package ringspindle.chain;
+
+import java.util.ArrayList;
+import java.util.List;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
+
+/** Judges whether the view in force still serves, and when this node is to propose another one. */
+final class ViewMonitor {
+    private static final long UNSET = -1;
+    private static final long FENCED_MS = 500;
+    private static final long BROKEN_MS = 200;
+    private static final long STALLED_MS = 1200;
+    /** Voters propose in turn, so that they do not compete. */
+    private static final long RANK_MS = 350;
+    /** A voter that is back is taken into the chain after so long; longer, up to the bound, if that keeps failing. */
+    private static final long READD_MS = 300;
+    private static final long READD_MAX_MS = 1200;
+    /** How long a node that may join is waited for before the voters change. */
+    private static final long JOIN_MS = 300;
+    private static final long JOIN_FOUNDING_MS = 600;
+    /** How long a start with too few voters waits for nodes that it has not heard of yet. */
+    private static final long FOUNDING_MS = 8000;
+    private static final long RESTART_FOUNDING_MS = 3000;
+    /** After so long nothing is waited for: a node that never joins must not hold up orders for good. */
+    private static final long FOUNDING_MAX_MS = 30_000;
+    /** For so long after the last proof of contact this node may take it that it hears of all that is committed. */
+    private static final long QUORUM_MS = 1200;
+
+    private final Replica replica;
+    private final Membership membership;
+    private final boolean bootstrap;
+    private long startedMs = UNSET;
+    private long wrongSinceMs = UNSET;
+    private long quorumMs = Long.MIN_VALUE / 2;
+    private long readdMs = READD_MS;
+
+    ViewMonitor(Replica replica, Membership membership, boolean bootstrap) {
+        this.replica = replica;
+        this.membership = membership;
+        this.bootstrap = bootstrap;
+    }
+
+    void startView() {
+        wrongSinceMs = UNSET;
+        boolean whole = replica.view().chain().size() == replica.view().voters().size();
+        readdMs = whole ? READD_MS : Math.min(readdMs * 2, READD_MAX_MS);
+    }
+
+    void onPause() {
+        wrongSinceMs = UNSET;
+        membership.forgetSilence();
+    }
+
+    /** Time went on; notes with whom this node is in touch. */
+    void tick() {
+        if (startedMs < 0) {
+            startedMs = replica.nowMs();
+        }
+        if (replica.view() != null && !replica.blank()) {
+            if (quorumLinked()) {
+                quorumMs = replica.nowMs();
+            }
+            membership.observe(replica.view(), replica.reach(), replica.nowMs());
+        }
+    }
+
+    private boolean quorumLinked() {
+        return replica.view().voters().stream().filter(this::inTouch).count() >= replica.view().majority();
+    }
+
+    private boolean inTouch(NodeId node) {
+        return node.equals(replica.self) || replica.linked(node);
+    }
+
+    boolean quorumProven(long nowMs) {
+        return nowMs - quorumMs < QUORUM_MS;
+    }
+
+    /** Too few voters to bear the losses asked for: orders wait for nodes that may still join. */
+    boolean founding(long nowMs) {
+        if (replica.view() != null && replica.view().voters().size() >= membership.leastVoters()) {
+            return false;
+        }
+        if (replica.view() == null || startedMs < 0) {
+            return true;
+        }
+        long waitedMs = nowMs - startedMs;
+        return waitedMs < (bootstrap ? FOUNDING_MS : RESTART_FOUNDING_MS) || waitedMs < FOUNDING_MAX_MS && joinerInTouch();
+    }
+
+    private boolean joinerInTouch() {
+        return replica.reach() != null
+                && replica.reach().live().stream().anyMatch(n -> !replica.view().voters().contains(n) && !replica.leaving(n));
+    }
+
+    /** True if this node is to propose another view now. */
+    boolean proposalDue(Replication replication, Acceptor acceptor) {
+        boolean able = replica.votes() && quorumLinked() && !replica.justPaused();
+        long patienceMs = able ? patience(replication, acceptor) : UNSET;
+        if (patienceMs < 0) {
+            wrongSinceMs = UNSET;
+            return false;
+        }
+        if (wrongSinceMs < 0) {
+            wrongSinceMs = replica.nowMs();
+        }
+        return replica.nowMs() - wrongSinceMs >= patienceMs + rank() * RANK_MS;
+    }
+
+    /** How many voters in touch propose before this one: those before it in the chain, then the others. */
+    private long rank() {
+        List<NodeId> order = new ArrayList<>(replica.view().chain());
+        replica.view().voters().stream().filter(voter -> !order.contains(voter)).forEach(order::add);
+        return order.subList(0, order.indexOf(replica.self)).stream().filter(replica::linked).count();
+    }
+
+    /** How long to bear what is wrong with the view, below 0 if nothing is. */
+    private long patience(Replication replication, Acceptor acceptor) {
+        View view = replica.view();
+        if (acceptor.fenced()) {
+            return FENCED_MS;
+        }
+        if (chainBroken(view)) {
+            return BROKEN_MS;
+        }
+        if (memberLeaves(view)) {
+            return 0;
+        }
+        if (replica.isHead() && replication.active() && replication.stalledFor(STALLED_MS)) {
+            return 0;
+        }
+        if (replica.isHead() && !replication.ofThisView() || replica.reach().blank(view.head())) {
+            return BROKEN_MS;
+        }
+        if (voterToReadd(view)) {
+            return readdMs;
+        }
+        if (membership.changeDue(view, replica.reach(), replica.nowMs())) {
+            return founding(replica.nowMs()) ? JOIN_FOUNDING_MS : JOIN_MS;
+        }
+        return UNSET;
+    }
+
+    private boolean chainBroken(View view) {
+        List<NodeId> chain = view.chain();
+        for (int i = 0; i + 1 < chain.size(); i++) {
+            if (!replica.reach().linked(chain.get(i), chain.get(i + 1))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean memberLeaves(View view) {
+        long staying = view.chain().stream().filter(node -> !replica.leaving(node)).count();
+        return staying < view.chain().size() && staying >= view.majority();
+    }
+
+    /** True if a voter outside the chain could be a member: in touch here and with a member in touch. */
+    private boolean voterToReadd(View view) {
+        for (NodeId voter : view.voters()) {
+            boolean candidate = !view.chain().contains(voter) && !replica.leaving(voter) && !replica.reach().blank(voter)
+                    && inTouch(voter);
+            if (candidate && view.chain().stream().anyMatch(m -> inTouch(m) && replica.reach().linked(m, voter))) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
