Disk file operations behind StorageFolder, so a test can model a loss of power

Cause: SlotDisk called java.nio directly, so what a loss of power may leave behind could not be tested. Change: StorageFolder and StorageFile (package-private) hold the operations, NioFolder does them, RecordFormat frames and parses records. Layout and order of operations are as before; new is only that a folder made at the first start has its name synced. Measured: SlotDiskTest and DiskThreadTest pass, unchanged.

--- a/src/main/java/ringspindle/disk/Disk.java
+++ b/src/main/java/ringspindle/disk/Disk.java
@@ -21,6 +21,6 @@
 
     /** {@code Disk.open(Path.of("/data/core"))}. */
     static Disk open(Path folder) {
-        return new SlotDisk(folder);
+        return new SlotDisk(new NioFolder(folder));
     }
 }
