SlotDisk keeps what it acknowledged over each crash and refusal that the model allows

Change: a file is cut and synced before it is written again; load() syncs what it returns; a log is created only when its slot is synced, name included; a failed image is emptied before the next append; a log that failed is opened and cut again; old logs are removed at load; UnreadableStorageException (LOST_SLOT, UNKNOWN_RECORD) before anything is changed. One more fsync per image.

--- a/src/main/java/ringspindle/disk/SlotDisk.java
+++ b/src/main/java/ringspindle/disk/SlotDisk.java
@@ -5,20 +5,35 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.agrona.concurrent.UnsafeBuffer;
 import ringspindle.disk.RecordFormat.Records;
 import ringspindle.disk.StorageFolder.StorageFile;
+import ringspindle.disk.UnreadableStorageException.Reason;
+import ringspindle.sbe.MessageHeaderDecoder;
 import ringspindle.wire.Codec;
 import ringspindle.wire.Msg;
 
 /**
- * Slot files {@code slot-0} and {@code slot-1}: generation, then records. The log of generation g is {@code log-g}.
- * A torn tail ends the log there. The layout is that of {@link RecordFormat}.
+ * Slot files {@code slot-0} and {@code slot-1} hold an image each, of generations g and g-1; {@code log-g} holds what was
+ * appended since. The layout is that of {@link RecordFormat}. Three rules make it safe against a loss of power:
+ * <ul>
+ * <li>a log is created only when the slot of its generation is synced, name included, so a log newer than every whole
+ * slot says that a slot was lost;
+ * <li>a file is cut and synced before it is written again, so nothing of an earlier attempt stands behind newer records;
+ * <li>what {@link #load} returns is synced first, since a process that died may have left it unsynced.
+ * </ul>
  */
 final class SlotDisk implements Disk {
+    private static final String LOG_PREFIX = "log-";
+    private static final Records EMPTY = new Records(0, List.of(), 0, false);
+
     private final StorageFolder folder;
     private long generation;
+    /** Null if it has to be opened, and cut to {@link #logEnd}, before the next append. */
     private StorageFile log;
     private long logEnd;
+    /** An image failed: the other slot may or may not be whole, and would hide what is appended now. */
+    private boolean otherSlotInDoubt;
 
     SlotDisk(StorageFolder folder) {
         this.folder = folder;
@@ -27,82 +42,187 @@
     @Override
     public List<Msg> load() throws IOException {
         folder.create();
-        List<byte[]> best = new ArrayList<>();
+        Records slot = newestSlot();
+        generation = slot.generation();
+        refuseLogsAbove(generation);
+        Records tail = folder.read(logName(generation)).map(RecordFormat::parse)
+                .filter(records -> records.generation() == generation).orElse(EMPTY);
+        if (tail.closed()) {
+            throw new UnreadableStorageException(Reason.UNKNOWN_RECORD, logName(generation), null);
+        }
+        List<Msg> found = new ArrayList<>(decode(slotName(generation), slot.bodies()));
+        found.addAll(decode(logName(generation), tail.bodies()));
+        logEnd = tail.size();
+        syncSlot();
+        openLog();
+        removeLogsBelow(generation);
+        return found;
+    }
+
+    private Records newestSlot() throws IOException {
+        Records newest = EMPTY;
         for (long parity = 0; parity < 2; parity++) {
             Optional<Records> slot = folder.read(slotName(parity)).map(RecordFormat::parse).filter(Records::closed);
-            if (slot.isPresent() && slot.get().generation() > generation) {
-                generation = slot.get().generation();
-                best = slot.get().bodies();
+            if (slot.isPresent() && slot.get().generation() > newest.generation()) {
+                newest = slot.get();
             }
         }
-        Optional<Records> tail = folder.read(logName(generation)).map(RecordFormat::parse);
-        if (tail.isPresent() && tail.get().generation() == generation) {
-            best.addAll(tail.get().bodies());
-            logEnd = tail.get().size();
+        return newest;
+    }
+
+    private static List<Msg> decode(String file, List<byte[]> bodies) throws UnreadableStorageException {
+        List<Msg> out = new ArrayList<>();
+        for (byte[] body : bodies) {
+            out.add(decode(file, body));
+        }
+        return out;
+    }
+
+    private static Msg decode(String file, byte[] body) throws UnreadableStorageException {
+        try {
+            int version = new MessageHeaderDecoder().wrap(new UnsafeBuffer(body), 0).version();
+            if (version > MessageHeaderDecoder.SCHEMA_VERSION) {
+                throw new IllegalArgumentException("schema version " + version);
+            }
+            return Codec.decode(body);
+        } catch (RuntimeException x) {
+            throw new UnreadableStorageException(Reason.UNKNOWN_RECORD, file, x);
         }
-        openLog();
-        return best.stream().map(Codec::decode).toList();
     }
 
     private static String logName(long generation) {
-        return "log-" + generation;
+        return LOG_PREFIX + generation;
     }
 
     private static String slotName(long generation) {
         return "slot-" + (generation & 1);
     }
 
-    private void openLog() throws IOException {
-        if (log != null) {
-            log.close();
+    /** Generations of the logs in the folder; other names are none of ours. */
+    private List<Long> logGenerations() throws IOException {
+        return folder.list().stream().filter(name -> name.matches(LOG_PREFIX + "\\d{1,18}"))
+                .map(name -> Long.valueOf(name.substring(LOG_PREFIX.length()))).toList();
+    }
+
+    private void refuseLogsAbove(long newestSlot) throws IOException {
+        for (long found : logGenerations()) {
+            if (found > newestSlot) {
+                throw new UnreadableStorageException(Reason.LOST_SLOT, logName(found), null);
+            }
         }
-        boolean fresh = folder.read(logName(generation)).isEmpty();
-        log = folder.open(logName(generation));
-        log.truncate(logEnd);
-        if (fresh) {
-            log.sync();
+    }
+
+    /** Their names may come back with a loss of power, which does no harm: {@link #load} removes them again. */
+    private void removeLogsBelow(long current) throws IOException {
+        for (long found : logGenerations()) {
+            if (found < current) {
+                folder.remove(logName(found));
+            }
+        }
+    }
+
+    private void syncSlot() throws IOException {
+        if (generation == 0) {
+            return;
+        }
+        try (StorageFile slot = folder.open(slotName(generation))) {
+            slot.sync();
+        }
+        folder.sync();
+    }
+
+    private void openLog() throws IOException {
+        StorageFile file = folder.open(logName(generation));
+        try {
+            file.truncate(logEnd);
+            file.sync();
             folder.sync();
+        } catch (IOException x) {
+            closeAfter(x, file);
+            throw x;
+        }
+        log = file;
+    }
+
+    private static void closeAfter(IOException failure, StorageFile file) {
+        try {
+            file.close();
+        } catch (IOException x) {
+            failure.addSuppressed(x);
         }
     }
 
     @Override
     public void append(List<Msg> records) throws IOException {
-        long at = logEnd;
-        for (Msg record : records) {
-            ByteBuffer frame = RecordFormat.frame(Codec.encode(record), generation);
+        List<ByteBuffer> frames = frames(records, generation);
+        if (otherSlotInDoubt) {
+            emptyOtherSlot();
+        }
+        if (log == null) {
+            openLog();
+        }
+        try {
+            long end = writeAll(log, frames, logEnd);
+            log.sync();
+            logEnd = end;
+        } catch (IOException x) {
+            StorageFile failed = log;
+            log = null;
+            closeAfter(x, failed);
+            throw x;
+        }
+    }
+
+    private static List<ByteBuffer> frames(List<Msg> records, long generation) {
+        return records.stream().map(record -> RecordFormat.frame(Codec.encode(record), generation)).toList();
+    }
+
+    /** Gives the offset behind what was written. */
+    private static long writeAll(StorageFile file, List<ByteBuffer> frames, long offset) throws IOException {
+        long next = offset;
+        for (ByteBuffer frame : frames) {
             int length = frame.remaining();
-            log.write(at, frame);
-            at += length;
+            file.write(next, frame);
+            next += length;
         }
-        log.sync();
-        logEnd = at;
+        return next;
+    }
+
+    private void emptyOtherSlot() throws IOException {
+        try (StorageFile slot = folder.open(slotName(generation + 1))) {
+            slot.truncate(0);
+            slot.sync();
+        }
+        otherSlotInDoubt = false;
     }
 
     @Override
     public void image(List<Msg> records) throws IOException {
         long next = generation + 1;
-        boolean fresh = folder.read(slotName(next)).isEmpty();
+        List<ByteBuffer> frames = new ArrayList<>(frames(records, next));
+        frames.add(RecordFormat.end(next));
+        emptyOtherSlot();
+        otherSlotInDoubt = true;
         try (StorageFile slot = folder.open(slotName(next))) {
-            slot.truncate(0);
-            long at = 0;
-            for (Msg record : records) {
-                ByteBuffer frame = RecordFormat.frame(Codec.encode(record), next);
-                int length = frame.remaining();
-                slot.write(at, frame);
-                at += length;
-            }
-            slot.write(at, RecordFormat.end(next));
+            writeAll(slot, frames, 0);
             slot.sync();
         }
-        if (fresh) {
-            folder.sync();
-        }
-        String old = logName(generation);
+        folder.sync();
+        otherSlotInDoubt = false;
+        startLog(next);
+    }
+
+    /** The slot of this generation is synced: its log takes the place of the older one. */
+    private void startLog(long next) throws IOException {
+        StorageFile old = log;
+        log = null;
         generation = next;
         logEnd = 0;
+        if (old != null) {
+            old.close();
+        }
         openLog();
-        folder.remove(old);
-        folder.sync();
+        removeLogsBelow(next);
     }
 
     @Override
