DiskThread writes each record once, keeps the log short, and orders its images

Cause, measured with the class before and 40 entries of 1 MB: one group of all that waits made a log of 42 MB where LOG_MAX says 4; three refused images of a long log made the same batch be appended four times, 160 records and 168 MB, and told none of them stored. The image that starts the log anew was taken apart from the records that waited, so older ones were written behind it. An append refused because the log is full was only repeated, though an image needs no room in the log. Change: records are appended in groups that fit the log (one record at least), told as soon as they are synced, and never again written; the image is asked for and comes through the same queue under the lock of the chain, so its place is right (Storage.open takes a Runnable in place of a Supplier); a refused append asks for an image, a refused image of this kind lets appends go on. Bound while images are accepted: two slots, LOG_MAX and one record; with configurations of 16 MB about 52 MB. DiskThreadTest is as before but for the type of one argument.

--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -100,11 +100,7 @@
         synchronized (bookLock) {
             merge(storage.engines());
         }
-        storage.open(this::stored, () -> {
-            synchronized (chainLock) {
-                return chain.durable();
-            }
-        });
+        storage.open(this::stored, this::compact);
         mesh.open(this);
     }
 
@@ -491,6 +487,12 @@
 
     // ---- commands of the chain
 
+    private void compact() {
+        synchronized (chainLock) {
+            storage.take(new Chain.Out.Store(DiskThread.COMPACTION, chain.durable(), true));
+        }
+    }
+
     private void stored(long token) {
         synchronized (chainLock) {
             carryOut(chain.stored(token, clock.nowMs()));
--- a/src/main/java/ringspindle/cp/DiskStorage.java
+++ b/src/main/java/ringspindle/cp/DiskStorage.java
@@ -27,8 +27,8 @@
     }
 
     @Override
-    public void open(LongConsumer stored, Supplier<List<Msg>> durable) {
-        thread = new DiskThread(disk, stored, durable);
+    public void open(LongConsumer stored, Runnable compact) {
+        thread = new DiskThread(disk, stored, compact);
         Thread t = new Thread(thread, "disk");
         t.setDaemon(true);
         t.start();
--- a/src/main/java/ringspindle/cp/DiskThread.java
+++ b/src/main/java/ringspindle/cp/DiskThread.java
@@ -8,21 +8,33 @@
 import ringspindle.chain.Chain.Out.*;
 import ringspindle.disk.*;
 import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
 
-/** Writes records in order and in groups; a disk that hangs holds up only this thread. */
+/**
+ * Writes records in order and in groups; a disk that hangs holds up only this thread. What a group wrote is told and never
+ * written again, so a refused write does not repeat those before it.
+ */
 final class DiskThread implements Runnable {
+    /** Token of an image that was asked for to start the log anew; nobody waits for it. */
+    static final long COMPACTION = -1;
+    /** While the disk takes images, the log is at most this long, and one record. */
+    static final long LOG_MAX = 4 << 20;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
-    private static final long LOG_MAX = 4 << 20;
+    private static final long RETRY_MS = 200;
+    private static final int SMALL_RECORD = 512;
 
     private final Disk disk;
     private final BlockingQueue<Store> inbox = new LinkedBlockingQueue<>();
+    private final List<Store> backlog = new ArrayList<>();
     private final LongConsumer stored;
-    private final Supplier<List<Msg>> durable;
+    private final Runnable compact;
+    private boolean compacting;
 
-    DiskThread(Disk disk, LongConsumer stored, Supplier<List<Msg>> durable) {
+    /** {@code compact} takes an image of what counts, with token {@link #COMPACTION}, in order with the other records. */
+    DiskThread(Disk disk, LongConsumer stored, Runnable compact) {
         this.disk = disk;
         this.stored = stored;
-        this.durable = durable;
+        this.compact = compact;
     }
 
     void take(Store s) {
@@ -31,46 +43,91 @@
 
     @Override
     public void run() {
-        List<Store> batch = new ArrayList<>();
         try {
             while (true) {
-                batch.clear();
-                batch.add(inbox.take());
-                inbox.drainTo(batch);
-                while (!write(batch)) {
-                    Thread.sleep(200);
+                if (backlog.isEmpty()) {
+                    backlog.add(inbox.take());
+                }
+                if (!writeNext()) {
+                    Thread.sleep(RETRY_MS);
                 }
-                batch.forEach(s -> stored.accept(s.token()));
             }
         } catch (InterruptedException x) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private boolean write(List<Store> batch) {
+    /** Writes one group of what was taken; false if the disk refuses it, and it is to be tried again. */
+    boolean writeNext() {
+        inbox.drainTo(backlog);
+        int image = lastImage();
+        List<Store> group = List.copyOf(image >= 0 ? backlog.subList(0, image + 1) : appendable());
         try {
-            int from = 0;
-            for (int i = batch.size() - 1; i >= 0; i--) {
-                if (batch.get(i).image()) {
-                    disk.image(batch.get(i).records());
-                    from = i + 1;
-                    break;
-                }
-            }
-            List<Msg> rest = new ArrayList<>();
-            for (Store s : batch.subList(from, batch.size())) {
-                rest.addAll(s.records());
+            if (image >= 0) {
+                disk.image(backlog.get(image).records());
+                compacting = false;
+            } else {
+                disk.append(group.stream().flatMap(s -> s.records().stream()).toList());
             }
-            if (!rest.isEmpty()) {
-                disk.append(rest);
-            }
-            if (disk.logBytes() > LOG_MAX) {
-                disk.image(durable.get());
-            }
-            return true;
         } catch (IOException x) {
             LOG.atWarning().log("disk refuses: %s", x.toString());
+            refused(image);
             return false;
         }
+        backlog.subList(0, group.size()).clear();
+        group.stream().filter(s -> s.token() != COMPACTION).forEach(s -> stored.accept(s.token()));
+        if (disk.logBytes() > LOG_MAX) {
+            compactOnce();
+        }
+        return true;
+    }
+
+    private void refused(int image) {
+        if (image < 0) {
+            // the log is full, or broken: an image does without it
+            compactOnce();
+        } else if (backlog.get(image).token() == COMPACTION) {
+            // perhaps there is room for the records themselves
+            backlog.remove(image);
+            compacting = false;
+        }
+    }
+
+    private void compactOnce() {
+        if (!compacting) {
+            compacting = true;
+            compact.run();
+        }
+    }
+
+    /** Index of the last image: all before it need not be written. */
+    private int lastImage() {
+        int last = backlog.size() - 1;
+        while (last >= 0 && !backlog.get(last).image()) {
+            last--;
+        }
+        return last;
+    }
+
+    /** As many as fit the log, one at least. */
+    private List<Store> appendable() {
+        long bytes = disk.logBytes();
+        int count = 0;
+        while (count < backlog.size() && (count == 0 || bytes + bytes(backlog.get(count)) <= LOG_MAX)) {
+            bytes += bytes(backlog.get(count));
+            count++;
+        }
+        return backlog.subList(0, count);
+    }
+
+    private static long bytes(Store s) {
+        return s.records().stream().mapToLong(DiskThread::bytes).sum();
+    }
+
+    private static long bytes(Msg record) {
+        if (record instanceof Entry e) {
+            return SMALL_RECORD + e.op().length;
+        }
+        return record instanceof State s ? SMALL_RECORD + s.config().length : SMALL_RECORD;
     }
 }
--- a/src/main/java/ringspindle/cp/Storage.java
+++ b/src/main/java/ringspindle/cp/Storage.java
@@ -12,8 +12,12 @@
     /** Records found, oldest first; {@code storage.load()} once. */
     List<Msg> load() throws IOException;
 
-    /** From now on records are written; {@code stored} hears of each token that is synced. */
-    void open(LongConsumer stored, Supplier<List<Msg>> durable);
+    /**
+     * From now on records are written; {@code stored} hears of each token that is synced. {@code compact} is called when the
+     * log is long: it must {@link #take} an image of what counts, with token {@link DiskThread#COMPACTION}, in order with
+     * all other records.
+     */
+    void open(LongConsumer stored, Runnable compact);
 
     /** Write these. */
     void take(Chain.Out.Store s);
--- a/src/test/java/ringspindle/cp/DiskThreadTest.java
+++ b/src/test/java/ringspindle/cp/DiskThreadTest.java
@@ -58,7 +58,7 @@
             stored.add(token);
             writtenThen.add(disk.written.size());
             all.countDown();
-        }, List::of);
+        }, () -> { });
         for (long token = 1; token <= 3; token++) {
             t.take(new Store(token, List.of(new Synced(1, token)), false));
         }
--- a/src/test/java/ringspindle/cp/HollowControl.java
+++ b/src/test/java/ringspindle/cp/HollowControl.java
@@ -29,7 +29,7 @@
             }
 
             @Override
-            public void open(LongConsumer then, Supplier<List<Msg>> durable) {
+            public void open(LongConsumer then, Runnable compact) {
                 stored = then;
             }
 
