Records and engine hints of another version are refused or left out, not thrown at each start

Cause: an Entry whose operation cannot be decoded, or a message that a control node never stores, passed the load and threw in the chain's constructor or was passed over; an engine file that is whole, but holds an engine of another version, passed EngineFile.load() and threw when Control.start() merged it, at each start (seen: expected [], but was two items). Change: DiskStorage names the records it knows (Vote, State, Entry with an Op), others are UnreadableStorageException with the files as they were; EngineFile takes only engines it can decode. Disk says what holds after a failed append or image.

--- a/src/main/java/ringspindle/cp/DiskStorage.java
+++ b/src/main/java/ringspindle/cp/DiskStorage.java
@@ -17,10 +17,15 @@
     private DiskThread thread;
 
     DiskStorage(Path folder, Executor pool) {
-        disk = Disk.open(folder);
+        disk = Disk.open(folder, DiskStorage::known);
         engines = new EngineFile(folder.resolve("engines"), pool);
     }
 
+    private static boolean known(Msg record) {
+        return record instanceof Vote || record instanceof State
+                || record instanceof Entry e && Codec.decode(e.op()) instanceof Op;
+    }
+
     @Override
     public List<Msg> load() throws IOException {
         return disk.load();
--- a/src/main/java/ringspindle/cp/EngineFile.java
+++ b/src/main/java/ringspindle/cp/EngineFile.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.*;
 import java.util.concurrent.atomic.*;
 import java.util.zip.*;
+import ringspindle.know.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
@@ -40,13 +41,21 @@
             b.get(body);
             CRC32C c = new CRC32C();
             c.update(body);
-            return (int) c.getValue() == crc && Codec.decode(body) instanceof News n ? n.items() : List.of();
+            if ((int) c.getValue() != crc || !(Codec.decode(body) instanceof News n)) {
+                return List.of();
+            }
+            return n.items().stream().allMatch(EngineFile::isEngine) ? n.items() : List.of();
         } catch (IOException | RuntimeException x) {
             LOG.atInfo().log("no engines kept: %s", x.toString());
             return List.of();
         }
     }
 
+    /** Throws if it cannot be read, such as what another version wrote. */
+    private static boolean isEngine(Item item) {
+        return item.kind() == Book.ENGINE && Codec.decode(item.value()) instanceof Engine;
+    }
+
     /** Writes if other engines are there than last time; a disk that hangs holds up nobody else. */
     void keep(Collection<Item> engines) {
         Set<String> now = new TreeSet<>();
--- a/src/main/java/ringspindle/disk/Disk.java
+++ b/src/main/java/ringspindle/disk/Disk.java
@@ -3,24 +3,39 @@
 import java.io.*;
 import java.nio.file.*;
 import java.util.*;
+import java.util.function.*;
 import ringspindle.wire.Msg;
 
 /** Keeps records: two slots written in turn, and a short log behind the newer one. */
 public interface Disk {
-    /** What was found, oldest first: what the slot held, then the log. Empty on a new disk. */
+    /**
+     * What was found, oldest first: what the slot held, then the log. Empty on a new disk. What is given lasts. Throws
+     * {@link UnreadableStorageException}, with the files as they were, if something must not be passed over.
+     */
     List<Msg> load() throws IOException;
 
-    /** Appends and syncs; {@code disk.append(List.of(vote))}. */
+    /**
+     * Appends and syncs; {@code disk.append(List.of(vote))}. After a failure the first of these may be found by a load, until
+     * the next call returns.
+     */
     void append(List<Msg> records) throws IOException;
 
-    /** Writes the other slot with all that counts, and starts the log anew; {@code disk.image(List.of(vote, state))}. */
+    /**
+     * Writes the other slot with all that counts, and starts the log anew; {@code disk.image(List.of(vote, state))}. After a
+     * failure either this image or what was there before counts.
+     */
     void image(List<Msg> records) throws IOException;
 
     /** Bytes in the log since the last image; {@code if (disk.logBytes() > 1 << 20) ...}. */
     long logBytes();
 
-    /** {@code Disk.open(Path.of("/data/core"))}. */
+    /** Takes records of any kind; {@code Disk.open(Path.of("/data/core"))}. */
     static Disk open(Path folder) {
-        return new SlotDisk(new NioFolder(folder));
+        return open(folder, record -> true);
+    }
+
+    /** A load refuses records that are not known; {@code Disk.open(folder, record -> record instanceof Vote)}. */
+    static Disk open(Path folder, Predicate<Msg> known) {
+        return new SlotDisk(new NioFolder(folder), known);
     }
 }
--- a/src/main/java/ringspindle/disk/SlotDisk.java
+++ b/src/main/java/ringspindle/disk/SlotDisk.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.agrona.concurrent.UnsafeBuffer;
 import ringspindle.disk.RecordFormat.Records;
 import ringspindle.disk.StorageFolder.StorageFile;
@@ -28,6 +29,7 @@
     private static final Records EMPTY = new Records(0, List.of(), 0, false);
 
     private final StorageFolder folder;
+    private final Predicate<Msg> known;
     private long generation;
     /** Null if it has to be opened, and cut to {@link #logEnd}, before the next append. */
     private StorageFile log;
@@ -35,8 +37,10 @@
     /** An image failed: the other slot may or may not be whole, and would hide what is appended now. */
     private boolean otherSlotInDoubt;
 
-    SlotDisk(StorageFolder folder) {
+    /** {@code known} may throw on a record that it cannot read. */
+    SlotDisk(StorageFolder folder, Predicate<Msg> known) {
         this.folder = folder;
+        this.known = known;
     }
 
     @Override
@@ -70,7 +74,7 @@
         return newest;
     }
 
-    private static List<Msg> decode(String file, List<byte[]> bodies) throws UnreadableStorageException {
+    private List<Msg> decode(String file, List<byte[]> bodies) throws UnreadableStorageException {
         List<Msg> out = new ArrayList<>();
         for (byte[] body : bodies) {
             out.add(decode(file, body));
@@ -78,13 +82,17 @@
         return out;
     }
 
-    private static Msg decode(String file, byte[] body) throws UnreadableStorageException {
+    private Msg decode(String file, byte[] body) throws UnreadableStorageException {
         try {
             int version = new MessageHeaderDecoder().wrap(new UnsafeBuffer(body), 0).version();
             if (version > MessageHeaderDecoder.SCHEMA_VERSION) {
                 throw new IllegalArgumentException("schema version " + version);
             }
-            return Codec.decode(body);
+            Msg record = Codec.decode(body);
+            if (!known.test(record)) {
+                throw new IllegalArgumentException("unknown record " + record.getClass().getSimpleName());
+            }
+            return record;
         } catch (RuntimeException x) {
             throw new UnreadableStorageException(Reason.UNKNOWN_RECORD, file, x);
         }
--- /dev/null
+++ b/src/test/java/ringspindle/cp/DiskStorageTest.java
@@ -0,0 +1,56 @@
+package ringspindle.cp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import ringspindle.disk.Disk;
+import ringspindle.disk.UnreadableStorageException;
+import ringspindle.disk.UnreadableStorageException.Reason;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Entry;
+import ringspindle.wire.Msg.Op;
+import ringspindle.wire.Msg.Relearn;
+import ringspindle.wire.Msg.Vote;
+
+/** Only what a control node writes is read back as its state. */
+class DiskStorageTest {
+    private static final Vote VOTE = new Vote(1, 2, 3, null, null);
+
+    @TempDir
+    Path folder;
+
+    private void write(Msg record) throws Exception {
+        Disk disk = Disk.open(folder);
+        disk.load();
+        disk.append(List.of(record));
+    }
+
+    @Test
+    void votesAndEntriesAreReadBack() throws Exception {
+        write(VOTE);
+        write(new Entry(1, 1, Codec.encode(new Op(1, 0, 0, 0, "", new byte[0]))));
+        assertEquals(VOTE, new DiskStorage(folder, Runnable::run).load().get(0));
+        assertEquals(2, new DiskStorage(folder, Runnable::run).load().size());
+    }
+
+    @Test
+    void otherMessagesAndUnreadableOperationsAreRefused() throws Exception {
+        List<Msg> unknown = List.of(new Relearn(1), new Entry(1, 1, Codec.encode(VOTE)), new Entry(1, 1, new byte[] {1, 2, 3}));
+        for (int i = 0; i < unknown.size(); i++) {
+            Disk disk = Disk.open(folder);
+            disk.load();
+            disk.image(List.of(VOTE));
+            disk.append(List.of(unknown.get(i)));
+            for (int start = 0; start < 2; start++) {
+                UnreadableStorageException x = assertThrows(UnreadableStorageException.class,
+                        () -> new DiskStorage(folder, Runnable::run).load());
+                assertEquals(Reason.UNKNOWN_RECORD, x.reason());
+            }
+        }
+    }
+}
