--- a/src/test/java/ringspindle/disk/SlotDiskRecoveryTest.java
+++ b/src/test/java/ringspindle/disk/SlotDiskRecoveryTest.java
@@ -82,7 +82,8 @@
     private void assertRefused(Reason reason) {
         String before = folder.contents();
         for (int start = 0; start < 2; start++) {
-            UnreadableStorageException x = assertThrows(UnreadableStorageException.class, () -> new SlotDisk(folder, record -> true).load());
+            UnreadableStorageException x = assertThrows(UnreadableStorageException.class,
+                    () -> new SlotDisk(folder, record -> true).load());
             assertEquals(reason, x.reason());
             assertEquals(before, folder.contents());
         }
