--- a/src/main/java/ringspindle/disk/SlotDisk.java
+++ b/src/main/java/ringspindle/disk/SlotDisk.java
@@ -1,173 +1,236 @@
 package ringspindle.disk;
 
-import java.io.*;
-import java.nio.*;
-import java.nio.channels.*;
-import java.nio.file.*;
-import java.util.*;
-import java.util.zip.*;
-import ringspindle.wire.*;
-
-import static java.nio.file.StandardOpenOption.*;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.agrona.concurrent.UnsafeBuffer;
+import ringspindle.disk.RecordFormat.Records;
+import ringspindle.disk.StorageFolder.StorageFile;
+import ringspindle.disk.UnreadableStorageException.Reason;
+import ringspindle.sbe.MessageHeaderDecoder;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg;
 
 /**
- * Slot files {@code slot-0} and {@code slot-1}: generation, then records. The log of generation g is {@code log-g}.
- * Every record: length, CRC32C of the rest, generation, SBE bytes. A torn tail ends the log there.
+ * Slot files {@code slot-0} and {@code slot-1} hold an image each, of generations g and g-1; {@code log-g} holds what was
+ * appended since. The layout is that of {@link RecordFormat}. Three rules make it safe against a loss of power:
+ * <ul>
+ * <li>a log is created only when the slot of its generation is synced, name included, so a log newer than every whole
+ * slot says that a slot was lost;
+ * <li>a file is cut and synced before it is written again, so nothing of an earlier attempt stands behind newer records;
+ * <li>what {@link #load} returns is synced first, since a process that died may have left it unsynced.
+ * </ul>
  */
 final class SlotDisk implements Disk {
-    private static final int HEAD = 4 + 4 + 8;
-    private final Path folder;
+    private static final String LOG_PREFIX = "log-";
+    private static final Records EMPTY = new Records(0, List.of(), 0, false);
+
+    private final StorageFolder folder;
+    private final Predicate<Msg> known;
     private long generation;
-    private FileChannel log;
+    /** Null if it has to be opened, and cut to {@link #logEnd}, before the next append. */
+    private StorageFile log;
     private long logEnd;
+    /** An image failed: the other slot may or may not be whole, and would hide what is appended now. */
+    private boolean otherSlotInDoubt;
 
-    SlotDisk(Path folder) {
+    /** {@code known} may throw on a record that it cannot read. */
+    SlotDisk(StorageFolder folder, Predicate<Msg> known) {
         this.folder = folder;
+        this.known = known;
     }
 
     @Override
     public List<Msg> load() throws IOException {
-        Files.createDirectories(folder);
-        List<Msg> best = new ArrayList<>();
-        for (int i = 0; i < 2; i++) {
-            long[] gen = {-1};
-            List<Msg> found = read(folder.resolve("slot-" + i), gen, true);
-            if (found != null && gen[0] > generation) {
-                generation = gen[0];
-                best = found;
-            }
-        }
-        Path file = logFile(generation);
-        if (Files.exists(file)) {
-            long[] gen = {generation};
-            List<Msg> tail = read(file, gen, false);
-            if (tail != null) {
-                best.addAll(tail);
-            }
+        folder.create();
+        Records slot = newestSlot();
+        generation = slot.generation();
+        refuseLogsAbove(generation);
+        Records tail = folder.read(logName(generation)).map(RecordFormat::parse)
+                .filter(records -> records.generation() == generation).orElse(EMPTY);
+        if (tail.closed()) {
+            throw new UnreadableStorageException(Reason.UNKNOWN_RECORD, logName(generation), null);
         }
+        List<Msg> found = new ArrayList<>(decode(slotName(generation), slot.bodies()));
+        found.addAll(decode(logName(generation), tail.bodies()));
+        logEnd = tail.size();
+        syncSlot();
         openLog();
-        return best;
+        removeLogsBelow(generation);
+        return found;
     }
 
-    private Path logFile(long gen) {
-        return folder.resolve("log-" + gen);
+    private Records newestSlot() throws IOException {
+        Records newest = EMPTY;
+        for (long parity = 0; parity < 2; parity++) {
+            Optional<Records> slot = folder.read(slotName(parity)).map(RecordFormat::parse).filter(Records::closed);
+            if (slot.isPresent() && slot.get().generation() > newest.generation()) {
+                newest = slot.get();
+            }
+        }
+        return newest;
     }
 
-    /** Reads records; a slot must be whole (it closes with an empty record), a log may end torn. */
-    private List<Msg> read(Path file, long[] gen, boolean slot) throws IOException {
-        if (!Files.exists(file)) {
-            return null;
-        }
-        ByteBuffer b = ByteBuffer.wrap(Files.readAllBytes(file));
+    private List<Msg> decode(String file, List<byte[]> bodies) throws UnreadableStorageException {
         List<Msg> out = new ArrayList<>();
-        boolean whole = false;
-        if (!slot) {
-            logEnd = 0;
-        }
-        while (b.remaining() >= HEAD) {
-            int start = b.position();
-            int length = b.getInt();
-            int crc = b.getInt();
-            if (length < 0 || b.remaining() < 8 + length) {
-                break;
-            }
-            CRC32C c = new CRC32C();
-            c.update(b.array(), b.position(), 8 + length);
-            if ((int) c.getValue() != crc) {
-                break;
-            }
-            long g = b.getLong();
-            if (slot && start == 0) {
-                gen[0] = g;
+        for (byte[] body : bodies) {
+            out.add(decode(file, body));
+        }
+        return out;
+    }
+
+    private Msg decode(String file, byte[] body) throws UnreadableStorageException {
+        try {
+            int version = new MessageHeaderDecoder().wrap(new UnsafeBuffer(body), 0).version();
+            if (version > MessageHeaderDecoder.SCHEMA_VERSION) {
+                throw new IllegalArgumentException("schema version " + version);
             }
-            if (g != gen[0]) {
-                break;
+            Msg record = Codec.decode(body);
+            if (!known.test(record)) {
+                throw new IllegalArgumentException("unknown record " + record.getClass().getSimpleName());
             }
-            if (length == 0) {
-                whole = true;
-                break;
+            return record;
+        } catch (RuntimeException x) {
+            throw new UnreadableStorageException(Reason.UNKNOWN_RECORD, file, x);
+        }
+    }
+
+    private static String logName(long generation) {
+        return LOG_PREFIX + generation;
+    }
+
+    private static String slotName(long generation) {
+        return "slot-" + (generation & 1);
+    }
+
+    /** Generations of the logs in the folder; other names are none of ours. */
+    private List<Long> logGenerations() throws IOException {
+        return folder.list().stream().filter(name -> name.matches(LOG_PREFIX + "\\d{1,18}"))
+                .map(name -> Long.valueOf(name.substring(LOG_PREFIX.length()))).toList();
+    }
+
+    private void refuseLogsAbove(long newestSlot) throws IOException {
+        for (long found : logGenerations()) {
+            if (found > newestSlot) {
+                throw new UnreadableStorageException(Reason.LOST_SLOT, logName(found), null);
             }
-            byte[] body = new byte[length];
-            b.get(body);
-            out.add(Codec.decode(body));
-            if (!slot) {
-                logEnd = b.position();
+        }
+    }
+
+    /** Their names may come back with a loss of power, which does no harm: {@link #load} removes them again. */
+    private void removeLogsBelow(long current) throws IOException {
+        for (long found : logGenerations()) {
+            if (found < current) {
+                folder.remove(logName(found));
             }
         }
-        return slot && !whole ? null : out;
     }
 
-    private ByteBuffer frame(byte[] body, long gen) {
-        ByteBuffer b = ByteBuffer.allocate(HEAD + body.length);
-        b.position(8);
-        b.putLong(gen).put(body);
-        CRC32C c = new CRC32C();
-        c.update(b.array(), 8, 8 + body.length);
-        b.putInt(0, body.length).putInt(4, (int) c.getValue());
-        return b.flip();
+    private void syncSlot() throws IOException {
+        if (generation == 0) {
+            return;
+        }
+        try (StorageFile slot = folder.open(slotName(generation))) {
+            slot.sync();
+        }
+        folder.sync();
     }
 
     private void openLog() throws IOException {
-        if (log != null) {
-            log.close();
-        }
-        boolean fresh = !Files.exists(logFile(generation));
-        log = FileChannel.open(logFile(generation), CREATE, WRITE);
-        log.truncate(logEnd);
-        if (fresh) {
-            log.force(true);
-            syncFolder();
+        StorageFile file = folder.open(logName(generation));
+        try {
+            file.truncate(logEnd);
+            file.sync();
+            folder.sync();
+        } catch (IOException x) {
+            closeAfter(x, file);
+            throw x;
         }
+        log = file;
     }
 
-    private void syncFolder() throws IOException {
-        try (FileChannel f = FileChannel.open(folder, READ)) {
-            f.force(true);
+    private static void closeAfter(IOException failure, StorageFile file) {
+        try {
+            file.close();
+        } catch (IOException x) {
+            failure.addSuppressed(x);
         }
     }
 
     @Override
     public void append(List<Msg> records) throws IOException {
-        long at = logEnd;
-        for (Msg m : records) {
-            ByteBuffer b = frame(Codec.encode(m), generation);
-            int n = b.remaining();
-            while (b.hasRemaining()) {
-                log.write(b, at + (n - b.remaining()));
-            }
-            at += n;
+        List<ByteBuffer> frames = frames(records, generation);
+        if (otherSlotInDoubt) {
+            emptyOtherSlot();
+        }
+        if (log == null) {
+            openLog();
+        }
+        try {
+            long end = writeAll(log, frames, logEnd);
+            log.sync();
+            logEnd = end;
+        } catch (IOException x) {
+            StorageFile failed = log;
+            log = null;
+            closeAfter(x, failed);
+            throw x;
+        }
+    }
+
+    private static List<ByteBuffer> frames(List<Msg> records, long generation) {
+        return records.stream().map(record -> RecordFormat.frame(Codec.encode(record), generation)).toList();
+    }
+
+    /** Gives the offset behind what was written. */
+    private static long writeAll(StorageFile file, List<ByteBuffer> frames, long offset) throws IOException {
+        long next = offset;
+        for (ByteBuffer frame : frames) {
+            int length = frame.remaining();
+            file.write(next, frame);
+            next += length;
         }
-        log.force(false);
-        logEnd = at;
+        return next;
+    }
+
+    private void emptyOtherSlot() throws IOException {
+        try (StorageFile slot = folder.open(slotName(generation + 1))) {
+            slot.truncate(0);
+            slot.sync();
+        }
+        otherSlotInDoubt = false;
     }
 
     @Override
     public void image(List<Msg> records) throws IOException {
         long next = generation + 1;
-        Path slot = folder.resolve("slot-" + (next & 1));
-        boolean fresh = !Files.exists(slot);
-        try (FileChannel f = FileChannel.open(slot, CREATE, WRITE, TRUNCATE_EXISTING)) {
-            for (Msg m : records) {
-                writeAll(f, frame(Codec.encode(m), next));
-            }
-            writeAll(f, frame(new byte[0], next));
-            f.force(true);
-        }
-        if (fresh) {
-            syncFolder();
+        List<ByteBuffer> frames = new ArrayList<>(frames(records, next));
+        frames.add(RecordFormat.end(next));
+        emptyOtherSlot();
+        otherSlotInDoubt = true;
+        try (StorageFile slot = folder.open(slotName(next))) {
+            writeAll(slot, frames, 0);
+            slot.sync();
         }
-        Path old = logFile(generation);
-        generation = next;
-        logEnd = 0;
-        openLog();
-        Files.deleteIfExists(old);
-        syncFolder();
+        folder.sync();
+        otherSlotInDoubt = false;
+        startLog(next);
     }
 
-    private static void writeAll(FileChannel f, ByteBuffer b) throws IOException {
-        while (b.hasRemaining()) {
-            f.write(b);
+    /** The slot of this generation is synced: its log takes the place of the older one. */
+    private void startLog(long next) throws IOException {
+        StorageFile old = log;
+        log = null;
+        generation = next;
+        logEnd = 0;
+        if (old != null) {
+            old.close();
         }
+        openLog();
+        removeLogsBelow(next);
     }
 
     @Override
