Contact with a peer dates from when the heartbeat it echoed was sent

Cause: an echo was stamped with the time at which it arrived, so that heartbeats held up in a socket by a cut or a freeze looked fresh; and after a pause of its own a node moved the times of all contacts forward to nearly now, and counted as in touch with a majority before it had heard anybody. Change: each connection keeps when its heartbeats in flight were sent (64 at most); contact is the sending time of the number that is echoed. Two control nodes are linked while that is younger than 1100 ms, a session with a data node while it is younger than 1700 ms (500 and 900 ms in calm), and while the peer was heard in the last 900 ms. After a stall only silence and the dropping of connections are judged anew. Heartbeats of control nodes carry BLANK, and Chain.Reach gives it. Result: MeetTest, 14 cases. The test that wanted a link right after a freeze was wrong about just that; it is replaced by one that wants no link before an echo of a heartbeat sent since, and no connection dropped.

--- a/src/main/java/ringspindle/chain/Chain.java
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -46,6 +46,11 @@
         default boolean leaving(NodeId n) {
             return false;
         }
+
+        /** True for another node that has said that it is blank: see {@link Chain#blank}. */
+        default boolean blank(NodeId n) {
+            return false;
+        }
     }
 
     /** Kinds of calls and ops. */
@@ -94,6 +99,9 @@
     /** True while a first start waits for more voters before it takes an order; {@code status} shows it. */
     boolean founding(long nowMs);
 
+    /** True while this node has not relearned what was promised; it can neither vote nor hold state. */
+    boolean blank();
+
     /** All that must not be forgotten, for an image of the disk. */
     List<Msg> durable();
 
--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -178,6 +178,11 @@
                 && (foundingUntilMs < 0 || nowMs < foundingUntilMs);
     }
 
+    @Override
+    public boolean blank() {
+        return wiped || view == null;
+    }
+
     @Override
     public List<Msg> durable() {
         return List.of(vote(), last);
--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -20,7 +20,6 @@
     static final int TICK_MS = 100;
     /** Heartbeats to data nodes go out every so many ticks. */
     private static final int DATA_TICKS = 4;
-    private static final int SILENT_MS = 900;
     private static final int LEASE_TTL_MS = 3000;
     /** Ours: how long a report counts, and a region's sum. */
     private static final int REPORT_TTL_MS = 2000;
@@ -84,7 +83,7 @@
         callIds = new AtomicLong(life << 20);
         mesh = means.mesh().apply(new Hello(me, life, 0, config.control().orElseThrow().bits(), config.name(), config.zone(),
                 config.region()));
-        meet = Meet.create(me, SILENT_MS);
+        meet = Meet.forControl(me);
         presence = new Presence(config.engineBeatMs());
         List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
         chain = Chain.create(me, seeds, config.bootstrap(), storage.load(), life, 2 * config.lossesBorne() + 1);
@@ -587,6 +586,14 @@
                 }
             }
 
+            @Override
+            public boolean blank(NodeId n) {
+                synchronized (bookLock) {
+                    Meet.Peer p = meet.peer(n);
+                    return !n.equals(me) && p != null && (p.heartbeat().flags() & Heartbeat.BLANK) != 0;
+                }
+            }
+
             @Override
             public String place(NodeId n) {
                 synchronized (bookLock) {
@@ -629,11 +636,19 @@
     }
 
     private void heartbeat(NodeId to) {
-        State s = committed();
-        View v = view();
+        State state;
+        View view;
+        boolean blank;
+        synchronized (chainLock) {
+            state = chain.committed();
+            view = chain.view();
+            blank = chain.blank();
+        }
+        int flags = (quorate ? Heartbeat.QUORATE : 0) | (leaving ? Heartbeat.LEAVING : Heartbeat.READY) | (blank ? Heartbeat.BLANK : 0);
+        long epoch = view == null ? 0 : view.epoch();
+        long seq = state == null ? -1 : state.seq();
         synchronized (bookLock) {
-            int flags = (quorate ? Heartbeat.QUORATE : 0) | (leaving ? Heartbeat.LEAVING : Heartbeat.READY);
-            mesh.send(to, meet.heartbeat(to, flags, v == null ? 0 : v.epoch(), s == null ? -1 : s.seq(), book.digest()));
+            mesh.send(to, meet.heartbeat(to, flags, epoch, seq, book.digest(), clock.nowMs()));
         }
     }
 
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -20,7 +20,6 @@
 final class Data implements Mesh.Ear {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     static final int TICK_MS = 100;
-    private static final int SILENT_MS = 900;
     private static final int CONTROLS = 2;
     /** The ledger goes out every so many ticks. */
     private static final int LEDGER_TICKS = 20;
@@ -58,7 +57,7 @@
         me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
         mesh = means.mesh().apply(new Hello(me, life, 1, config.frontend().orElseThrow().bits(), config.name(), config.zone(),
                 config.region()));
-        meet = Meet.create(me, SILENT_MS);
+        meet = Meet.forData(me);
         config.seeds().forEach(s -> controls.add(s.at(config.innerPort())));
     }
 
@@ -300,6 +299,6 @@
 
     private void heartbeat(NodeId to) {
         int flags = (front.ready() ? Heartbeat.READY : 0) | (leaving ? Heartbeat.LEAVING : 0);
-        mesh.send(to, meet.heartbeat(to, flags, 0, 0, book.digest()));
+        mesh.send(to, meet.heartbeat(to, flags, 0, 0, book.digest(), clock.nowMs()));
     }
 }
--- a/src/main/java/ringspindle/meet/Meet.java
+++ b/src/main/java/ringspindle/meet/Meet.java
@@ -4,20 +4,25 @@
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
-/** Sessions of one node with others, told from their beats. Pure; not thread safe. */
+/**
+ * Sessions of one node with others, told from their heartbeats. All times are of this node's steady clock. Pure; not
+ * thread safe.
+ */
 public interface Meet {
+    /** The time of a contact that never was. */
+    long NEVER_MS = Long.MIN_VALUE / 2;
+
     /** A peer as last heard. */
     interface Peer {
         Hello hello();
 
         Heartbeat heartbeat();
 
-        long heardMs();
-
-        /** Both sides heard each other lately. */
+        /** Both sides heard each other lately, as of the last call that told the time. */
         boolean linked();
 
-        long openedMs();
+        /** When the newest own heartbeat that the peer echoed was sent: it lived then or later. {@link #NEVER_MS} if none. */
+        long contactMs();
 
         /** How many heartbeats came over this connection. */
         long heardN();
@@ -44,17 +49,22 @@
     /** One of them, null if there is none. */
     Peer peer(NodeId id);
 
-    /** Judges silence; returns peers whose wire is to be cut. {@code meet.beat(nowMs).forEach(mesh::drop)}. */
+    /** Judges silence; returns peers whose connection is to be dropped. {@code meet.beat(nowMs).forEach(mesh::drop)}. */
     List<NodeId> beat(long nowMs);
 
-    /** The beat to send to a peer; {@code mesh.send(p, meet.heartbeat(p, flags, epoch, seq, digest))}. */
-    Heartbeat heartbeat(NodeId to, int flags, long epoch, long seq, long digest);
+    /** The heartbeat to send to a peer now; {@code mesh.send(p, meet.heartbeat(p, flags, epoch, seq, digest, nowMs))}. */
+    Heartbeat heartbeat(NodeId to, int flags, long epoch, long seq, long digest, long nowMs);
 
     /** True while both heard each other, as far as this node can tell; {@code meet.linked(a, b)}. */
     boolean linked(NodeId a, NodeId b);
 
-    /** {@code Meet.create(me, 900)}: a peer silent for 900 ms is out of touch. */
-    static Meet create(NodeId me, int silentMs) {
-        return new MeetTable(me, silentMs);
+    /** {@code Meet.forControl(me)} for a control node's sessions. */
+    static Meet forControl(NodeId me) {
+        return new MeetTable(me, false);
+    }
+
+    /** {@code Meet.forData(me)} for a data node's sessions, which have fewer heartbeats. */
+    static Meet forData(NodeId me) {
+        return new MeetTable(me, true);
     }
 }
--- a/src/main/java/ringspindle/meet/MeetTable.java
+++ b/src/main/java/ringspindle/meet/MeetTable.java
@@ -4,27 +4,78 @@
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
-/** Sessions in a table. */
+/**
+ * Sessions in a table. Contact with a peer dates from when the newest own heartbeat that the peer echoed was sent: a
+ * heartbeat that was held up on its way, by a cut or by a freeze of either side, proves nothing about the time of its
+ * arrival.
+ */
 final class MeetTable implements Meet {
+    /** Two control nodes exchange heartbeats every 200 ms: in calm the proven contact is up to 500 ms old. */
+    static final int CONTROL_CONTACT_MS = 1100;
+    /** A session with a data node has a heartbeat every 400 ms each way: in calm the contact is up to 900 ms old. */
+    static final int DATA_CONTACT_MS = 1700;
+    /** A peer that was not heard at all for so long is out of touch, however fresh the last contact was. */
+    static final int SILENT_MS = 900;
+    /** A connection that was silent for so long is dropped. */
+    static final int DROP_SILENT_MS = 2 * SILENT_MS;
+    /** A connection is dropped so long after its contact has become too old. */
+    static final int DROP_AFTER_MS = 900;
+    /** Not called for so long, this node itself stood still. */
+    static final int STALL_MS = 450;
+    /** Heartbeats on their way whose sending times are kept, by connection. */
+    static final int IN_FLIGHT_MAX = 64;
     private static final int HEARD_EVERY = 8;
+    private static final int CONTROL_KIND = 0;
     private static final Heartbeat NONE = new Heartbeat(0, 0, 0, 0, 0, 0, List.of());
 
-    private static final class Row implements Peer {
+    private record Sent(long number, long atMs) {
+    }
+
+    private final class Row implements Peer {
         final Hello hello;
         final long openedMs;
-        Heartbeat pulse = NONE;
+        final int contactLimitMs;
+        final ArrayDeque<Sent> inFlight = new ArrayDeque<>();
+        Heartbeat newest = NONE;
         long heardMs;
-        long echoMs;
-        boolean linked;
-        long echoedN;
+        long contactMs = NEVER_MS;
         long sent;
         long heardN;
 
-        Row(Hello hello, long nowMs) {
+        Row(Hello hello) {
             this.hello = hello;
+            contactLimitMs = data || hello.kind() != CONTROL_KIND ? DATA_CONTACT_MS : CONTROL_CONTACT_MS;
             openedMs = nowMs;
             heardMs = nowMs;
-            echoMs = nowMs;
+        }
+
+        void sent(long number) {
+            if (inFlight.size() == IN_FLIGHT_MAX) {
+                inFlight.poll();
+            }
+            inFlight.add(new Sent(number, nowMs));
+        }
+
+        void heard(Heartbeat heartbeat) {
+            newest = heartbeat;
+            heardMs = nowMs;
+            heardN++;
+            while (!inFlight.isEmpty() && inFlight.peek().number() <= heartbeat.echo()) {
+                Sent echoed = inFlight.poll();
+                if (echoed.number() == heartbeat.echo()) {
+                    contactMs = echoed.atMs();
+                }
+            }
+        }
+
+        /** How long nothing was heard, not counting that this node itself stood still. */
+        private long silentMs() {
+            return nowMs - Math.max(heardMs, resumedMs);
+        }
+
+        boolean toDrop() {
+            long provenMs = Math.max(Math.max(contactMs, openedMs), resumedMs);
+            return silentMs() > DROP_SILENT_MS || nowMs - provenMs > contactLimitMs + DROP_AFTER_MS;
         }
 
         @Override
@@ -34,22 +85,17 @@
 
         @Override
         public Heartbeat heartbeat() {
-            return pulse;
-        }
-
-        @Override
-        public long heardMs() {
-            return heardMs;
+            return newest;
         }
 
         @Override
         public boolean linked() {
-            return linked;
+            return nowMs - contactMs < contactLimitMs && silentMs() < SILENT_MS;
         }
 
         @Override
-        public long openedMs() {
-            return openedMs;
+        public long contactMs() {
+            return contactMs;
         }
 
         @Override
@@ -59,19 +105,29 @@
     }
 
     private final NodeId me;
-    private final int silentMs;
+    private final boolean data;
     private final Map<NodeId, Row> rows = new TreeMap<>();
-    private long lastMs = -1;
+    private long nowMs = NEVER_MS;
+    private long resumedMs = NEVER_MS;
     private long sentN;
 
-    MeetTable(NodeId me, int silentMs) {
+    MeetTable(NodeId me, boolean data) {
         this.me = me;
-        this.silentMs = silentMs;
+        this.data = data;
+    }
+
+    /** Time goes on; after a stall of this node the silence of others is counted anew, their contact is not. */
+    private void advance(long toMs) {
+        if (nowMs != NEVER_MS && toMs - nowMs > STALL_MS) {
+            resumedMs = toMs;
+        }
+        nowMs = Math.max(nowMs, toMs);
     }
 
     @Override
-    public void opened(Hello h, long nowMs) {
-        rows.put(h.node(), new Row(h, nowMs));
+    public void opened(Hello h, long atMs) {
+        advance(atMs);
+        rows.put(h.node(), new Row(h));
     }
 
     @Override
@@ -80,19 +136,12 @@
     }
 
     @Override
-    public void heard(NodeId from, Heartbeat p, long nowMs) {
+    public void heard(NodeId from, Heartbeat heartbeat, long atMs) {
+        advance(atMs);
         Row r = rows.get(from);
-        if (r == null) {
-            return;
-        }
-        r.pulse = p;
-        r.heardMs = nowMs;
-        r.heardN++;
-        if (p.echo() > r.echoedN) {
-            r.echoedN = p.echo();
-            r.echoMs = nowMs;
+        if (r != null) {
+            r.heard(heartbeat);
         }
-        r.linked = r.echoedN > 0 && nowMs - r.echoMs < silentMs;
     }
 
     @Override
@@ -106,39 +155,39 @@
     }
 
     @Override
-    public List<NodeId> beat(long nowMs) {
-        // after a freeze of this node nothing can be said of the others
-        boolean frozen = lastMs >= 0 && nowMs - lastMs > silentMs / 2;
-        lastMs = nowMs;
-        List<NodeId> cut = new ArrayList<>();
-        for (Map.Entry<NodeId, Row> e : rows.entrySet()) {
-            Row r = e.getValue();
-            if (frozen) {
-                r.heardMs = Math.max(r.heardMs, nowMs - silentMs / 2);
-                r.echoMs = Math.max(r.echoMs, nowMs - silentMs / 2);
+    public List<NodeId> beat(long atMs) {
+        advance(atMs);
+        List<NodeId> drop = new ArrayList<>();
+        rows.forEach((id, r) -> {
+            if (r.toDrop()) {
+                drop.add(id);
             }
-            r.linked = r.echoedN > 0 && nowMs - r.heardMs < silentMs && nowMs - r.echoMs < silentMs + 200;
-            if (nowMs - r.heardMs > silentMs * 2L || nowMs - r.echoMs > silentMs * 2L + 200) {
-                cut.add(e.getKey());
-            }
-        }
-        return cut;
+        });
+        return drop;
     }
 
     @Override
-    public Heartbeat heartbeat(NodeId to, int flags, long epoch, long seq, long digest) {
+    public Heartbeat heartbeat(NodeId to, int flags, long epoch, long seq, long digest, long atMs) {
+        advance(atMs);
         Row r = rows.get(to);
         long n = ++sentN;
-        List<NodeId> heard = new ArrayList<>();
-        if (r == null || r.hello.kind() == 0 || r.sent++ % HEARD_EVERY == 0) {
-            // control nodes judge views by it; a data node only learns whom else it might dial
-            rows.forEach((k, v) -> {
-                if (v.hello.kind() == 0 && v.linked) {
-                    heard.add(k);
-                }
-            });
+        if (r == null) {
+            return new Heartbeat(n, 0, flags, epoch, seq, digest, linkedControls());
         }
-        return new Heartbeat(n, r == null ? 0 : r.pulse.n(), flags, epoch, seq, digest, heard);
+        r.sent(n);
+        // control nodes judge views by it; a data node only learns whom else it might dial
+        boolean names = r.hello.kind() == CONTROL_KIND || r.sent++ % HEARD_EVERY == 0;
+        return new Heartbeat(n, r.newest.n(), flags, epoch, seq, digest, names ? linkedControls() : List.of());
+    }
+
+    private List<NodeId> linkedControls() {
+        List<NodeId> linked = new ArrayList<>();
+        rows.forEach((id, r) -> {
+            if (r.hello.kind() == CONTROL_KIND && r.linked()) {
+                linked.add(id);
+            }
+        });
+        return linked;
     }
 
     @Override
@@ -148,12 +197,14 @@
         }
         if (a.equals(me) || b.equals(me)) {
             Row r = rows.get(a.equals(me) ? b : a);
-            return r != null && r.linked;
+            return r != null && r.linked();
         }
         Row x = rows.get(a);
         Row y = rows.get(b);
-        boolean xSays = x != null && x.linked && x.pulse.heard().contains(b);
-        boolean ySays = y != null && y.linked && y.pulse.heard().contains(a);
-        return x != null && x.linked && y != null && y.linked ? xSays && ySays : xSays || ySays;
+        boolean hearsX = x != null && x.linked();
+        boolean hearsY = y != null && y.linked();
+        boolean xSays = hearsX && x.newest.heard().contains(b);
+        boolean ySays = hearsY && y.newest.heard().contains(a);
+        return hearsX && hearsY ? xSays && ySays : xSays || ySays;
     }
 }
--- a/src/main/java/ringspindle/wire/Msg.java
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -16,6 +16,8 @@
         public static final int LEAVING = 2;
         /** A control node that is in touch with more than half of the voters. */
         public static final int QUORATE = 4;
+        /** A control node that has not relearned what was promised; it can neither vote nor hold state. */
+        public static final int BLANK = 8;
     }
 
     /** A view: its epoch, who votes on the next one, and the chain from head to tail. */
--- a/src/test/java/ringspindle/meet/MeetTest.java
+++ b/src/test/java/ringspindle/meet/MeetTest.java
@@ -4,82 +4,288 @@
 
 import java.util.*;
 import org.junit.jupiter.api.*;
+import org.junit.jupiter.params.*;
+import org.junit.jupiter.params.provider.*;
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
-/** In touch means that both sides heard each other. */
+/** In touch means that both sides heard each other, and contact dates from when the echoed heartbeat was sent. */
 class MeetTest {
     private static final NodeId A = NodeId.of("10.0.0.1:7000");
     private static final NodeId B = NodeId.of("10.0.0.2:7000");
     private static final NodeId C = NodeId.of("10.0.0.3:7000");
+    private static final int CONTROL = 0;
+    private static final int DATA = 1;
 
     private static Hello hello(NodeId n) {
-        return new Hello(n, 1, 0, 0, n.toString(), "z", "r");
+        return hello(n, CONTROL);
     }
 
-    @Test
-    void oneWayCutsEndTheTouchOnBothSides() {
-        Meet a = Meet.create(A, 900);
-        Meet b = Meet.create(B, 900);
-        a.opened(hello(B), 0);
-        b.opened(hello(A), 0);
-        List<NodeId> cutByA = new ArrayList<>();
-        for (long nowMs = 0; nowMs < 6000; nowMs += 100) {
-            boolean cut = nowMs >= 2000;
-            Heartbeat fromA = a.heartbeat(B, 0, 0, 0, 0);
-            Heartbeat fromB = b.heartbeat(A, 0, 0, 0, 0);
-            if (!cut) {
-                b.heard(A, fromA, nowMs);
+    private static Hello hello(NodeId n, int kind) {
+        return new Hello(n, 1, kind, 0, n.toString(), "z", "r");
+    }
+
+    private static Heartbeat sent(Meet from, NodeId to, long nowMs) {
+        return from.heartbeat(to, 0, 0, 0, 0, nowMs);
+    }
+
+    /** What a peer says after it heard a heartbeat. */
+    private static Heartbeat echo(long n, Heartbeat heard, NodeId... others) {
+        return new Heartbeat(n, heard.n(), 0, 0, 0, 0, List.of(others));
+    }
+
+    /** Two nodes in virtual time: heartbeats at a pace, a delay each way, cuts that hold up or lose what is sent. */
+    private static final class Pair {
+        private record OnItsWay(long atMs, boolean toA, Heartbeat heartbeat) {
+        }
+
+        final Meet a;
+        final Meet b;
+        final List<NodeId> dropped = new ArrayList<>();
+        private final int everyMs;
+        private final int delayMs;
+        private final int phaseMs;
+        private final List<OnItsWay> way = new ArrayList<>();
+        /** While this runs, what is sent to that side arrives at its end. */
+        private long heldFromMs = Long.MAX_VALUE;
+        private long heldToMs = Long.MAX_VALUE;
+        private boolean heldToA;
+        private boolean heldToB;
+        private long stallFromMs = Long.MAX_VALUE;
+        private long stallToMs = Long.MAX_VALUE;
+        long nowMs;
+        long oldestMs;
+
+        Pair(int kindOfB, int everyMs, int delayMs, int phaseMs) {
+            a = Meet.forControl(A);
+            b = kindOfB == DATA ? Meet.forData(B) : Meet.forControl(B);
+            this.everyMs = everyMs;
+            this.delayMs = delayMs;
+            this.phaseMs = phaseMs;
+            a.opened(hello(B, kindOfB), 0);
+            b.opened(hello(A), 0);
+        }
+
+        Pair hold(boolean toA, boolean toB, long fromMs, long toMs) {
+            heldToA = toA;
+            heldToB = toB;
+            heldFromMs = fromMs;
+            heldToMs = toMs;
+            return this;
+        }
+
+        Pair stallA(long fromMs, long toMs) {
+            stallFromMs = fromMs;
+            stallToMs = toMs;
+            return this;
+        }
+
+        private boolean stalled() {
+            return nowMs >= stallFromMs && nowMs < stallToMs;
+        }
+
+        private void send(boolean toA, Heartbeat heartbeat) {
+            boolean held = (toA ? heldToA : heldToB) && nowMs >= heldFromMs && nowMs < heldToMs;
+            way.add(new OnItsWay(held ? heldToMs + delayMs : nowMs + delayMs, toA, heartbeat));
+        }
+
+        private void deliver() {
+            List<OnItsWay> due = new ArrayList<>(way);
+            due.removeIf(w -> w.atMs() > nowMs || w.toA() && stalled());
+            way.removeAll(due);
+            for (OnItsWay w : due) {
+                (w.toA() ? a : b).heard(w.toA() ? B : A, w.heartbeat(), nowMs);
             }
-            // the other way goes on
-            a.heard(B, fromB, nowMs);
-            cutByA.addAll(a.beat(nowMs));
-            b.beat(nowMs);
-            if (nowMs == 1000) {
-                assertTrue(a.linked(A, B) && b.linked(A, B));
+        }
+
+        /** Goes on by ten milliseconds; heartbeats leave on ticks, every so many of them. */
+        void step() {
+            deliver();
+            if (!stalled() && nowMs % 100 == 0) {
+                a.beat(nowMs).forEach(n -> dropped.add(n));
+                if (nowMs % everyMs == 0) {
+                    send(false, sent(a, B, nowMs));
+                }
+            }
+            if (nowMs % 100 == phaseMs % 100) {
+                b.beat(nowMs).forEach(n -> dropped.add(n));
+                if (nowMs % everyMs == phaseMs) {
+                    send(true, sent(b, A, nowMs));
+                }
+            }
+            if (nowMs > 2000) {
+                oldestMs = Math.max(oldestMs, Math.max(nowMs - a.peer(B).contactMs(), nowMs - b.peer(A).contactMs()));
+            }
+            nowMs += 10;
+        }
+
+        boolean linkedAtA() {
+            return a.linked(A, B);
+        }
+
+        boolean linkedAtB() {
+            return b.linked(A, B);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,200,500", "1,400,900"})
+    void inCalmTheContactIsYoungAtEveryPhase(int kind, int everyMs, int boundMs) {
+        for (int phaseMs = 0; phaseMs < everyMs; phaseMs += 10) {
+            Pair p = new Pair(kind, everyMs, 40, phaseMs);
+            while (p.nowMs < 20_000) {
+                p.step();
+                assertTrue(p.nowMs < 2000 || p.linkedAtA() && p.linkedAtB());
             }
-            if (nowMs == 3500) {
-                assertFalse(a.linked(A, B), "it hears, but is not heard");
-                assertFalse(b.linked(A, B));
+            assertTrue(p.oldestMs <= boundMs, "phase " + phaseMs + ": " + p.oldestMs);
+            assertEquals(List.of(), p.dropped);
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,200", "1,400"})
+    void aShortStallOfThisNodeLosesNoLink(int kind, int everyMs) {
+        for (int phaseMs = 0; phaseMs < everyMs; phaseMs += 10) {
+            Pair p = new Pair(kind, everyMs, 40, phaseMs).stallA(5000, 5480);
+            while (p.nowMs < 9000) {
+                p.step();
+                assertTrue(p.nowMs < 2000 || p.linkedAtA() && p.linkedAtB(), "phase " + phaseMs + " at " + p.nowMs);
             }
         }
-        assertTrue(cutByA.contains(B), "a wire that carries one way only is kept");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void oneWayCutsEndTheTouchOnBothSides(boolean toA) {
+        Pair p = new Pair(CONTROL, 200, 40, 130).hold(toA, !toA, 4000, 60_000);
+        long bothUntilMs = 0;
+        long oneUntilMs = 0;
+        while (p.nowMs < 12_000) {
+            p.step();
+            bothUntilMs = p.linkedAtA() && p.linkedAtB() ? p.nowMs : bothUntilMs;
+            oneUntilMs = p.linkedAtA() || p.linkedAtB() ? p.nowMs : oneUntilMs;
+        }
+        assertTrue(bothUntilMs >= 4000, "in touch before the cut");
+        assertTrue(oneUntilMs <= 4000 + MeetTable.CONTROL_CONTACT_MS + 2 * 40, "nobody is in touch for long after it: " + oneUntilMs);
+        assertTrue(oneUntilMs - bothUntilMs <= 500, "linked in one direction only: from " + bothUntilMs + " to " + oneUntilMs);
+        assertTrue(p.dropped.contains(toA ? B : A) && p.dropped.contains(toA ? A : B), "a connection that carries one way only is kept");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {9_000, 24_000})
+    void heartbeatsHeldUpByACutProveNothing(long healedMs) {
+        Pair p = new Pair(CONTROL, 200, 40, 130).hold(true, true, 4000, healedMs);
+        while (p.nowMs <= healedMs + 80) {
+            p.step();
+            assertFalse(p.nowMs > 5200 && (p.linkedAtA() || p.linkedAtB()), "at " + p.nowMs);
+        }
+        while (p.nowMs < healedMs + 600) {
+            p.step();
+            assertTrue(!p.linkedAtA() || p.a.peer(B).contactMs() >= healedMs, "contact rests on a heartbeat sent after the cut");
+            assertTrue(!p.linkedAtB() || p.b.peer(A).contactMs() >= healedMs, "contact rests on a heartbeat sent after the cut");
+        }
+        assertTrue(p.linkedAtA() && p.linkedAtB());
     }
 
     @Test
-    void othersLinksAreKnownFromTheirBeats() {
-        Meet a = Meet.create(A, 900);
+    void afterAFreezeNobodyIsInTouchBeforeAnEchoOfAHeartbeatSentSince() {
+        Meet a = Meet.forControl(A);
         a.opened(hello(B), 0);
-        a.opened(hello(C), 0);
-        Heartbeat p = a.heartbeat(B, 0, 0, 0, 0);
-        Heartbeat q = a.heartbeat(C, 0, 0, 0, 0);
-        a.heard(B, new Heartbeat(1, p.n(), 0, 0, 0, 0, List.of(A, C)), 100);
-        a.heard(C, new Heartbeat(1, q.n(), 0, 0, 0, 0, List.of(A)), 100);
-        assertFalse(a.linked(B, C), "one of them does not hear the other");
-        a.heard(C, new Heartbeat(2, q.n(), 0, 0, 0, 0, List.of(A, B)), 200);
-        assertTrue(a.linked(B, C));
+        Heartbeat before = sent(a, B, 0);
+        a.heard(B, echo(1, before), 50);
+        a.beat(100);
+        assertTrue(a.linked(A, B));
+        Heartbeat unanswered = sent(a, B, 200);
+
+        long wokeMs = 20_200;
+        a.heard(B, echo(2, unanswered), wokeMs);
+        assertFalse(a.linked(A, B), "what waited in the socket is old");
+        assertEquals(List.of(), a.beat(wokeMs), "no connection is dropped for what was missed");
+        assertFalse(a.linked(A, B), "after a freeze nothing is known");
+        Heartbeat after = sent(a, B, wokeMs + 10);
+        assertEquals(List.of(), after.heard(), "nor is it told to others");
+        a.heard(B, echo(3, unanswered), wokeMs + 20);
+        assertFalse(a.linked(A, B));
+        a.heard(B, echo(4, after), wokeMs + 60);
+        assertTrue(a.linked(A, B));
     }
 
     @Test
-    void afterAFreezeNobodyIsJudgedByWhatWasMissed() {
-        Meet a = Meet.create(A, 900);
+    void afterAFreezeASilentPeerIsDroppedInTheEnd() {
+        Meet a = Meet.forControl(A);
         a.opened(hello(B), 0);
-        Heartbeat p = a.heartbeat(B, 0, 0, 0, 0);
-        a.heard(B, new Heartbeat(1, p.n(), 0, 0, 0, 0, List.of()), 50);
+        a.heard(B, echo(1, sent(a, B, 0)), 50);
         a.beat(100);
-        assertEquals(List.of(), a.beat(20_000));
-        assertTrue(a.linked(A, B));
-        assertEquals(List.of(B), a.beat(20_000 + 400) .isEmpty() ? late(a) : List.of(B));
+        List<NodeId> dropped = new ArrayList<>();
+        long nowMs = 20_000;
+        while (dropped.isEmpty() && nowMs < 30_000) {
+            dropped.addAll(a.beat(nowMs));
+            nowMs += 100;
+        }
+        assertEquals(List.of(B), dropped);
+        assertTrue(nowMs > 21_500 && nowMs <= 22_200, "dropped at " + nowMs);
     }
 
-    /** Beats go on without a word from the other side until its wire is cut. */
-    private static List<NodeId> late(Meet a) {
-        for (long nowMs = 20_500; nowMs < 30_000; nowMs += 100) {
-            List<NodeId> cut = a.beat(nowMs);
-            if (!cut.isEmpty()) {
-                return cut;
-            }
+    @Test
+    void aConnectionThatCarriesOnlyOldEchoesIsDropped() {
+        Meet a = Meet.forControl(A);
+        a.opened(hello(B), 0);
+        Heartbeat first = sent(a, B, 0);
+        long n = 1;
+        List<NodeId> dropped = new ArrayList<>();
+        for (long nowMs = 100; nowMs < 4000; nowMs += 100) {
+            a.heard(B, echo(n++, first), nowMs);
+            dropped.addAll(a.beat(nowMs));
+        }
+        assertTrue(dropped.contains(B));
+    }
+
+    @Test
+    void anEchoOfANumberThatWasNeverSentThereProvesNothing() {
+        Meet a = Meet.forControl(A);
+        a.opened(hello(B), 0);
+        a.opened(hello(C), 0);
+        Heartbeat toC = sent(a, C, 0);
+        a.heard(B, echo(1, toC), 50);
+        assertFalse(a.linked(A, B));
+        Heartbeat toB = sent(a, B, 100);
+        a.opened(hello(B), 200);
+        a.heard(B, echo(1, toB), 250);
+        assertFalse(a.linked(A, B), "an echo over a new connection of what was sent on the old one");
+        Heartbeat old = sent(a, B, 300);
+        for (int i = 0; i < MeetTable.IN_FLIGHT_MAX; i++) {
+            sent(a, B, 301 + i);
+        }
+        a.heard(B, echo(2, old), 400);
+        assertFalse(a.linked(A, B), "its sending time is forgotten");
+    }
+
+    @Test
+    void aQuietDayHasNoMoreHeartbeatsThanBefore() {
+        Pair p = new Pair(CONTROL, 200, 40, 130);
+        while (p.nowMs < 10_000) {
+            p.step();
         }
-        return List.of();
+        assertEquals(51, sent(p.a, B, p.nowMs).n(), "fifty in ten seconds, and this one");
+    }
+
+    @Test
+    void othersLinksAreKnownFromTheirHeartbeats() {
+        Meet a = Meet.forControl(A);
+        a.opened(hello(B), 0);
+        a.opened(hello(C), 0);
+        Heartbeat p = sent(a, B, 0);
+        Heartbeat q = sent(a, C, 0);
+        a.heard(B, echo(1, p, A, C), 100);
+        a.heard(C, echo(1, q, A), 100);
+        assertFalse(a.linked(B, C), "one of them does not hear the other");
+        Heartbeat r = sent(a, C, 150);
+        a.heard(C, echo(2, r, A, B), 200);
+        assertTrue(a.linked(B, C));
+        Heartbeat fresh = sent(a, C, 1000);
+        a.heard(C, echo(3, fresh, A), 1100);
+        a.beat(1200);
+        assertFalse(a.linked(A, B));
+        assertFalse(a.linked(B, C), "the word of the one that is out of touch counts no more");
     }
 }
