A control node answers only on a proof of a majority that has a time

Cause: whether a majority was in touch was a flag of the last tick, and after a freeze requests were served on its old value; calls without a majority were held for 1 to 2.5 s; a node back from a cut counted as current in its old view until it was added to a newer one; resolution, roll-outs, engines and ledger were answered from facts of any age; a digest of a data node was answered without a majority, and a reply that waited out a freeze was told as if new. Change: MajorityProof keeps when the heartbeats were sent that a majority of voters echoed, and whether those voters know of no later view; it runs out after 1.5 s, without a tick, and after a pause of a second. News, leases, roll-outs and the judgement of silent engines need it too. A node that leaves waits until a majority of the others hold what it holds (Handover), 5 s at most.

--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -26,9 +26,16 @@
     private static final int REGION_TTL_MS = 2500;
     /** Ours: how long a node's fact holds after the control node that told it is out of touch. */
     private static final int VIA_MS = 2000;
+    /** How long after a call came in its outcome is told; later nobody waits for it, and what it says may be old. */
+    private static final int ANSWER_MS = 1500;
+    private static final int ANSWER_CONFIG_MS = 3000;
+    /** So many heartbeats of theirs engines get to be heard after this node was out of touch. */
+    private static final int ENGINE_HEARTBEATS = 4;
     /** Ours: engines silent for so long are forgotten. */
     private static final int FORGET_MS = 600_000;
 
+    private static final byte[] NONE = {};
+
     /** What comes back of a call. */
     interface Answered {
         void answer(Outcome o, byte[] body);
@@ -70,7 +77,12 @@
     private volatile long turns;
     private long ticks;
     private volatile boolean leaving;
-    private volatile boolean quorate;
+    private final MajorityProof proof = new MajorityProof();
+    /** As of the last tick; counts only together with the proof. */
+    private volatile boolean current;
+    /** The newest committed state, and the seq of the newest whose facts are in the book. */
+    private volatile State committed;
+    private long mergedSeq = -1;
 
     Control(NodeConfig config, Means means, Storage storage, Reports reports) throws Exception {
         this.config = config;
@@ -109,16 +121,49 @@
 
     // ---- calls from outside
 
+    /** Passes a call to the chain; without a majority that is proven to be in touch the answer is UNCLEAR at once. */
     void call(int kind, long base, String arg, byte[] body, Answered then) {
+        long fromMs = clock.nowMs();
+        int answerMs = kind == Chain.PUT || kind == Chain.PATCH ? ANSWER_CONFIG_MS : ANSWER_MS;
         long id = callIds.incrementAndGet();
-        calls.put(id, then);
         synchronized (chainLock) {
-            carryOut(chain.call(new Call(id, kind, base, arg, body), clock.nowMs()));
+            long nowMs = clock.nowMs();
+            if (proof.inTouch(nowMs)) {
+                calls.put(id, (outcome, text) -> answerInTime(fromMs + answerMs, outcome, text, then));
+                carryOut(chain.call(new Call(id, kind, base, arg, body), nowMs));
+                return;
+            }
         }
+        then.answer(Outcome.UNCLEAR, NONE);
     }
 
+    /** An outcome that comes late, as after a freeze, is no longer told: it may rest on what is old by now. */
+    private void answerInTime(long untilMs, Outcome outcome, byte[] text, Answered then) {
+        if (clock.nowMs() < untilMs) {
+            then.answer(outcome, text);
+        } else {
+            then.answer(Outcome.UNCLEAR, NONE);
+        }
+    }
+
+    /** True while this node is proven to hear of all that is committed, and does not leave. */
     boolean quorate() {
-        return quorate;
+        return current && !leaving && proof.upToDate(clock.nowMs());
+    }
+
+    /** True while a majority is proven to be in touch: calls are passed on. */
+    boolean inTouch() {
+        return proof.inTouch(clock.nowMs());
+    }
+
+    /** True while a majority is proven to know of no newer view: facts of this node may be handed out. */
+    boolean upToDate() {
+        return proof.upToDate(clock.nowMs());
+    }
+
+    /** How long ago a majority was last proven, below 0 for never. */
+    long provenAgoMs() {
+        return proof.ageMs(clock.nowMs());
     }
 
     /** True while a first start still waits for voters. */
@@ -128,14 +173,29 @@
         }
     }
 
-    /** Says that this node leaves; {@link #handedOver} tells when the chain goes on without it. */
+    /** Says that this node leaves; {@link #handedOver} tells when it may end. */
     void leave() {
         leaving = true;
     }
 
+    /** True once the others go on without this node and hold all that is committed here. */
     boolean handedOver() {
-        View v = view();
-        return v == null || !v.chain().contains(me);
+        State state;
+        View view;
+        synchronized (chainLock) {
+            state = chain.committed();
+            view = chain.view();
+        }
+        List<Handover.Holder> holders = new ArrayList<>();
+        synchronized (bookLock) {
+            for (Meet.Peer p : meet.peers()) {
+                Heartbeat newest = p.heartbeat();
+                if (p.hello().kind() == 0 && p.linked()) {
+                    holders.add(new Handover.Holder(p.hello().node(), newest.epoch(), newest.seq(), (newest.flags() & Heartbeat.BLANK) != 0));
+                }
+            }
+        }
+        return Handover.done(me, view, state == null ? -1 : state.seq(), holders);
     }
 
     State committed() {
@@ -186,12 +246,16 @@
         }
     }
 
-    /** An engine's heartbeat; spread only if it says something new. */
-    void heartbeat(String id, Engine e, long seq) {
+    /** An engine's heartbeat, spread only if it says something new; false if this node cannot vouch for it now. */
+    boolean heartbeat(String id, Engine e, long seq) {
         synchronized (bookLock) {
+            if (!quorate()) {
+                return false;
+            }
             if (presence.heard(id, e, seq, clock.nowMs())) {
                 merge(List.of(new Item(Book.ENGINE, id, 0, seq, Codec.encode(e))));
             }
+            return true;
         }
     }
 
@@ -202,6 +266,7 @@
             return "";
         }
         synchronized (bookLock) {
+            meet.advance(clock.nowMs());
             Hello best = null;
             int bestRank = region.equals(config.region()) ? 1 : 2;
             for (Meet.Peer p : meet.peers()) {
@@ -222,16 +287,21 @@
         }
     }
 
-    /** Frontends for a consumer, nearest first. */
+    /**
+     * Frontends for a consumer, nearest first. Without a majority only those that this node itself is in touch with: what
+     * others told it may be old.
+     */
     List<String> frontends(String region, String zone) {
         List<String> inZone = new ArrayList<>();
         List<String> inRegion = new ArrayList<>();
         List<String> all = new ArrayList<>();
         synchronized (bookLock) {
             long nowMs = clock.nowMs();
+            meet.advance(nowMs);
+            boolean inTouch = proof.inTouch(nowMs);
             for (Item i : book.all(Book.NODE)) {
                 Roster r = Roster.of(i.value());
-                if (!r.ready() || !holds(i, r, nowMs, 3000)) {
+                if (!r.ready() || !(inTouch ? holds(i, r, nowMs, 3000) : linkedHere(r))) {
                     continue;
                 }
                 Hello h = r.hello();
@@ -249,6 +319,11 @@
         return out.size() > 64 ? out.subList(0, 64) : out;
     }
 
+    private boolean linkedHere(Roster r) {
+        Meet.Peer p = meet.peer(r.hello().node());
+        return p != null && p.linked();
+    }
+
     /** True while the control node that told a fact of a node is in touch, and a moment longer. */
     private boolean holds(Item i, Roster r, long nowMs, int moreMs) {
         Long at = seenMs.get(Book.NODE + " " + i.key());
@@ -256,8 +331,7 @@
             return true;
         }
         if (r.via().equals(me)) {
-            Meet.Peer p = meet.peer(r.hello().node());
-            return p != null && p.linked();
+            return linkedHere(r);
         }
         if (meet.linked(me, r.via())) {
             viaLostMs.remove(r.via());
@@ -327,7 +401,7 @@
         } else if (m instanceof Digest d) {
             synchronized (bookLock) {
                 List<Item> items = book.differing(d.ranges());
-                if (!items.isEmpty()) {
+                if (!items.isEmpty() && mayTell(meet.peer(from))) {
                     mesh.send(from, new News(false, items));
                 }
             }
@@ -508,6 +582,7 @@
                     pool.execute(() -> then.answer(a.outcome(), a.body()));
                 }
             } else if (o instanceof Chain.Out.Committed c) {
+                committed = c.state();
                 pool.execute(() -> committed(c.state()));
             } else if (o instanceof Chain.Out.Viewed v) {
                 LOG.atInfo().log("view %s chain %s voters %s", v.view().epoch(), v.view().chain(), v.view().voters());
@@ -535,6 +610,7 @@
         }
         synchronized (bookLock) {
             merge(items);
+            mergedSeq = Math.max(mergedSeq, s.seq());
             push();
         }
     }
@@ -603,10 +679,15 @@
             }
         };
         View view;
+        boolean blank;
         synchronized (chainLock) {
             carryOut(chain.beat(nowMs, reach));
             view = chain.view();
-            quorate = chain.current(nowMs) && !leaving;
+            current = chain.current(nowMs);
+            blank = chain.blank();
+        }
+        synchronized (bookLock) {
+            proof.renew(nowMs, me, blank ? null : view, this::contact);
         }
         if (view != null) {
             wanted.addAll(view.voters());
@@ -625,7 +706,9 @@
         synchronized (bookLock) {
             grant(view, nowMs);
             if (ticks % 5 == 0) {
-                judgeEngines(nowMs);
+                if (hearsEngines(nowMs)) {
+                    judgeEngines(nowMs);
+                }
                 sums(nowMs);
             }
             push();
@@ -635,6 +718,21 @@
         }
     }
 
+    /** What a control node's newest heartbeat proves, null if there is no session. */
+    private MajorityProof.Contact contact(NodeId node) {
+        Meet.Peer p = meet.peer(node);
+        if (p == null) {
+            return null;
+        }
+        Heartbeat newest = p.heartbeat();
+        return new MajorityProof.Contact(p.contactMs(), newest.epoch(), (newest.flags() & Heartbeat.BLANK) != 0);
+    }
+
+    /** True once engines had the time to be heard here: a node that was out of touch refused their heartbeats. */
+    private boolean hearsEngines(long nowMs) {
+        return proof.heldMs(nowMs) >= (long) ENGINE_HEARTBEATS * config.engineBeatMs();
+    }
+
     private void heartbeat(NodeId to) {
         State state;
         View view;
@@ -644,7 +742,7 @@
             view = chain.view();
             blank = chain.blank();
         }
-        int flags = (quorate ? Heartbeat.QUORATE : 0) | (leaving ? Heartbeat.LEAVING : Heartbeat.READY) | (blank ? Heartbeat.BLANK : 0);
+        int flags = (quorate() ? Heartbeat.QUORATE : 0) | (leaving ? Heartbeat.LEAVING : Heartbeat.READY) | (blank ? Heartbeat.BLANK : 0);
         long epoch = view == null ? 0 : view.epoch();
         long seq = state == null ? -1 : state.seq();
         synchronized (bookLock) {
@@ -654,7 +752,7 @@
 
     /** The holder of the duty grants every data node its share of the budgets. */
     private void grant(View view, long nowMs) {
-        if (view == null || !quorate || !view.head().equals(me)) {
+        if (view == null || !quorate() || !view.head().equals(me)) {
             lastHead = view == null ? lastHead : view.head();
             return;
         }
@@ -680,7 +778,7 @@
 
     /** The holder of the duty drives roll-outs; without one this costs nothing. */
     private void roll(View view, long nowMs) {
-        if (view == null || !quorate || !view.head().equals(me) || ticks % 3 != 0 || rolling) {
+        if (view == null || !quorate() || !hearsEngines(nowMs) || !view.head().equals(me) || ticks % 3 != 0 || rolling) {
             return;
         }
         for (Item i : book(b -> new ArrayList<>(b.all(Book.ROLLOUT)))) {
@@ -730,11 +828,18 @@
                 .getBytes(java.nio.charset.StandardCharsets.UTF_8)));
     }
 
+    /** A data node acts on what it is told, so only a node that is proven to be up to date tells it anything. */
+    private boolean mayTell(Meet.Peer peer) {
+        return peer != null && (peer.hello().kind() == 0 || quorate());
+    }
+
     /** Passes on what peers have not been sent. */
     private void push() {
+        State state = committed;
+        boolean merged = state == null || mergedSeq >= state.seq();
         for (Meet.Peer p : meet.peers()) {
             NodeId to = p.hello().node();
-            if (p.hello().kind() == 1 && !quorate) {
+            if (!mayTell(p)) {
                 continue;
             }
             String region = p.hello().region();
@@ -742,8 +847,8 @@
             List<Item> items = p.hello().kind() == 0 ? book.pending(to, 512) : book.pending(to, 512,
                     i -> i.kind() != Book.TURN && (i.kind() != Book.NODE || Roster.of(i.value()).hello().region().equals(region)));
             boolean first = p.hello().kind() == 1 && !filled.getOrDefault(to, false);
-            if (!items.isEmpty() || first) {
-                boolean full = first && items.size() < 512;
+            if (!items.isEmpty() || first && merged) {
+                boolean full = first && merged && items.size() < 512;
                 if (full) {
                     filled.put(to, true);
                 }
--- a/src/main/java/ringspindle/cp/ControlPlane.java
+++ b/src/main/java/ringspindle/cp/ControlPlane.java
@@ -13,6 +13,11 @@
 public final class ControlPlane {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    /** How long a node that leaves stays at least, so that all hear of it, and at most. */
+    private static final int LEAVE_LEAST_MS = 700;
+    private static final int LEAVE_MOST_MS = 5000;
+    private static final int LEAVE_STEP_MS = 100;
+
     private ControlPlane() {
     }
 
@@ -49,9 +54,9 @@
         term.await();
         control.leave();
         LOG.atInfo().log("control plane %s leaves", config.name());
-        // peers and data nodes hear of it with the next beats; calls under way get their answers; the chain goes on without
-        for (int i = 0; i < 20 && (i < 7 || !control.handedOver()); i++) {
-            Thread.sleep(100);
+        // peers and data nodes hear of it with the next heartbeats; calls under way get their answers; the others take over
+        for (int ms = 0; ms < LEAVE_MOST_MS && (ms < LEAVE_LEAST_MS || !control.handedOver()); ms += LEAVE_STEP_MS) {
+            Thread.sleep(LEAVE_STEP_MS);
         }
         LifeCycleQuietly.stop(server);
     }
--- a/src/main/java/ringspindle/cp/Fleet.java
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -23,7 +23,7 @@
 
     static JsonObject status(Control c) {
         JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name()).add("quorate", c.quorate())
-                .add("founding", c.founding());
+                .add("founding", c.founding()).add("provenAgoMs", c.provenAgoMs());
         View v = c.view();
         if (v != null) {
             JsonArrayBuilder voters = JSON.createArrayBuilder();
@@ -36,7 +36,11 @@
         }
         State s = c.committed();
         if (s != null) {
-            out.add("seq", s.seq()).add("revision", s.revision());
+            out.add("seq", s.seq());
+        }
+        if (s != null && c.upToDate()) {
+            // what this node holds may be old while no majority is proven
+            out.add("revision", s.revision());
             JsonArrayBuilder evacuated = JSON.createArrayBuilder();
             for (Mark m : s.marks()) {
                 if (m.kind() == Chain.MARK_EVACUATED && m.value().equals("on")) {
--- a/src/main/java/ringspindle/cp/Gate.java
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -46,6 +46,9 @@
             return end(response, callback, Outcome.NO_SUCH, NONE);
         }
         String arg = Operation.arg(path);
+        if (restsOnFacts(what) && !control.upToDate()) {
+            return end(response, callback, Outcome.UNCLEAR, NONE);
+        }
         switch (what) {
             case RESOLVE:
                 return resolve(request, response, callback);
@@ -59,6 +62,9 @@
                 return configuration(request, response, callback, Chain.PATCH);
             case EVACUATE:
             case RESTORE:
+                if (!control.inTouch()) {
+                    return end(response, callback, Outcome.UNCLEAR, NONE);
+                }
                 if (!control.config().regionOfZone().containsKey(arg)) {
                     return end(response, callback, Outcome.NO_SUCH, NONE);
                 }
@@ -90,6 +96,11 @@
         }
     }
 
+    /** Answers from what this node knows of the whole system; {@link Operation#STATUS} says itself how far it counts. */
+    private static boolean restsOnFacts(Operation what) {
+        return what == Operation.LEDGER || what == Operation.ROLLOUTS || what == Operation.ENGINES;
+    }
+
     private boolean resolve(Request request, Response response, Callback callback) {
         Fields q = Request.extractQueryParameters(request);
         List<String> addresses = control.frontends(value(q, "region"), value(q, "zone"));
@@ -134,6 +145,10 @@
             return end(response, callback, Outcome.MALFORMED, NONE);
         }
         body(request, ServingRules.BYTES_MAX, response, callback, b -> {
+            if (!control.inTouch()) {
+                end(response, callback, Outcome.UNCLEAR, NONE);
+                return;
+            }
             Checked<ServingRules> checked = ServingRules.read(b);
             List<Problem> problems = checked instanceof Checked.Refused<ServingRules> bad ? bad.problems()
                     : ((Good<ServingRules>) checked).value().problems(null, new TreeSet<>(control.config().regionOfZone().values()));
@@ -181,7 +196,10 @@
                         o.get("remainingMs") instanceof JsonNumber n ? n.intValue() : -1, weights, o.getString("service"),
                         NodeId.of(o.getString("address")).toString(), o.getString("zone", ""), o.getString("revision", ""));
                 long seq = o.get("callSeq") instanceof JsonNumber n ? n.longValue() : 0;
-                control.heartbeat(id, e, seq);
+                if (!control.heartbeat(id, e, seq)) {
+                    end(response, callback, Outcome.UNCLEAR, NONE);
+                    return;
+                }
                 zone = e.zone();
             } catch (RuntimeException x) {
                 LOG.atInfo().log("engine %s registers badly: %s", id, x.toString());
@@ -202,6 +220,11 @@
 
     private boolean rollout(Request request, Response response, Callback callback, String service) {
         body(request, INSTANCE_MAX, response, callback, b -> {
+            if (!control.upToDate()) {
+                // whether a roll-out can start is judged by the engines known here
+                end(response, callback, Outcome.UNCLEAR, NONE);
+                return;
+            }
             byte[] order = b;
             if (FleetConfig.json(b) instanceof Good<JsonObject> good && "start".equals(good.value().getString("order", ""))) {
                 List<RollPlan.Member> members = control.members(service);
--- /dev/null
+++ b/src/main/java/ringspindle/cp/MajorityProof.java
@@ -0,0 +1,99 @@
+package ringspindle.cp;
+
+import java.util.*;
+import java.util.function.*;
+import ringspindle.meet.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/**
+ * When a majority of the voters was last proven to be in touch, and to know of no view newer than this node's. It is a
+ * time and not a flag, so that a thread that runs before the first tick after a freeze sees that it has run out. Renewed
+ * by one thread, read by many.
+ */
+final class MajorityProof {
+    /** A proof holds for so long after the heartbeats it rests on were sent; in calm it is at most 600 ms old. */
+    static final int VALID_MS = 1500;
+    /** Two ticks so far apart, this node stood still: what was proven before counts no more. */
+    static final int PAUSE_MS = 1000;
+
+    /**
+     * What the newest heartbeat of a voter proves.
+     *
+     * @param sentMs when the heartbeat that it echoed was sent
+     * @param epoch the view that it knows
+     * @param blank it can neither vote nor hold state
+     */
+    record Contact(long sentMs, long epoch, boolean blank) {
+    }
+
+    /** The times of one renewal, read together. */
+    private record Proof(long tickMs, long contactMs, long stateMs, long sinceMs) {
+    }
+
+    private static final Proof NOTHING = new Proof(Meet.NEVER_MS, Meet.NEVER_MS, Meet.NEVER_MS, Meet.NEVER_MS);
+
+    private volatile Proof proof = NOTHING;
+    private long resumedMs = Meet.NEVER_MS;
+
+    /**
+     * A tick of the owner; contacts of voters that are not known are null.
+     *
+     * @param view the newest view, null while there is none or while this node is blank
+     */
+    void renew(long nowMs, NodeId me, View view, Function<NodeId, Contact> contacts) {
+        Proof was = proof;
+        if (was != NOTHING && nowMs - was.tickMs() >= PAUSE_MS) {
+            resumedMs = nowMs;
+            was = NOTHING;
+        }
+        long contactMs = Math.max(was.contactMs(), majorityMs(nowMs, me, view, contacts, c -> true));
+        long stateMs = Math.max(was.stateMs(), majorityMs(nowMs, me, view, contacts, c -> c.epoch() <= view.epoch()));
+        boolean unbroken = was != NOTHING && nowMs - was.stateMs() < VALID_MS;
+        proof = new Proof(nowMs, contactMs, stateMs, unbroken ? was.sinceMs() : nowMs);
+    }
+
+    /** The latest time at or after which each of a majority of voters is proven to have spoken to this node. */
+    private long majorityMs(long nowMs, NodeId me, View view, Function<NodeId, Contact> contacts, Predicate<Contact> counts) {
+        if (view == null) {
+            return Meet.NEVER_MS;
+        }
+        List<Long> times = new ArrayList<>();
+        for (NodeId voter : view.voters()) {
+            Contact c = voter.equals(me) ? new Contact(nowMs, view.epoch(), false) : contacts.apply(voter);
+            if (c != null && !c.blank() && counts.test(c) && c.sentMs() >= resumedMs) {
+                times.add(c.sentMs());
+            }
+        }
+        times.sort(Comparator.reverseOrder());
+        return times.size() < view.majority() ? Meet.NEVER_MS : times.get(view.majority() - 1);
+    }
+
+    private static boolean valid(Proof p, long provenMs, long nowMs) {
+        return nowMs - provenMs < VALID_MS && nowMs - p.tickMs() < PAUSE_MS;
+    }
+
+    /** True while a majority is proven to be in touch: calls may be passed on. */
+    boolean inTouch(long nowMs) {
+        Proof p = proof;
+        return valid(p, p.contactMs(), nowMs);
+    }
+
+    /** True while a majority is proven to know of no newer view: what is committed here may be handed out. */
+    boolean upToDate(long nowMs) {
+        Proof p = proof;
+        return valid(p, p.stateMs(), nowMs);
+    }
+
+    /** For how long it has been up to date without a break, 0 if it is not. */
+    long heldMs(long nowMs) {
+        Proof p = proof;
+        return valid(p, p.stateMs(), nowMs) ? nowMs - p.sinceMs() : 0;
+    }
+
+    /** How long ago a majority was last proven to know of no newer view, below 0 for never or not since a pause. */
+    long ageMs(long nowMs) {
+        Proof p = proof;
+        return p.stateMs() == Meet.NEVER_MS ? -1 : nowMs - p.stateMs();
+    }
+}
--- a/src/main/java/ringspindle/meet/Meet.java
+++ b/src/main/java/ringspindle/meet/Meet.java
@@ -43,6 +43,9 @@
     /** A beat came. */
     void heard(NodeId from, Heartbeat p, long nowMs);
 
+    /** Tells the time; links are judged as of then. {@code meet.advance(nowMs)} before a question from outside. */
+    void advance(long nowMs);
+
     /** Peers whose wire stands; {@code meet.peers()}. */
     Collection<? extends Peer> peers();
 
--- a/src/main/java/ringspindle/meet/MeetTable.java
+++ b/src/main/java/ringspindle/meet/MeetTable.java
@@ -116,8 +116,9 @@
         this.data = data;
     }
 
-    /** Time goes on; after a stall of this node the silence of others is counted anew, their contact is not. */
-    private void advance(long toMs) {
+    /** After a stall of this node the silence of others is counted anew; their contact is not. */
+    @Override
+    public void advance(long toMs) {
         if (nowMs != NEVER_MS && toMs - nowMs > STALL_MS) {
             resumedMs = toMs;
         }
--- a/src/test/java/ringspindle/cp/HollowControl.java
+++ b/src/test/java/ringspindle/cp/HollowControl.java
@@ -2,6 +2,7 @@
 
 import java.util.*;
 import java.util.function.*;
+import org.eclipse.jetty.server.*;
 import ringspindle.api.*;
 import ringspindle.chain.*;
 import ringspindle.conf.*;
@@ -79,6 +80,11 @@
         return out;
     }
 
+    /** The calls of engines, operators and consumers, for a server of whoever runs it. */
+    public Handler gate() {
+        return new Gate(control);
+    }
+
     public boolean quorate() {
         return control.quorate();
     }
