--- a/src/main/java/ringspindle/chain/Chain.java
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -87,9 +87,6 @@
     /** The records of that token are synced. */
     List<Out> stored(long token, long nowMs);
 
-    /** True while this node has to relearn what was promised before it can vote. */
-    boolean blank();
-
     /** The newest view, null if unknown. */
     View view();
 
@@ -102,6 +99,9 @@
     /** True while a first start waits for more voters before it takes an order; {@code status} shows it. */
     boolean founding(long nowMs);
 
+    /** True while this node has not relearned what was promised; it can neither vote nor hold state. */
+    boolean blank();
+
     /** All that must not be forgotten, for an image of the disk. */
     List<Msg> durable();
 
