--- a/src/main/java/ringspindle/chain/Replication.java
+++ b/src/main/java/ringspindle/chain/Replication.java
@@ -315,6 +315,9 @@
         }
         if (pending.isEmpty() && last.seq() <= seq) {
             newest = last;
+        } else if (syncedInThisView(seq) && (newest == null || newest.seq() < syncedState.seq())) {
+            // a snapshot that is on disk, while a newer one that replaced it is not yet
+            newest = syncedState;
         }
         if (newest != null && newer(newest)) {
             uncommittedSinceMs = replica.nowMs();
@@ -327,6 +330,10 @@
         listener.committed(seq);
     }
 
+    private boolean syncedInThisView(long upTo) {
+        return syncedState.lineage() == replica.epoch() && syncedState.seq() <= upTo;
+    }
+
     private boolean newer(State state) {
         return committed == null || state.seq() > committed.seq() || state.lineage() > committed.lineage();
     }
--- a/src/test/java/ringspindle/chain/ChainMachineTest.java
+++ b/src/test/java/ringspindle/chain/ChainMachineTest.java
@@ -164,6 +164,20 @@
         assertEquals(List.of(Outcome.OTHER_VERSION), answersOnceConfirmed(a, put(5002, 300, 302), 9000), "one that was never taken");
     }
 
+    /** A tail that got a second snapshot before it synced the first gives no reading older than what it confirmed. */
+    @Test
+    void tailCommitsTheSnapshotThatItConfirms() {
+        Chain c = Chain.create(C, ALL, true, List.of(), 1, 1);
+        synced(c, c.beat(0, TOUCH));
+        synced(c, c.on(B, new Install(1, 0, Codec.encode(new State(1, 0, 0, List.of(), List.of(), new byte[0]))), 5));
+        List<Out> first = c.on(B, new Install(1, 1, Codec.encode(new State(1, 1, 3, List.of(), List.of(), new byte[] {1}))), 10);
+        List<Out> second = c.on(B, new Install(1, 2, Codec.encode(new State(1, 2, 5, List.of(), List.of(), new byte[] {2}))), 11);
+        assertEquals(List.of(new Synced(1, 1)), sent(synced(c, first), Synced.class));
+        assertEquals(3, c.committed().revision(), "a reading now must hold what was confirmed up the chain");
+        assertEquals(List.of(new Synced(1, 2)), sent(synced(c, second), Synced.class));
+        assertEquals(5, c.committed().revision());
+    }
+
     /** A copy that was stale when the view was decided may not lead the next one. */
     @Test
     void staleMemberOfTheChainDoesNotDecideWhatWasTaken() {
