Call numbers from chance, lives in the order of sessions, typed refusal of bad frames

Cause: call numbers and the chain's random numbers were drawn from the time of day, and a reply is matched by its number alone, so that after a restart under a stepped clock an old reply could meet a new call. A data node that restarted under a clock that went back had its reports refused for ten minutes, and its ledger for as long as four lives with higher numbers were kept. A holder of the lease duty that restarted in its view numbered leases from one again, and reports of engines in turn were ordered by the life of whoever told them. A frame that could not be read closed its connection without a word in the log; a wrong length of the fixed part was read as if right; a fact that could not be read was taken into the book; and a late connection of a dead process displaced the one of its successor. Change: Means.chance (SecureRandom) numbers calls and seeds the chain. A new session says which life counts (Collector.restarted), reports of another life than the session's are ignored, ledgers are kept by when their life was first heard. Leases and turns are numbered after what is known under the view. FrameException says what is wrong with a frame; JettyMesh closes, counts, and logs one in ten seconds; facts are checked before any is merged (Facts); before a hello a frame has 4 KiB. A hello of an earlier life is refused while a later one's connection stands, which ends with its process or by silence, so a stepped clock delays a restart by about two seconds at most.

--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -70,11 +70,9 @@
     private Sum total = Sum.NONE;
     private NodeId lastHead;
     private long grantFromMs;
-    private long leases;
     private final Map<String, RollPlan> plans = new HashMap<>();
     private final Reports reports;
     private volatile boolean rolling;
-    private volatile long turns;
     private long ticks;
     private volatile boolean leaving;
     private final MajorityProof proof = new MajorityProof();
@@ -92,13 +90,14 @@
         clock = means.clock();
         life = means.life();
         me = NodeId.of(config.ip() + ":" + config.innerPort());
-        callIds = new AtomicLong(life << 20);
+        // a reply is matched by the number of its call alone, and may come after a restart
+        callIds = new AtomicLong(means.chance().getAsLong());
         mesh = means.mesh().apply(new Hello(me, life, 0, config.control().orElseThrow().bits(), config.name(), config.zone(),
                 config.region()));
         meet = Meet.forControl(me);
         presence = new Presence(config.engineBeatMs());
         List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
-        chain = Chain.create(me, seeds, config.bootstrap(), storage.load(), life, 2 * config.lossesBorne() + 1);
+        chain = Chain.create(me, seeds, config.bootstrap(), storage.load(), means.chance().getAsLong(), 2 * config.lossesBorne() + 1);
     }
 
     /** Settings changed while running. */
@@ -281,12 +280,6 @@
         }
     }
 
-    void tell(Item item) {
-        synchronized (bookLock) {
-            merge(List.of(item));
-        }
-    }
-
     /**
      * Frontends for a consumer, nearest first. Without a majority only those that this node itself is in touch with: what
      * others told it may be old.
@@ -347,6 +340,8 @@
         long nowMs = clock.nowMs();
         synchronized (bookLock) {
             meet.opened(peer, nowMs);
+            sources.restarted(peer.node(), peer.life());
+            peers.restarted(peer.node(), peer.life());
             book.reset(peer.node());
             filled.remove(peer.node());
         }
@@ -377,6 +372,7 @@
                 heartbeat(from);
             }
         } else if (m instanceof News n) {
+            Facts.check(n.items());
             synchronized (bookLock) {
                 merge(n.items());
                 book.told(from, n.items());
@@ -450,7 +446,7 @@
 
     private void reported(NodeId from, Report r, long nowMs) {
         Meet.Peer p = meet.peer(from);
-        if (p == null) {
+        if (p == null || p.hello().life() != r.life()) {
             return;
         }
         Collector of = p.hello().kind() == 1 ? sources : peers;
@@ -771,7 +767,7 @@
             nodes += r.flags() != 0 || at != null && nowMs - at < 10_000 ? 1 : 0;
         }
         if (nodes > 0) {
-            merge(List.of(new Item(Book.LEASE, "", view.epoch(), ++leases,
+            merge(List.of(new Item(Book.LEASE, "", view.epoch(), nextVersion(Book.LEASE, "", view.epoch()),
                     Codec.encode(new Lease(view.epoch(), nodes, LEASE_TTL_MS)))));
         }
     }
@@ -824,8 +820,21 @@
 
     /** What an engine said of what it still runs. */
     void reported(String id, int active, int queued) {
-        tell(new Item(Book.TURN, id, life, ++turns, (active + queued == 0 ? "free to swap" : "still runs " + (active + queued))
-                .getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+        View view = view();
+        if (view == null) {
+            return;
+        }
+        String text = active + queued == 0 ? "free to swap" : "still runs " + (active + queued);
+        synchronized (bookLock) {
+            merge(List.of(new Item(Book.TURN, id, view.epoch(), nextVersion(Book.TURN, id, view.epoch()),
+                    text.getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+        }
+    }
+
+    /** What a holder of a duty says under its view comes after all that is known to have been said under it. */
+    private long nextVersion(int kind, String key, long epoch) {
+        Item old = book.get(kind, key);
+        return old == null || old.life() != epoch ? 1 : old.version() + 1;
     }
 
     /** A data node acts on what it is told, so only a node that is proven to be up to date tells it anything. */
--- a/src/main/java/ringspindle/cp/Ledgers.java
+++ b/src/main/java/ringspindle/cp/Ledgers.java
@@ -4,7 +4,10 @@
 import ringspindle.wire.*;
 import ringspindle.wire.Msg.*;
 
-/** The newest ledger of each life of each data node that reports here. Pure; not thread safe. */
+/**
+ * The newest ledger of each life of each data node that reports here. Lives are in the order in which they were first heard:
+ * their numbers come from the time of day, which may go back. Pure; not thread safe.
+ */
 final class Ledgers {
     /** Ours: so many lives of a node are kept, and so many nodes. */
     private static final int LIVES = 4;
@@ -14,16 +17,16 @@
     record Life(LedgerReport report, boolean newest) {
     }
 
-    private final Map<NodeId, TreeMap<Long, LedgerReport>> of = new LinkedHashMap<>();
+    private final Map<NodeId, LinkedHashMap<Long, LedgerReport>> of = new LinkedHashMap<>();
 
     void take(NodeId node, LedgerReport r) {
-        TreeMap<Long, LedgerReport> lives = of.computeIfAbsent(node, k -> new TreeMap<>());
+        LinkedHashMap<Long, LedgerReport> lives = of.computeIfAbsent(node, k -> new LinkedHashMap<>());
         LedgerReport had = lives.get(r.life());
         if (had == null || r.seq() > had.seq()) {
             lives.put(r.life(), r);
         }
         if (lives.size() > LIVES) {
-            lives.pollFirstEntry();
+            lives.remove(lives.keySet().iterator().next());
         }
         if (of.size() > NODES_MAX) {
             of.remove(of.keySet().iterator().next());
@@ -34,7 +37,7 @@
         Map<NodeId, List<Life>> out = new TreeMap<>();
         of.forEach((node, lives) -> {
             List<Life> l = new ArrayList<>();
-            lives.forEach((life, r) -> l.add(new Life(r, life.equals(lives.lastKey()))));
+            lives.values().forEach(r -> l.add(new Life(r, l.size() == lives.size() - 1)));
             out.put(node, l);
         });
         return out;
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -107,6 +107,7 @@
                     mesh.send(from, new Digest(book.ranges()));
                 }
             } else if (m instanceof News n) {
+                Facts.check(n.items());
                 List<Item> fresh = book.merge(n.items());
                 book.told(from, n.items());
                 apply(fresh, nowMs);
--- a/src/main/java/ringspindle/sum/Collector.java
+++ b/src/main/java/ringspindle/sum/Collector.java
@@ -53,6 +53,17 @@
         return newer ? Taken.NEWEST : Taken.OLD;
     }
 
+    /**
+     * A source says in a new session which life it is in: what it said in another counts no more, and that life may have the
+     * higher number if the time of day went back. {@code collector.restarted(node, hello.life())}.
+     */
+    public void restarted(NodeId source, long life) {
+        Held h = newest.get(source);
+        if (h != null && h.life() != life) {
+            newest.remove(source);
+        }
+    }
+
     /** The sum of the newest reports that have not expired. */
     public Sum sum(long nowMs) {
         List<Sum> count = new ArrayList<>();
--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -11,6 +11,37 @@
 /** Messages to SBE bytes and back. */
 public final class Codec {
     private static final byte[] NONE = {};
+    /** No part of a message is longer. */
+    private static final int PART_MAX = 48 << 20;
+    /** The length of each template's fixed part. */
+    private static final Map<Integer, Integer> BLOCK_LENGTHS = Map.ofEntries(
+            Map.entry(HelloDecoder.TEMPLATE_ID, HelloDecoder.BLOCK_LENGTH),
+            Map.entry(HeartbeatDecoder.TEMPLATE_ID, HeartbeatDecoder.BLOCK_LENGTH),
+            Map.entry(ViewDecoder.TEMPLATE_ID, ViewDecoder.BLOCK_LENGTH),
+            Map.entry(PrepareDecoder.TEMPLATE_ID, PrepareDecoder.BLOCK_LENGTH),
+            Map.entry(PledgeDecoder.TEMPLATE_ID, PledgeDecoder.BLOCK_LENGTH),
+            Map.entry(AcceptDecoder.TEMPLATE_ID, AcceptDecoder.BLOCK_LENGTH),
+            Map.entry(AcceptedDecoder.TEMPLATE_ID, AcceptedDecoder.BLOCK_LENGTH),
+            Map.entry(DecidedDecoder.TEMPLATE_ID, DecidedDecoder.BLOCK_LENGTH),
+            Map.entry(InstallDecoder.TEMPLATE_ID, InstallDecoder.BLOCK_LENGTH),
+            Map.entry(EntryDecoder.TEMPLATE_ID, EntryDecoder.BLOCK_LENGTH),
+            Map.entry(SyncedDecoder.TEMPLATE_ID, SyncedDecoder.BLOCK_LENGTH),
+            Map.entry(ConfirmDecoder.TEMPLATE_ID, ConfirmDecoder.BLOCK_LENGTH),
+            Map.entry(ConfirmedDecoder.TEMPLATE_ID, ConfirmedDecoder.BLOCK_LENGTH),
+            Map.entry(RelearnDecoder.TEMPLATE_ID, RelearnDecoder.BLOCK_LENGTH),
+            Map.entry(RelearnedDecoder.TEMPLATE_ID, RelearnedDecoder.BLOCK_LENGTH),
+            Map.entry(CallDecoder.TEMPLATE_ID, CallDecoder.BLOCK_LENGTH),
+            Map.entry(ReplyDecoder.TEMPLATE_ID, ReplyDecoder.BLOCK_LENGTH),
+            Map.entry(NewsDecoder.TEMPLATE_ID, NewsDecoder.BLOCK_LENGTH),
+            Map.entry(DigestDecoder.TEMPLATE_ID, DigestDecoder.BLOCK_LENGTH),
+            Map.entry(LeaseDecoder.TEMPLATE_ID, LeaseDecoder.BLOCK_LENGTH),
+            Map.entry(OpDecoder.TEMPLATE_ID, OpDecoder.BLOCK_LENGTH),
+            Map.entry(StateDecoder.TEMPLATE_ID, StateDecoder.BLOCK_LENGTH),
+            Map.entry(VoteDecoder.TEMPLATE_ID, VoteDecoder.BLOCK_LENGTH),
+            Map.entry(EngineDecoder.TEMPLATE_ID, EngineDecoder.BLOCK_LENGTH),
+            Map.entry(ReportDecoder.TEMPLATE_ID, ReportDecoder.BLOCK_LENGTH),
+            Map.entry(LedgerReportDecoder.TEMPLATE_ID, LedgerReportDecoder.BLOCK_LENGTH),
+            Map.entry(LoadDecoder.TEMPLATE_ID, LoadDecoder.BLOCK_LENGTH));
 
     private Codec() {
     }
@@ -187,21 +218,35 @@
         return out;
     }
 
-    /** Decodes what {@link #encode} wrote; throws {@link IllegalArgumentException} on anything else. */
+    /** Decodes what {@link #encode} wrote; throws {@link FrameException} on anything else. */
     public static Msg decode(byte[] bytes) {
         try {
             return read(bytes);
-        } catch (IndexOutOfBoundsException | NegativeArraySizeException e) {
-            throw new IllegalArgumentException("not a whole message", e);
+        } catch (IndexOutOfBoundsException | NegativeArraySizeException | ClassCastException e) {
+            throw new FrameException(FrameException.Reason.GARBLED, "not a whole message", e);
+        }
+    }
+
+    private static void check(MessageHeaderDecoder h) {
+        if (h.schemaId() != MessageHeaderDecoder.SCHEMA_ID) {
+            throw new FrameException(FrameException.Reason.FOREIGN_SCHEMA, "schema " + h.schemaId());
+        }
+        if (h.version() != MessageHeaderDecoder.SCHEMA_VERSION) {
+            throw new FrameException(FrameException.Reason.FOREIGN_VERSION, "version " + h.version());
+        }
+        Integer length = BLOCK_LENGTHS.get(h.templateId());
+        if (length == null) {
+            throw new FrameException(FrameException.Reason.UNKNOWN_TEMPLATE, "template " + h.templateId());
+        }
+        if (h.blockLength() != length) {
+            throw new FrameException(FrameException.Reason.FOREIGN_VERSION, "fixed part of " + h.blockLength());
         }
     }
 
     private static Msg read(byte[] bytes) {
         DirectBuffer b = new UnsafeBuffer(bytes);
         MessageHeaderDecoder h = new MessageHeaderDecoder().wrap(b, 0);
-        if (h.schemaId() != MessageHeaderDecoder.SCHEMA_ID) {
-            throw new IllegalArgumentException("foreign schema " + h.schemaId());
-        }
+        check(h);
         switch (h.templateId()) {
             case HelloDecoder.TEMPLATE_ID: {
                 HelloDecoder d = new HelloDecoder().wrapAndApplyHeader(b, 0, h);
@@ -387,7 +432,7 @@
                 return new Load(d.life(), d.seq(), engines, regions);
             }
             default:
-                throw new IllegalArgumentException("unknown template " + h.templateId());
+                throw new FrameException(FrameException.Reason.UNKNOWN_TEMPLATE, "template " + h.templateId());
         }
     }
 
@@ -416,6 +461,9 @@
     }
 
     private static byte[] raw(int length, Getter g) {
+        if (length > PART_MAX) {
+            throw new FrameException(FrameException.Reason.OVERSIZED, "part of " + length);
+        }
         byte[] out = length == 0 ? NONE : new byte[length];
         g.get(out, 0, length);
         return out;
--- /dev/null
+++ b/src/main/java/ringspindle/wire/FrameException.java
@@ -0,0 +1,39 @@
+package ringspindle.wire;
+
+/** What came over a connection is no message that this program can take; nothing has changed by it. */
+public final class FrameException extends IllegalArgumentException {
+    private static final long serialVersionUID = 1;
+
+    /** What is wrong with it. */
+    public enum Reason {
+        /** It is longer than any message, or says that a part of it is. */
+        OVERSIZED,
+        /** It is of another schema. */
+        FOREIGN_SCHEMA,
+        /** It is of another version of the schema, or its fixed part has another length. */
+        FOREIGN_VERSION,
+        /** There is no message of that template. */
+        UNKNOWN_TEMPLATE,
+        /** It breaks off, or its parts do not fit together. */
+        GARBLED,
+        /** Something else came before the peer said who it is. */
+        NO_HELLO,
+        /** The peer's connection is of an earlier life than the one that stands. */
+        EARLIER_LIFE
+    }
+
+    private final Reason reason;
+
+    public FrameException(Reason reason, String text) {
+        this(reason, text, null);
+    }
+
+    public FrameException(Reason reason, String text, Throwable cause) {
+        super(reason + ": " + text, cause);
+        this.reason = reason;
+    }
+
+    public Reason reason() {
+        return reason;
+    }
+}
--- a/src/main/java/ringspindle/wire/JettyMesh.java
+++ b/src/main/java/ringspindle/wire/JettyMesh.java
@@ -6,6 +6,7 @@
 import java.time.*;
 import java.util.*;
 import java.util.concurrent.*;
+import java.util.concurrent.atomic.*;
 import org.eclipse.jetty.io.*;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.*;
@@ -16,6 +17,10 @@
 final class JettyMesh implements Mesh {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int FRAME_MAX = 48 << 20;
+    /** Who has not said who it is gets no more room than that takes. */
+    private static final int HELLO_MAX = 4096;
+    /** Refused frames are counted, and one of them is logged in so many seconds. */
+    private static final int LOG_EVERY_S = 10;
     private static final int BACKLOG_MAX = 32 << 20;
 
     private final Msg.Hello self;
@@ -24,6 +29,7 @@
     private final Map<NodeId, FrameWire> wires = new ConcurrentHashMap<>();
     private final Set<NodeId> dialling = ConcurrentHashMap.newKeySet();
     private final ClientConnector dialer = new PlainConnector();
+    private final Map<FrameException.Reason, LongAdder> refused = new EnumMap<>(FrameException.Reason.class);
     private Server server;
     private volatile Ear ear;
 
@@ -31,6 +37,14 @@
         this.self = self;
         this.pool = pool;
         this.beats = beats;
+        for (FrameException.Reason r : FrameException.Reason.values()) {
+            refused.put(r, new LongAdder());
+        }
+    }
+
+    /** How many connections were closed for what came over them. */
+    long refused(FrameException.Reason reason) {
+        return refused.get(reason).sum();
     }
 
     @Override
@@ -110,7 +124,7 @@
     private final class FrameWire extends AbstractConnection {
         private final NodeId dialled;
         private volatile NodeId peer;
-        private long peerLife;
+        private volatile long peerLife;
         private ByteBuffer in = ByteBuffer.allocate(8192);
         private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
         private int backlog;
@@ -184,6 +198,11 @@
                     in.position(in.position() + n);
                     take();
                 }
+            } catch (FrameException x) {
+                refused.get(x.reason()).increment();
+                LOG.atWarning().atMostEvery(LOG_EVERY_S, TimeUnit.SECONDS).log("connection of %s at %s is closed: %s, %s so far",
+                        peer, getEndPoint().getRemoteSocketAddress(), x.getMessage(), refused(x.reason()));
+                close();
             } catch (Throwable x) {
                 LOG.atFine().withCause(x).log("wire to %s fails", peer);
                 close();
@@ -194,8 +213,8 @@
             in.flip();
             while (in.remaining() >= 4) {
                 int length = in.getInt(in.position());
-                if (length < 0 || length > FRAME_MAX) {
-                    throw new IllegalArgumentException("frame of " + length);
+                if (length < 0 || length > (peer == null ? HELLO_MAX : FRAME_MAX)) {
+                    throw new FrameException(FrameException.Reason.OVERSIZED, "frame of " + length);
                 }
                 if (in.remaining() < 4 + length) {
                     if (in.capacity() < 4 + length) {
@@ -215,17 +234,25 @@
         private void heard(Msg m) {
             if (peer == null) {
                 if (!(m instanceof Msg.Hello h)) {
-                    throw new IllegalArgumentException("no hello");
+                    throw new FrameException(FrameException.Reason.NO_HELLO, m.getClass().getSimpleName());
                 }
-                peerLife = h.life();
-                FrameWire had = wires.get(h.node());
-                if (had != null && had != this && had.peerLife == peerLife && had.byLower(h.node()) && !byLower(h.node())) {
-                    // both dialled at once: both keep the wire of the lower address
-                    close();
-                    return;
+                FrameWire old;
+                synchronized (wires) {
+                    peerLife = h.life();
+                    old = wires.get(h.node());
+                    if (old != null && old != this && old.peerLife > peerLife) {
+                        // a late connection of a process that is gone; should it be the clock that went back, the one that
+                        // stands ends with its process or by its silence, and the next to dial gets through
+                        throw new FrameException(FrameException.Reason.EARLIER_LIFE, h.name() + " of life " + peerLife);
+                    }
+                    if (old != null && old != this && old.peerLife == peerLife && old.byLower(h.node()) && !byLower(h.node())) {
+                        // both dialled at once: both keep the wire of the lower address
+                        close();
+                        return;
+                    }
+                    peer = h.node();
+                    wires.put(peer, this);
                 }
-                peer = h.node();
-                FrameWire old = wires.put(peer, this);
                 if (dialled != null) {
                     dialling.remove(dialled);
                 }
--- a/src/main/java/ringspindle/wire/Means.java
+++ b/src/main/java/ringspindle/wire/Means.java
@@ -1,18 +1,20 @@
 package ringspindle.wire;
 
+import java.security.*;
 import java.util.concurrent.*;
 import java.util.function.*;
 import org.eclipse.jetty.util.thread.*;
 
 /**
- * What an owner of state machines works with: a clock, the number of its life, threads, and a mesh that speaks for the
- * node a hello names. Hollow nodes get others of these than real ones.
+ * What an owner of state machines works with: a clock, the number of its life, chance, threads, and a mesh that speaks for
+ * the node a hello names. Hollow nodes get others of these than real ones. The life is drawn from the time of day, which may
+ * go back; numbers that no other process may use come from chance.
  */
-public record Means(Steady clock, long life, Executor pool, Function<Msg.Hello, Mesh> mesh) {
+public record Means(Steady clock, long life, LongSupplier chance, Executor pool, Function<Msg.Hello, Mesh> mesh) {
 
     /** Sockets, the steady clock and the given threads; {@code Means.real(Threads.start("dp", 20, 8))}. */
     public static Means real(Threads threads) {
-        return new Means(Steady.system(), System.currentTimeMillis(), threads.pool(),
+        return new Means(Steady.system(), System.currentTimeMillis(), new SecureRandom()::nextLong, threads.pool(),
                 hello -> Mesh.create(hello, threads.pool(), threads.timers()));
     }
 }
--- /dev/null
+++ b/src/test/java/ringspindle/cp/LedgersTest.java
@@ -0,0 +1,39 @@
+package ringspindle.cp;
+
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import org.junit.jupiter.api.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** The newest ledger of each of the last lives of a node, whatever numbers the lives have. */
+class LedgersTest {
+    private static final NodeId A = NodeId.of("10.0.0.1:7001");
+    private final Ledgers ledgers = new Ledgers();
+
+    private void take(long life, long seq) {
+        ledgers.take(A, new LedgerReport(life, seq, 0, 0, 0, List.of()));
+    }
+
+    private List<String> held() {
+        return ledgers.all().get(A).stream().map(l -> l.report().life() + "/" + l.report().seq() + (l.newest() ? " newest" : "")).toList();
+    }
+
+    @Test
+    void anOlderReportOfALifeChangesNothing() {
+        take(7, 3);
+        take(7, 2);
+        assertEquals(List.of("7/3 newest"), held());
+    }
+
+    @Test
+    void aLifeThatStartedUnderAClockThatWentBackIsTheNewest() {
+        for (long life = 100; life < 104; life++) {
+            take(life, 1);
+        }
+        take(50, 1);
+        take(50, 2);
+        assertEquals(List.of("101/1", "102/1", "103/1", "50/2 newest"), held(), "the life heard first makes room");
+    }
+}
--- a/src/test/java/ringspindle/scale/Net.java
+++ b/src/test/java/ringspindle/scale/Net.java
@@ -44,6 +44,7 @@
             new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
     private final Map<NodeId, HollowMesh> meshes = new HashMap<>();
     final Map<NodeId, Meter> meters = new TreeMap<>();
+    private final Random chance = new Random(1);
     private double nowMs = 1_000_000;
     private long order;
 
@@ -110,7 +111,7 @@
     /** What an owner needs; its threads are this net's events. */
     public Means means(long life) {
         Executor later = r -> at(0, r);
-        return new Means(this::nowMs, life, later, hello -> {
+        return new Means(this::nowMs, life, chance::nextLong, later, hello -> {
             HollowMesh m = new HollowMesh(hello);
             meshes.put(hello.node(), m);
             meters.put(hello.node(), new Meter());
--- /dev/null
+++ b/src/test/java/ringspindle/scale/RestartTest.java
@@ -0,0 +1,76 @@
+package ringspindle.scale;
+
+import static java.nio.charset.StandardCharsets.*;
+import static org.junit.jupiter.api.Assertions.*;
+
+import java.util.*;
+import org.junit.jupiter.api.*;
+import ringspindle.conf.*;
+import ringspindle.cp.*;
+import ringspindle.dp.*;
+import ringspindle.pick.*;
+import ringspindle.sum.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** A data node that restarts under a clock that went back is counted soon, though its life has a lower number. */
+class RestartTest {
+    private static final int ENGINE_BEAT_MS = 1200;
+    private static final String ENGINE = "i-1";
+    private static final NodeId DATA = NodeId.of("10.1.0.2:7001");
+
+    private final Net net = new Net();
+    private HollowControl control;
+    private HollowData data;
+
+    private static NodeConfig settings(String name, String ip, boolean isControl) {
+        Properties p = new Properties();
+        p.putAll(Map.of("node.name", name, "node.ip", ip, "node.zone", "z", "node.region", "r", "zone.z", "r", "listen.inner", "7000",
+                "seeds", "10.0.0.1:80", "loss.nodes", "0", "node.bootstrap", "true"));
+        p.setProperty(isControl ? "listen.control" : "listen.frontend", ip + ":80");
+        return ((Checked.Good<NodeConfig>) NodeConfig.check(p)).value();
+    }
+
+    private void every(int everyMs, Runnable r) {
+        net.at(everyMs, () -> {
+            r.run();
+            every(everyMs, r);
+        });
+    }
+
+    /** One request runs on, from now. */
+    private void request() {
+        Picker.Ask ask = new Picker.Ask("s", Set.of(), 0, 92, 291, 40, Set.of(), -1, 1);
+        Picker.Chosen chosen = assertInstanceOf(Picker.Chosen.class, data.picker().choose(ask, net.nowMs()));
+        data.picker().sent(chosen.id(), net.nowMs());
+    }
+
+    private int running() {
+        return control.total().all(Sum.key(ENGINE)).running();
+    }
+
+    @Test
+    void itsReportsCountAsSoonAsItsSessionStands() throws Exception {
+        control = new HollowControl(settings("c", "10.0.0.1", true), net.means(1), net::at);
+        data = new HollowData(settings("d", "10.1.0.2", false), net.means(9));
+        every(HollowControl.tickMs(), control::tick);
+        every(HollowData.tickMs(), () -> data.tick());
+        long[] seq = {0};
+        every(ENGINE_BEAT_MS, () -> control.heartbeat(ENGINE,
+                new Engine(32, 0, false, -1, 1, "s", "10.2.0.1:80", "z", "v"), ++seq[0]));
+        net.runFor(2000);
+        control.put(0, "{\"revision\":1,\"routes\":[],\"services\":[{\"name\":\"s\",\"maxConnections\":9}]}".getBytes(UTF_8), o -> { });
+        net.runFor(4000);
+        request();
+        request();
+        net.runFor(2000);
+        assertEquals(2, running());
+
+        data = new HollowData(settings("d", "10.1.0.2", false), net.means(5));
+        net.runFor(8000);
+        request();
+        net.runFor(2000);
+        assertEquals(1, running(), "of its new life");
+        assertEquals(Set.of(DATA), control.followed().keySet());
+    }
+}
--- a/src/test/java/ringspindle/sum/SumTest.java
+++ b/src/test/java/ringspindle/sum/SumTest.java
@@ -149,6 +149,27 @@
         assertEquals(Sum.NONE, second.sum(5100));
     }
 
+    @Test
+    void aRestartUnderAClockThatWentBackCountsAtOnce() {
+        NodeId a = NodeId.of("10.0.0.1:7");
+        Sum one = Sum.of(1, Kind.LONG, new Tally(1, 0, 0, 1, 17_000, new int[6]));
+        Collector c = new Collector(2000);
+        c.take(a, one.merge(one).report(9, 40), 0);
+        assertEquals(Taken.OLD, c.take(a, one.report(5, 1), 1000), "no session says that there is another life");
+        c.restarted(a, 9);
+        assertEquals(Taken.OLD, c.take(a, one.report(9, 40), 1100), "a new session of the same life begins nothing anew");
+        c.restarted(a, 5);
+        assertEquals(Sum.NONE, c.sum(1200), "what the earlier life said counts no more");
+        assertEquals(Taken.NEWEST, c.take(a, one.report(5, 1), 1200));
+        assertEquals(one, c.sum(1200));
+        // another collector holds what the earlier life said for no longer than a report counts
+        Collector other = new Collector(2000);
+        other.take(a, one.report(9, 39), 0);
+        other.holds(1200).forEach(s -> c.leave(s.node(), s.life(), s.seq()));
+        assertEquals(Taken.OLD, c.take(a, one.report(5, 2), 1300), "it wins while it counts there");
+        assertEquals(List.of(), other.holds(2001));
+    }
+
     @Test
     void badReportsAreRefusedCountedAndChangeNothing() {
         NodeId a = NodeId.of("10.0.0.1:7");
--- a/src/test/java/ringspindle/wire/CodecTest.java
+++ b/src/test/java/ringspindle/wire/CodecTest.java
@@ -55,6 +55,48 @@
         }
     }
 
+    private static FrameException.Reason refusal(byte[] bytes) {
+        return assertThrows(FrameException.class, () -> Codec.decode(bytes)).reason();
+    }
+
+    /** A whole message with another number in its header: fixed length, template, schema, version, 16 bits each. */
+    private static byte[] withHeader(int field, int value) {
+        byte[] bytes = Codec.encode(new Synced(3, 4));
+        bytes[2 * field] = (byte) value;
+        bytes[2 * field + 1] = (byte) (value >> 8);
+        return bytes;
+    }
+
+    @Test
+    void foreignMessagesAreRefusedByType() {
+        assertEquals(FrameException.Reason.FOREIGN_VERSION, refusal(withHeader(0, 8)), "a shorter fixed part would shift the rest");
+        assertEquals(FrameException.Reason.UNKNOWN_TEMPLATE, refusal(withHeader(1, 999)));
+        assertEquals(FrameException.Reason.FOREIGN_SCHEMA, refusal(withHeader(2, 42)));
+        assertEquals(FrameException.Reason.FOREIGN_VERSION, refusal(withHeader(3, 1)));
+        assertEquals(FrameException.Reason.GARBLED, refusal(new byte[3]));
+    }
+
+    @Test
+    void whateverIsFlippedIsReadOrRefusedAndNothingElse() {
+        List<Msg> messages = new ArrayList<>(all());
+        messages.add(new News(true, List.of(new Item(1, "k", 2, 3, new byte[] {4}))));
+        messages.add(new State(1, 2, 3, List.of(new long[] {4, 5}), List.of(new Mark(1, "z", 6, "on")), new byte[] {7}));
+        for (Msg m : messages) {
+            byte[] whole = Codec.encode(m);
+            for (int at = 0; at < whole.length; at++) {
+                for (int flip : new int[] {1, 0x7f, 0x80, 0xff}) {
+                    byte[] flipped = whole.clone();
+                    flipped[at] ^= (byte) flip;
+                    try {
+                        Codec.decode(flipped);
+                    } catch (FrameException x) {
+                        assertNotNull(x.reason());
+                    }
+                }
+            }
+        }
+    }
+
     @Test
     void addressesAreChecked() {
         assertEquals("10.0.0.1:7000", A.toString());
