status says what is proven, what is awaited, and who holds what

Cause: an operator saw that a node does not serve, but not why, nor whether the others hold what it holds. Change: status has the age of the proof of a majority, what this node waits for (relearning, a majority, more voters at a first start, a newer view, or nothing), and epoch and seq of each control node in touch, from its heartbeats. The command line shows them.

--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -36,6 +36,11 @@
 
     private static final byte[] NONE = {};
 
+    /** What a control node waits for before it serves. */
+    enum Awaited {
+        NOTHING, RELEARNING, MAJORITY, FOUNDING, VIEW
+    }
+
     /** What comes back of a call. */
     interface Answered {
         void answer(Outcome o, byte[] body);
@@ -185,8 +190,14 @@
             state = chain.committed();
             view = chain.view();
         }
+        return Handover.done(me, view, state == null ? -1 : state.seq(), holders());
+    }
+
+    /** What control nodes in touch last said that they hold. */
+    List<Handover.Holder> holders() {
         List<Handover.Holder> holders = new ArrayList<>();
         synchronized (bookLock) {
+            meet.advance(clock.nowMs());
             for (Meet.Peer p : meet.peers()) {
                 Heartbeat newest = p.heartbeat();
                 if (p.hello().kind() == 0 && p.linked()) {
@@ -194,7 +205,28 @@
                 }
             }
         }
-        return Handover.done(me, view, state == null ? -1 : state.seq(), holders);
+        return holders;
+    }
+
+    /** What this node waits for: the first of these that it lacks. */
+    Awaited awaited() {
+        long nowMs = clock.nowMs();
+        boolean blank;
+        boolean founding;
+        synchronized (chainLock) {
+            blank = chain.blank();
+            founding = chain.founding(nowMs);
+        }
+        if (blank) {
+            return Awaited.RELEARNING;
+        }
+        if (!proof.inTouch(nowMs)) {
+            return Awaited.MAJORITY;
+        }
+        if (founding) {
+            return Awaited.FOUNDING;
+        }
+        return current && proof.upToDate(nowMs) ? Awaited.NOTHING : Awaited.VIEW;
     }
 
     State committed() {
--- a/src/main/java/ringspindle/cp/Fleet.java
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -23,7 +23,7 @@
 
     static JsonObject status(Control c) {
         JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name()).add("quorate", c.quorate())
-                .add("founding", c.founding()).add("provenAgoMs", c.provenAgoMs());
+                .add("founding", c.founding()).add("provenAgoMs", c.provenAgoMs()).add("awaited", c.awaited().name());
         View v = c.view();
         if (v != null) {
             JsonArrayBuilder voters = JSON.createArrayBuilder();
@@ -52,6 +52,10 @@
         JsonArrayBuilder sessions = JSON.createArrayBuilder();
         c.sessions().forEach(row -> sessions.add(JSON.createObjectBuilder(row)));
         out.add("sessions", sessions);
+        JsonArrayBuilder holders = JSON.createArrayBuilder();
+        c.holders().forEach(h -> holders.add(JSON.createObjectBuilder().add("node", h.node().toString()).add("epoch", h.epoch())
+                .add("seq", h.seq()).add("blank", h.blank())));
+        out.add("holders", holders);
         JsonArrayBuilder nodes = JSON.createArrayBuilder();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.NODE)))) {
             Roster r = Roster.of(i.value());
--- a/src/main/java/ringspindle/ops/Cli.java
+++ b/src/main/java/ringspindle/ops/Cli.java
@@ -589,12 +589,16 @@
 
     private void status(JsonObject o) {
         out.println("asked " + o.getString("node") + ", in touch with a majority: " + o.getBoolean("quorate"));
+        out.println("proven " + o.get("provenAgoMs") + " ms ago, awaited: " + o.getString("awaited", "unknown"));
         if (o.get("view") instanceof JsonObject v) {
             out.println("view " + v.get("epoch") + ", chain " + v.get("chain") + ", voters " + v.get("voters"));
         }
         out.println("duties " + o.get("duties"));
         out.println("revision " + o.get("revision") + ", seq " + o.get("seq") + ", evacuated " + o.get("evacuated"));
         table(o.getJsonArray("sessions"), "name", "kind", "node", "zone", "linked", "ready");
+        if (o.get("holders") instanceof JsonArray holders) {
+            table(holders, "node", "epoch", "seq", "blank");
+        }
         table(o.getJsonArray("nodes"), "name", "zone", "frontend", "ready", "leaving");
     }
 
--- a/src/test/java/ringspindle/scale/ControlInterfacesTest.java
+++ b/src/test/java/ringspindle/scale/ControlInterfacesTest.java
@@ -178,6 +178,8 @@
         assertTrue(x.body().contains("\"quorate\":" + quorate), x.body());
         assertEquals(quorate, x.body().contains("\"revision\":"), x.body());
         assertEquals(quorate, x.body().contains("\"evacuated\":"), x.body());
+        assertTrue(x.body().contains("\"awaited\":\"" + (quorate ? "NOTHING" : "MAJORITY") + "\""), x.body());
+        assertEquals(quorate, x.body().contains("\"node\":\"10.0.1.1:7000\",\"epoch\":"), "who holds what, of those in touch: " + x.body());
     }
 
     private void takeOn(int z, int base) throws Exception {
