Only an engine's own answer is taken: interim answers, missing ids, surplus bytes, cookies

Cause: Jetty's client was left alone with what engines should not send. Without a protocol handler it never reports the answer that follows a 1xx, and the fields of the 1xx stay in the answer's head; 101 was passed on as a failure of the engine. A refusal without Attempt-Id counted as the engine's word, so a late 503 or 421 of another request let a mutating request be sent to a second engine. Bytes behind a whole answer in the same read are discarded by Jetty and the connection was used again; half an answer on a connection at rest went unseen. The client's cookie store sent what an engine had set for one client with the requests of others. A connection given back unused was dropped as well and counted out twice. Silence of 60 s ended a request whatever its deadline.

Change: EngineTransport holds connections that know whether they are out of step (surplus bytes, interim answers without the request's id) and cites why Jetty sends nothing again; Wires hands out no such connection and none that spoke at rest. Every answer must carry the id. No cookie store, headers up to the front's own limit, no idle timeout of the client's, an unused connection is given back once. The fixture of FrontTest moves to EdgeFixture, its tests are unchanged.

--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -291,16 +291,16 @@
     private void wireUp(Try t, Wires.Wire w) {
         org.eclipse.jetty.client.Request r;
         synchronized (this) {
-            t.wire = w;
             long nowMs = front.nowMs();
             // the last look before anything goes out
             if (t.over || !action.live(nowMs)) {
-                front.wires().give(w, -1);
+                front.wires().giveUnused(w);
                 if (!t.over) {
                     end(t, Action.End.NOT_SENT);
                 }
                 return;
             }
+            t.wire = w;
             r = compose(t, nowMs);
             t.request = r;
             t.attempt.sent();
@@ -369,11 +369,10 @@
         t.head = r;
         t.heardMs = nowMs;
         HttpFields h = r.getHeaders();
-        String id = h.get("Attempt-Id");
         int status = r.getStatus();
         boolean success = status / 100 == 2;
-        boolean foreign = id == null ? success : !id.equals(attemptId);
-        if (foreign) {
+        // every answer of an engine carries the id back; nobody asked for a switch of protocols
+        if (!attemptId.equals(h.get("Attempt-Id")) || status == HttpStatus.SWITCHING_PROTOCOLS_101) {
             t.headEnd = Action.End.BROKEN;
             end(t, Action.End.BROKEN);
             return;
--- a/src/main/java/ringspindle/edge/Front.java
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -23,6 +23,8 @@
 /** The consumers' side of a data node: mappings, flows, readiness. */
 public final class Front extends Handler.Abstract implements Action.Ear, Edge {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** The longest request line with header fields that a client may send. */
+    static final int REQUEST_HEADERS_MAX = 32768;
     private static final int INBOX_MS = 20;
     /** Ours: about how long a node that has just started takes until it holds what is in force. */
     private static final int NOT_READY_MS = 1000;
@@ -63,7 +65,7 @@
         HttpConfiguration http = new HttpConfiguration();
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
-        http.setRequestHeaderSize(32768);
+        http.setRequestHeaderSize(REQUEST_HEADERS_MAX);
         http.setUriCompliance(UriCompliance.UNSAFE);
         http.setUseInputDirectByteBuffers(false);
         http.setUseOutputDirectByteBuffers(false);
--- a/src/main/java/ringspindle/edge/Wires.java
+++ b/src/main/java/ringspindle/edge/Wires.java
@@ -4,7 +4,7 @@
 import java.util.*;
 import java.util.concurrent.*;
 import org.eclipse.jetty.client.*;
-import org.eclipse.jetty.client.transport.*;
+import org.eclipse.jetty.http.*;
 import org.eclipse.jetty.io.*;
 import org.eclipse.jetty.util.*;
 import org.eclipse.jetty.util.Promise;
@@ -19,17 +19,19 @@
     /** Ours: idle for less, a wire counts as sure enough for what may run only once. */
     private static final int SURE_MS = 1500;
     private static final int TRUST_LEAST_MS = 50;
+    /** More than a client may send ({@code Front.REQUEST_HEADERS_MAX}), as a few fields are added. */
+    private static final int REQUEST_HEADERS_MAX = Front.REQUEST_HEADERS_MAX + 4096;
 
     /** A connection to one engine. */
     static final class Wire {
-        final org.eclipse.jetty.client.Connection connection;
+        final EngineTransport.EngineConnection connection;
         final String engine;
         long idleSinceMs;
         long keepMs = KEEP_MS;
         /** How long it was idle before it was taken this time, below 0 if it is new. */
         long idledMs = -1;
 
-        Wire(org.eclipse.jetty.client.Connection connection, String engine) {
+        Wire(EngineTransport.EngineConnection connection, String engine) {
             this.connection = connection;
             this.engine = engine;
         }
@@ -57,22 +59,27 @@
     Wires(QueuedThreadPool pool, org.eclipse.jetty.util.thread.Scheduler beats, Steady clock) throws Exception {
         this.clock = clock;
         ClientConnector connector = new PlainConnector();
-        client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client = new HttpClient(new EngineTransport(connector));
         client.setExecutor(pool);
         client.setScheduler(beats);
         client.setByteBufferPool(new ArrayByteBufferPool(0, 4096, 65536, 256, 2 << 20, 4 << 20));
         client.setConnectTimeout(600);
-        client.setIdleTimeout(60_000);
+        // silence ends no request: the action's deadline does, and tidy() closes idle connections
+        client.setIdleTimeout(0);
         client.setUserAgentField(null);
         client.setFollowRedirects(false);
         client.setDefaultRequestContentType(null);
         client.setMaxResponseHeadersSize(16384);
+        client.setMaxRequestHeadersSize(REQUEST_HEADERS_MAX);
+        // what an engine sets for one client is never sent with the request of another
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUseInputDirectByteBuffers(false);
         client.setUseOutputDirectByteBuffers(false);
         client.setSocketAddressResolver((host, port, context, promise) ->
                 promise.succeeded(List.of(new InetSocketAddress(host, port))));
         client.start();
         client.getProtocolHandlers().clear();
+        client.getProtocolHandlers().put(new EngineTransport.InterimAnswers());
         client.getContentDecoderFactories().clear();
     }
 
@@ -102,7 +109,7 @@
                 }
                 Wire x = p.idle.pollLast();
                 x.idledMs = idledMs;
-                if (x.connection.isClosed() || idledMs > Math.min(x.keepMs, p.trustMs)) {
+                if (x.connection.unusable() || x.connection.disturbed() || idledMs > Math.min(x.keepMs, p.trustMs)) {
                     p.open--;
                     x.connection.close();
                 } else {
@@ -126,7 +133,8 @@
         } else if (destination == null) {
             ready.failed(true);
         } else {
-            destination.newConnection(Promise.from(c -> ready.up(new Wire(c, engine)), x -> {
+            destination.newConnection(Promise.from(
+                    c -> ready.up(new Wire((EngineTransport.EngineConnection) c, engine)), x -> {
                 synchronized (p) {
                     p.open--;
                 }
@@ -148,13 +156,14 @@
     /** Gives a wire back after a whole answer; keepS is what the engine stated, below 0 for nothing. */
     void give(Wire w, long keepS) {
         Pool p = pools.get(w.engine);
-        if (p == null || w.connection.isClosed()) {
+        if (p == null || w.connection.unusable()) {
             drop(w);
             return;
         }
         synchronized (p) {
             if (p.idle.size() < IDLE_MAX) {
                 w.idleSinceMs = clock.nowMs();
+                w.connection.rest();
                 w.keepMs = keepS >= 0 ? Math.max(0, keepS * 1000 - 400) : KEEP_MS;
                 p.idle.addLast(w);
                 return;
@@ -163,6 +172,16 @@
         drop(w);
     }
 
+    /** Gives back a wire over which nothing was sent since it was taken. */
+    void giveUnused(Wire w) {
+        if (w.idledMs < 0) {
+            give(w, -1);
+        } else {
+            // its age is not known here any more
+            drop(w);
+        }
+    }
+
     /** Closes a wire. */
     void drop(Wire w) {
         Pool p = pools.get(w.engine);
--- /dev/null
+++ b/src/test/java/ringspindle/edge/EdgeFixture.java
@@ -0,0 +1,138 @@
+package ringspindle.edge;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Properties;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import ringspindle.conf.Checked;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.NodeConfig;
+import ringspindle.pick.Picker;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Lease;
+import ringspindle.wire.Steady;
+
+/** The real edge on loopback with stand-in engines, opened for each test and closed after it. */
+abstract class EdgeFixture {
+    final List<StandIn> engines = new ArrayList<>();
+    QueuedThreadPool pool;
+    ScheduledExecutorScheduler beats;
+    Front front;
+    Picker picker;
+    int port;
+    private final Steady steady = Steady.system();
+    volatile long onMs;
+    /** The steady clock, put on by hand where time has to pass. */
+    final Steady clock = () -> steady.nowMs() + onMs;
+
+    @BeforeEach
+    void open() throws Exception {
+        pool = new QueuedThreadPool(16, 4);
+        pool.setDaemon(true);
+        pool.setStopTimeout(0);
+        pool.start();
+        beats = new ScheduledExecutorScheduler("beats", true, 1);
+        beats.start();
+        int ready;
+        try (ServerSocket a = new ServerSocket(0); ServerSocket b = new ServerSocket(0)) {
+            port = a.getLocalPort();
+            ready = b.getLocalPort();
+        }
+        Properties p = new Properties();
+        p.putAll(Map.of("node.name", "f", "node.ip", "127.0.0.1", "node.zone", "z", "node.region", "r", "listen.frontend",
+                "127.0.0.1:" + port, "listen.readiness", "127.0.0.1:" + ready, "listen.inner", "1", "seeds", "127.0.0.1:1"));
+        p.putAll(Map.of("zone.z", "r", "zone.far", "q", "bound.retrySlack", "100", "bound.retryRatio", "0.2"));
+        NodeConfig node = ((Checked.Good<NodeConfig>) NodeConfig.check(p)).value();
+        picker = Picker.create(node);
+        front = new Front(node, picker, pool, beats, clock);
+        front.open();
+        config(3, "");
+        front.confirm();
+        picker.lease(new Lease(1, 1, 60_000), clock.nowMs());
+    }
+
+    /** Puts the routes in force under that revision; more is further JSON of the configuration, from its comma on. */
+    void config(long revision, String more) {
+        String json = "{\"revision\":" + revision + ",\"routes\":["
+                + route("card", "/card/", "idempotent", 3000, 200, 2, false, "") + ","
+                + route("short", "/short/", "streaming", 3000, 800, 1, false, "") + ","
+                + route("home", "/home/", "streaming", 3000, 800, 1, false, "\"q\"") + ","
+                + route("once", "/once/", "mutating", 3000, 800, 2, false, "") + ","
+                + route("long", "/long/", "streaming", 4000, 800, 2, true, "")
+                + "],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":100,\"warmupS\":0,\"warmupPerS\":0}]" + more + "}";
+        FleetConfig c = ((Checked.Good<FleetConfig>) FleetConfig.read(json.getBytes(UTF_8))).value();
+        picker.config(c);
+        front.config(c);
+    }
+
+    static String route(String name, String prefix, String kind, int deadline, int aim, int most, boolean resume, String homes) {
+        return "{\"name\":\"" + name + "\",\"host\":\"h.example\",\"pathPrefix\":\"" + prefix + "\",\"routeKind\":\"" + kind
+                + "\",\"deadlineMs\":" + deadline + ",\"targetLatencyMs\":" + aim + ",\"priority\":0,\"service\":\"s\",\"maxAttempts\":"
+                + most + ",\"resumable\":" + resume + ",\"tokenGapMs\":400,\"homeRegions\":[" + homes + "]}";
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        front.close();
+        for (StandIn e : engines) {
+            e.close();
+        }
+        pool.stop();
+        beats.stop();
+    }
+
+    StandIn engine(String id, String zone, StandIn.Script script) throws IOException {
+        StandIn e = new StandIn(script);
+        engines.add(e);
+        picker.engine(id, new Engine(8, 0, false, -1, 1, "s", e.address(), zone, "v"), 1, clock.nowMs());
+        return e;
+    }
+
+    Socket send(String path, String id, String more, String body) throws IOException {
+        Socket s = new Socket("127.0.0.1", port);
+        s.setSoTimeout(20_000);
+        ask(s, path, id, more, body);
+        return s;
+    }
+
+    static void ask(Socket s, String path, String id, String more, String body) throws IOException {
+        StandIn.say(s.getOutputStream(), "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
+                + "\r\nDeadline-Ms: 2500\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    /** Reads to the end of the wire. */
+    static String all(Socket s) throws IOException {
+        try (s) {
+            return new String(s.getInputStream().readAllBytes(), ISO_8859_1);
+        }
+    }
+
+    /** Reads until the text is there. */
+    static String until(Socket s, String text) throws IOException {
+        StringBuilder b = new StringBuilder();
+        InputStream in = s.getInputStream();
+        while (b.indexOf(text) < 0) {
+            int c = in.read();
+            if (c < 0) {
+                return b + "<end>";
+            }
+            b.append((char) c);
+        }
+        return b.toString();
+    }
+
+    String ok(String path, String id) throws IOException {
+        return all(send(path, id, "Connection: close\r\n", ""));
+    }
+}
--- a/src/test/java/ringspindle/edge/FrontTest.java
+++ b/src/test/java/ringspindle/edge/FrontTest.java
@@ -17,109 +17,7 @@
 
 /** The real edge on loopback, with stand-in engines that behave badly. */
 @Timeout(60)
-class FrontTest {
-    private final List<StandIn> engines = new ArrayList<>();
-    private QueuedThreadPool pool;
-    private ScheduledExecutorScheduler beats;
-    private Front front;
-    private Picker picker;
-    private int port;
-    private final Steady steady = Steady.system();
-    private volatile long onMs;
-    /** The steady clock, put on by hand where time has to pass. */
-    private final Steady clock = () -> steady.nowMs() + onMs;
-
-    @BeforeEach
-    void open() throws Exception {
-        pool = new QueuedThreadPool(16, 4);
-        pool.setDaemon(true);
-        pool.setStopTimeout(0);
-        pool.start();
-        beats = new ScheduledExecutorScheduler("beats", true, 1);
-        beats.start();
-        int ready;
-        try (ServerSocket a = new ServerSocket(0); ServerSocket b = new ServerSocket(0)) {
-            port = a.getLocalPort();
-            ready = b.getLocalPort();
-        }
-        Properties p = new Properties();
-        p.putAll(Map.of("node.name", "f", "node.ip", "127.0.0.1", "node.zone", "z", "node.region", "r", "listen.frontend",
-                "127.0.0.1:" + port, "listen.readiness", "127.0.0.1:" + ready, "listen.inner", "1", "seeds", "127.0.0.1:1"));
-        p.putAll(Map.of("zone.z", "r", "zone.far", "q", "bound.retrySlack", "100", "bound.retryRatio", "0.2"));
-        NodeConfig node = ((Checked.Good<NodeConfig>) NodeConfig.check(p)).value();
-        picker = Picker.create(node);
-        front = new Front(node, picker, pool, beats, clock);
-        front.open();
-        String json = "{\"revision\":3,\"routes\":["
-                + route("card", "/card/", "idempotent", 3000, 200, 2, false, "") + ","
-                + route("short", "/short/", "streaming", 3000, 800, 1, false, "") + ","
-                + route("home", "/home/", "streaming", 3000, 800, 1, false, "\"q\"") + ","
-                + route("once", "/once/", "mutating", 3000, 800, 2, false, "") + ","
-                + route("long", "/long/", "streaming", 4000, 800, 2, true, "")
-                + "],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":100,\"warmupS\":0,\"warmupPerS\":0}]}";
-        FleetConfig c = ((Checked.Good<FleetConfig>) FleetConfig.read(json.getBytes(UTF_8))).value();
-        picker.config(c);
-        front.config(c);
-        front.confirm();
-        picker.lease(new Lease(1, 1, 60_000), clock.nowMs());
-    }
-
-    private static String route(String name, String prefix, String kind, int deadline, int aim, int most, boolean resume, String homes) {
-        return "{\"name\":\"" + name + "\",\"host\":\"h.example\",\"pathPrefix\":\"" + prefix + "\",\"routeKind\":\"" + kind
-                + "\",\"deadlineMs\":" + deadline + ",\"targetLatencyMs\":" + aim + ",\"priority\":0,\"service\":\"s\",\"maxAttempts\":"
-                + most + ",\"resumable\":" + resume + ",\"tokenGapMs\":400,\"homeRegions\":[" + homes + "]}";
-    }
-
-    @AfterEach
-    void close() throws Exception {
-        front.close();
-        for (StandIn e : engines) {
-            e.close();
-        }
-        pool.stop();
-        beats.stop();
-    }
-
-    private StandIn engine(String id, String zone, StandIn.Script script) throws IOException {
-        StandIn e = new StandIn(script);
-        engines.add(e);
-        picker.engine(id, new Engine(8, 0, false, -1, 1, "s", e.address(), zone, "v"), 1, clock.nowMs());
-        return e;
-    }
-
-    private Socket send(String path, String id, String more, String body) throws IOException {
-        Socket s = new Socket("127.0.0.1", port);
-        s.setSoTimeout(20_000);
-        ask(s, path, id, more, body);
-        return s;
-    }
-
-    private static void ask(Socket s, String path, String id, String more, String body) throws IOException {
-        StandIn.say(s.getOutputStream(), "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: " + id
-                + "\r\nDeadline-Ms: 2500\r\n" + more + "Content-Length: " + body.length() + "\r\n\r\n" + body);
-    }
-
-    /** Reads to the end of the wire. */
-    private static String all(Socket s) throws IOException {
-        try (s) {
-            return new String(s.getInputStream().readAllBytes(), ISO_8859_1);
-        }
-    }
-
-    /** Reads until the text is there. */
-    private static String until(Socket s, String text) throws IOException {
-        StringBuilder b = new StringBuilder();
-        InputStream in = s.getInputStream();
-        while (b.indexOf(text) < 0) {
-            int c = in.read();
-            if (c < 0) {
-                return b + "<end>";
-            }
-            b.append((char) c);
-        }
-        return b.toString();
-    }
-
+class FrontTest extends EdgeFixture {
     @Test
     void passesRequestAndAnswerUnchanged() throws Exception {
         StandIn e = engine("i-1", "z", StandIn.whole(200, "hello", "X-More: 1\r\n"));
@@ -369,10 +267,6 @@
         };
     }
 
-    private String ok(String path, String id) throws IOException {
-        return all(send(path, id, "Connection: close\r\n", ""));
-    }
-
     @Test
     void whatMayRunOnlyOnceGoesOverNoConnectionOfDoubtfulAge() throws Exception {
         Set<Socket> served = ConcurrentHashMap.newKeySet();
--- a/src/test/java/ringspindle/edge/StandIn.java
+++ b/src/test/java/ringspindle/edge/StandIn.java
@@ -23,6 +23,7 @@
     /** Gets a token when a wire ends from the other side. */
     final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
     private volatile Script script;
+    private volatile Script early;
 
     StandIn(Script script) throws IOException {
         this.script = script;
@@ -36,6 +37,11 @@
         script = s;
     }
 
+    /** Runs that as soon as a head is read, before the body is. */
+    void early(Script s) {
+        early = s;
+    }
+
     String address() {
         return "127.0.0.1:" + server.getLocalPort();
     }
@@ -66,6 +72,12 @@
                     int colon = h.indexOf(':');
                     heads.put(h.substring(0, colon), h.substring(colon + 1).trim());
                 }
+                Script beforeBody = early;
+                if (beforeBody != null) {
+                    Seen head = new Seen(line, heads, new byte[0]);
+                    seen.add(head);
+                    beforeBody.run(head, s.getOutputStream(), s);
+                }
                 byte[] body = in.readNBytes(Integer.parseInt(heads.getOrDefault("Content-Length", "0")));
                 Seen x = new Seen(line, heads, body);
                 seen.add(x);
