A broken stream no longer looks whole on a connection that closes

Cause: where the client asked for the connection to be closed, or the node was leaving and said so itself, Jetty marked the end of a stream by the end of the connection. A stream that was broken off ended the same way, so that a client could take it for complete.

Change: a stream's answer is always chunked for HTTP/1.1 clients.

Result: brokenStreamDoesNotLookWholeOnAConnectionThatCloses (both cases) and clientsThatVanishLeaveNothingToTheNext failed on the code before and pass now; EngineAnswersTest 28 of 28. HTTP/1.0 clients know no chunks and see the connection end.

--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -505,6 +505,9 @@
         }
         if (length >= 0) {
             to.put(HttpHeader.CONTENT_LENGTH, length);
+        } else if (request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1) {
+            // else Jetty marks the end by closing where the connection is not kept, and a broken stream would look whole
+            to.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
         }
         if (front.leaving()) {
             to.put(HttpHeader.CONNECTION, "close");
--- a/src/test/java/ringspindle/edge/EngineAnswersTest.java
+++ b/src/test/java/ringspindle/edge/EngineAnswersTest.java
@@ -6,6 +6,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -228,4 +229,55 @@
         assertTrue(got.startsWith("HTTP/1.1 200"), got);
         assertEquals(prefix + "cd:2", e.seen.take().heads().get("Prompt-Prefix"));
     }
+
+    /** Also where the connection ends with the answer, whose end could be taken for the stream's. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void brokenStreamDoesNotLookWholeOnAConnectionThatCloses(boolean leaving) throws Exception {
+        StandIn e = engine("i-1", "z", (seen, out, socket) -> {
+            StandIn.say(out, StandIn.streamHead(seen) + StandIn.chunk("id: 1\ndata: a\n\n"));
+            throw new IOException("break off");
+        });
+        if (leaving) {
+            front.leave();
+        }
+        String head = "HTTP/1.1 200";
+        String broken = all(send("/short/x", "t1", leaving ? "" : CLOSE, ""));
+        assertTrue(broken.startsWith(head) && broken.contains("Connection: close"), broken);
+        assertTrue(broken.contains("Transfer-Encoding: chunked") && !broken.endsWith("0\r\n\r\n"), broken);
+        e.script((seen, out, socket) -> StandIn.say(out, StandIn.streamHead(seen)
+                + StandIn.chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"));
+        String complete = all(send("/short/x", "t2", leaving ? "" : CLOSE, ""));
+        assertTrue(complete.startsWith(head) && complete.endsWith("0\r\n\r\n"), complete);
+    }
+
+    /** Clients vanish in the middle of their streams while others, on connections just opened, read theirs to the end. */
+    @Test
+    void clientsThatVanishLeaveNothingToTheNext() throws Exception {
+        engine("i-1", "z", (seen, out, socket) -> {
+            String id = seen.heads().get("Attempt-Id");
+            StandIn.say(out, StandIn.streamHead(seen));
+            for (int i = 0; i < 40; i++) {
+                StandIn.say(out, StandIn.chunk("id: " + i + "\ndata: <" + id + ">" + ".".repeat(20_000) + "\n\n"));
+            }
+            StandIn.say(out, "0\r\n\r\n");
+        });
+        for (int round = 0; round < 20; round++) {
+            String id = "t" + round;
+            List<Socket> vanish = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                Socket s = send("/short/x", "v" + round + "-" + i, "", "");
+                assertTrue(until(s, "data: <v" + round + "-" + i + ">").startsWith("HTTP/1.1 200"));
+                vanish.add(s);
+            }
+            for (Socket s : vanish) {
+                s.setSoLinger(true, 0);
+                s.close();
+            }
+            String got = all(send("/short/x", id, CLOSE, ""));
+            assertTrue(got.endsWith("0\r\n\r\n"), "the stream of " + id + " is not whole");
+            assertEquals(41, got.split("<" + id + ">", -1).length, "events are missing");
+            assertFalse(got.contains("<v"), "an event of another client");
+        }
+    }
 }
