Open client connections follow a raised idleTimeoutMs

Cause: a new idleTimeoutMs was set on the connector alone, which hands it to connections that come later. Those already open were closed after the old, shorter time, while clients took them up again for up to four fifths of the new one.

Change: a raised limit is set on open connections too, also on those that are just being registered. A lowered one holds for new connections only: nothing is closed sooner than was told when it was opened.

Result: openConnectionMayRestAsLongAsARaisedLimitSays failed on the code before and passes now. The other four of LimitsTest passed before and after: lowered limit, a request at work on a quiet connection, body at and over its limit, the route's deadline.

--- a/src/main/java/ringspindle/edge/Front.java
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -95,6 +95,10 @@
         if (old == null || c.revision() > old.revision()) {
             config = c;
             consumers.setIdleTimeout(c.limits().idleMs());
+            // open connections may rest for as long as the new limit says; what they were promised is not cut short
+            for (EndPoint open : consumers.getConnectedEndPoints()) {
+                open.setIdleTimeout(Math.max(open.getIdleTimeout(), c.limits().idleMs()));
+            }
         }
     }
 
--- a/src/main/java/ringspindle/edge/WatchedEndPoint.java
+++ b/src/main/java/ringspindle/edge/WatchedEndPoint.java
@@ -29,6 +29,13 @@
             e.setIdleTimeout(getIdleTimeout());
             return e;
         }
+
+        /** Registers the end point; a limit that was raised since it was made holds for it as well. */
+        @Override
+        protected void onEndPointOpened(EndPoint opened) {
+            super.onEndPointOpened(opened);
+            opened.setIdleTimeout(Math.max(opened.getIdleTimeout(), getIdleTimeout()));
+        }
     }
 
     private final Executor pool;
--- /dev/null
+++ b/src/test/java/ringspindle/edge/LimitsTest.java
@@ -0,0 +1,116 @@
+package ringspindle.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The limits of a configuration, and the deadline of a route, as clients and engines see them. */
+@Timeout(60)
+class LimitsTest extends EdgeFixture {
+    private static final int SHORT_IDLE_MS = 300;
+    private static final String SHORT_IDLE = limits("idleTimeoutMs", SHORT_IDLE_MS);
+
+    private static String limits(String name, int value) {
+        return ",\"limits\":{\"" + name + "\":" + value + "}";
+    }
+
+    /** An engine that answers at once, but for requests of /once/, which it never answers. */
+    private StandIn engineSilentFor(CountDownLatch never) throws IOException {
+        return engine("i-1", "z", (seen, out, socket) -> {
+            if (seen.line().contains("/once/")) {
+                never.await();
+            }
+            StandIn.whole(200, "hello", "").run(seen, out, socket);
+        });
+    }
+
+    /** Lets far more than the short idle time pass: a silent request runs into its own deadline. */
+    private void outlastTheShortIdleTime() throws IOException {
+        Socket s = new Socket("127.0.0.1", port);
+        StandIn.say(s.getOutputStream(), "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: wait\r\nDeadline-Ms: "
+                + 4 * SHORT_IDLE_MS + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(all(s).startsWith("HTTP/1.1 504"));
+    }
+
+    @Test
+    void openConnectionMayRestAsLongAsARaisedLimitSays() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        engineSilentFor(never);
+        config(4, SHORT_IDLE);
+        try (Socket s = send("/card/x", "t1", "", "")) {
+            assertTrue(until(s, "hello").startsWith("HTTP/1.1 200"));
+            config(5, limits("idleTimeoutMs", 30_000));
+            outlastTheShortIdleTime();
+            ask(s, "/card/x", "t2", "", "");
+            assertTrue(until(s, "hello").startsWith("HTTP/1.1 200"));
+        }
+        never.countDown();
+    }
+
+    @Test
+    void loweredLimitHoldsForNewConnectionsOnly() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        engineSilentFor(never);
+        try (Socket old = send("/card/x", "t1", "", "")) {
+            assertTrue(until(old, "hello").startsWith("HTTP/1.1 200"));
+            config(4, SHORT_IDLE);
+            try (Socket fresh = send("/card/x", "t2", "", "")) {
+                assertTrue(until(fresh, "hello").startsWith("HTTP/1.1 200"));
+                assertEquals(-1, fresh.getInputStream().read(), "an idle connection is closed in the end");
+            }
+            ask(old, "/card/x", "t3", "", "");
+            assertTrue(until(old, "hello").startsWith("HTTP/1.1 200"), "closed sooner than was told when it was opened");
+        }
+        never.countDown();
+    }
+
+    @Test
+    void connectionWithARequestAtWorkIsNotIdle() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        CountDownLatch hold = new CountDownLatch(1);
+        StandIn e = engine("i-1", "z", (seen, out, socket) -> {
+            (seen.line().contains("/once/") ? never : hold).await();
+            StandIn.say(out, StandIn.streamHead(seen) + StandIn.chunk("id: 0\ndata: x\n\n") + "0\r\n\r\n");
+        });
+        config(4, SHORT_IDLE);
+        try (Socket s = send("/short/x", "t1", "", "")) {
+            e.seen.take();
+            outlastTheShortIdleTime();
+            hold.countDown();
+            String first = until(s, "0\r\n\r\n");
+            assertTrue(first.startsWith("HTTP/1.1 200"), first);
+            ask(s, "/short/x", "t2", "", "");
+            String second = until(s, "0\r\n\r\n");
+            assertTrue(second.contains("Attempt-Id: t2"), second);
+        }
+        never.countDown();
+    }
+
+    @Test
+    void bodyOverTheLimitIsRefusedAndOneAtTheLimitIsNot() throws Exception {
+        StandIn e = engine("i-1", "z", StandIn.whole(200, "hello", ""));
+        config(4, limits("maxBodyBytes", 1000));
+        assertTrue(all(send("/card/x", "t1", "Connection: close\r\n", "b".repeat(1000))).startsWith("HTTP/1.1 200"));
+        assertTrue(all(send("/card/x", "t2", "Connection: close\r\n", "b".repeat(1001))).startsWith("HTTP/1.1 413"));
+        assertEquals(1, e.seen.size());
+    }
+
+    /** The route's time binds where the client would wait for longer, and the engine is told so. */
+    @Test
+    void routesDeadlineBoundsWhatTheEngineIsGivenAndHowLongItIsHeld() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        StandIn e = engineSilentFor(never);
+        Socket s = new Socket("127.0.0.1", port);
+        s.setSoTimeout(20_000);
+        StandIn.say(s.getOutputStream(), "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: t1\r\n"
+                + "Deadline-Ms: 600000\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(Integer.parseInt(e.seen.take().heads().get("Deadline-Ms")) <= 3000);
+        assertTrue(all(s).startsWith("HTTP/1.1 504"));
+        never.countDown();
+    }
+}
