A client that reads slowly no longer costs a timer a millisecond

Cause: while a write to a client waited, the engine's own time ran out without effect and the timer was set anew for a moment already past, a millisecond later, until the write ended or the deadline came. When the write ended, the engine counted as silent though nobody had read from it, and the stream was taken up elsewhere.

Change: an engine's time that runs out during a write to the client starts anew when the write ends.

--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -47,6 +47,8 @@
         ByteArrayOutputStream whole;
         Content.Source content;
         boolean writing;
+        /** The engine's time ran out while a write to the client was under way, so that nobody read from the engine. */
+        boolean heldUpByClient;
         Result deferred;
 
         Try(Attempt attempt, Picker.Ask ask, Picker.Chosen chosen, boolean resume) {
@@ -450,6 +452,13 @@
         Result done;
         synchronized (this) {
             t.writing = false;
+            if (t.heldUpByClient) {
+                t.heldUpByClient = false;
+                t.heardMs = front.nowMs();
+                if (!t.over) {
+                    arm();
+                }
+            }
             done = t.deferred;
             t.deferred = null;
         }
@@ -739,7 +748,7 @@
         long nowMs = front.nowMs();
         long nextMs = action.deadlineMs();
         Try t = now;
-        if (t != null && t.attempt.timesOutAlone()) {
+        if (t != null && t.attempt.timesOutAlone() && !t.heldUpByClient) {
             nextMs = Math.min(nextMs, due(t));
         }
         beat = front.schedule(this::onBeat, Math.max(1, nextMs - nowMs));
@@ -771,9 +780,12 @@
             return;
         }
         Try t = now;
-        if (t != null && !t.writing && t.attempt.timesOutAlone() && nowMs >= due(t)) {
-            end(t, Action.End.ATTEMPT_TIMEOUT);
-            return;
+        if (t != null && t.attempt.timesOutAlone() && nowMs >= due(t)) {
+            if (!t.writing) {
+                end(t, Action.End.ATTEMPT_TIMEOUT);
+                return;
+            }
+            t.heldUpByClient = true;
         }
         if (t != null) {
             arm();
--- a/src/test/java/ringspindle/edge/EdgeFixture.java
+++ b/src/test/java/ringspindle/edge/EdgeFixture.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Properties;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.junit.jupiter.api.AfterEach;
@@ -28,6 +30,8 @@
     final List<StandIn> engines = new ArrayList<>();
     QueuedThreadPool pool;
     ScheduledExecutorScheduler beats;
+    /** How often anything was scheduled. */
+    final LongAdder scheduled = new LongAdder();
     Front front;
     Picker picker;
     int port;
@@ -42,7 +46,13 @@
         pool.setDaemon(true);
         pool.setStopTimeout(0);
         pool.start();
-        beats = new ScheduledExecutorScheduler("beats", true, 1);
+        beats = new ScheduledExecutorScheduler("beats", true, 1) {
+            @Override
+            public Task schedule(Runnable task, long delay, TimeUnit unit) {
+                scheduled.increment();
+                return super.schedule(task, delay, unit);
+            }
+        };
         beats.start();
         int ready;
         try (ServerSocket a = new ServerSocket(0); ServerSocket b = new ServerSocket(0)) {
--- a/src/test/java/ringspindle/edge/LimitsTest.java
+++ b/src/test/java/ringspindle/edge/LimitsTest.java
@@ -113,4 +113,26 @@
         assertTrue(all(s).startsWith("HTTP/1.1 504"));
         never.countDown();
     }
+
+    /** A client that reads nothing holds its engine back: no reason to look at the clock all the time until the deadline. */
+    @Test
+    void clientThatDoesNotReadCostsNoTimers() throws Exception {
+        StandIn e = engine("i-1", "z", (seen, out, socket) -> {
+            StandIn.say(out, StandIn.streamHead(seen));
+            for (int i = 0; i < 200; i++) {
+                StandIn.say(out, StandIn.chunk("id: " + i + "\ndata: " + "x".repeat(200_000) + "\n\n"));
+            }
+        });
+        try (Socket s = send("/long/x", "t1", "", "")) {
+            e.seen.take();
+            assertEquals(1, front.active());
+            while (front.active() > 0) {
+                Thread.onSpinWait();
+            }
+            assertEquals(0, e.seen.size(), "taken up at the engine again though the client held it up");
+            assertEquals(1L, front.ends().get("CANCELED OVERALL_DEADLINE"));
+            assertTrue(scheduled.sum() < 100, scheduled + " timers");
+            assertTrue(s.isConnected());
+        }
+    }
 }
