--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -47,6 +47,8 @@
         ByteArrayOutputStream whole;
         Content.Source content;
         boolean writing;
+        /** The engine's time ran out while a write to the client was under way, so that nobody read from the engine. */
+        boolean heldUpByClient;
         Result deferred;
 
         Try(Attempt attempt, Picker.Ask ask, Picker.Chosen chosen, boolean resume) {
@@ -291,16 +293,16 @@
     private void wireUp(Try t, Wires.Wire w) {
         org.eclipse.jetty.client.Request r;
         synchronized (this) {
-            t.wire = w;
             long nowMs = front.nowMs();
             // the last look before anything goes out
             if (t.over || !action.live(nowMs)) {
-                front.wires().give(w, -1);
+                front.wires().giveUnused(w);
                 if (!t.over) {
                     end(t, Action.End.NOT_SENT);
                 }
                 return;
             }
+            t.wire = w;
             r = compose(t, nowMs);
             t.request = r;
             t.attempt.sent();
@@ -369,11 +371,10 @@
         t.head = r;
         t.heardMs = nowMs;
         HttpFields h = r.getHeaders();
-        String id = h.get("Attempt-Id");
         int status = r.getStatus();
         boolean success = status / 100 == 2;
-        boolean foreign = id == null ? success : !id.equals(attemptId);
-        if (foreign) {
+        // every answer of an engine carries the id back; nobody asked for a switch of protocols
+        if (!attemptId.equals(h.get("Attempt-Id")) || status == HttpStatus.SWITCHING_PROTOCOLS_101) {
             t.headEnd = Action.End.BROKEN;
             end(t, Action.End.BROKEN);
             return;
@@ -451,6 +452,13 @@
         Result done;
         synchronized (this) {
             t.writing = false;
+            if (t.heldUpByClient) {
+                t.heldUpByClient = false;
+                t.heardMs = front.nowMs();
+                if (!t.over) {
+                    arm();
+                }
+            }
             done = t.deferred;
             t.deferred = null;
         }
@@ -506,6 +514,9 @@
         }
         if (length >= 0) {
             to.put(HttpHeader.CONTENT_LENGTH, length);
+        } else if (request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1) {
+            // else Jetty marks the end by closing where the connection is not kept, and a broken stream would look whole
+            to.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
         }
         if (front.leaving()) {
             to.put(HttpHeader.CONNECTION, "close");
@@ -737,7 +748,7 @@
         long nowMs = front.nowMs();
         long nextMs = action.deadlineMs();
         Try t = now;
-        if (t != null && t.attempt.timesOutAlone()) {
+        if (t != null && t.attempt.timesOutAlone() && !t.heldUpByClient) {
             nextMs = Math.min(nextMs, due(t));
         }
         beat = front.schedule(this::onBeat, Math.max(1, nextMs - nowMs));
@@ -769,9 +780,12 @@
             return;
         }
         Try t = now;
-        if (t != null && !t.writing && t.attempt.timesOutAlone() && nowMs >= due(t)) {
-            end(t, Action.End.ATTEMPT_TIMEOUT);
-            return;
+        if (t != null && t.attempt.timesOutAlone() && nowMs >= due(t)) {
+            if (!t.writing) {
+                end(t, Action.End.ATTEMPT_TIMEOUT);
+                return;
+            }
+            t.heldUpByClient = true;
         }
         if (t != null) {
             arm();
