--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -219,7 +219,10 @@
         return out;
     }
 
-    /** Decodes what {@link #encode} wrote; throws {@link FrameException} on anything else. */
+    /** The fixed part of a view as the first version of the schema wrote it: its epoch alone. */
+    private static final int VIEW_WITHOUT_BASE_LENGTH = Long.BYTES;
+
+    /** Decodes what {@link #encode} wrote, also under an earlier version of the schema; throws {@link FrameException} on anything else. */
     public static Msg decode(byte[] bytes) {
         try {
             return read(bytes);
@@ -232,14 +235,15 @@
         if (h.schemaId() != MessageHeaderDecoder.SCHEMA_ID) {
             throw new FrameException(FrameException.Reason.FOREIGN_SCHEMA, "schema " + h.schemaId());
         }
-        if (h.version() != MessageHeaderDecoder.SCHEMA_VERSION) {
+        if (h.version() > MessageHeaderDecoder.SCHEMA_VERSION) {
             throw new FrameException(FrameException.Reason.FOREIGN_VERSION, "version " + h.version());
         }
         Integer length = BLOCK_LENGTHS.get(h.templateId());
         if (length == null) {
             throw new FrameException(FrameException.Reason.UNKNOWN_TEMPLATE, "template " + h.templateId());
         }
-        if (h.blockLength() != length) {
+        boolean viewWithoutBase = h.templateId() == ViewDecoder.TEMPLATE_ID && h.version() < ViewDecoder.baseLineageSinceVersion();
+        if (h.blockLength() != (viewWithoutBase ? VIEW_WITHOUT_BASE_LENGTH : length)) {
             throw new FrameException(FrameException.Reason.FOREIGN_VERSION, "fixed part of " + h.blockLength());
         }
     }
