Help ends with 0; command lines that cannot be understood get a usage line and exit code 2

Every refusal of this kind prints its message and a usage line on standard error and ends with 2. A file that cannot be read still ends with 2 and its message alone.

--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -18,6 +18,12 @@
     static final int USAGE = 2;
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    /** Options that come before a command. */
+    static final class Global {
+        @Parameter(names = {"--help", "-h"}, help = true, description = "this text")
+        boolean help;
+    }
+
     /** Options of a daemon. */
     static final class Daemon {
         @Parameter(names = "--settings", description = "the settings file (default: the file named by RINGSPINDLE_SETTINGS)")
@@ -44,29 +50,40 @@
         Daemon control = new Daemon();
         Daemon self = new Daemon();
         Cli cli = Cli.create(System.out, System.err);
-        JCommander parser = JCommander.newBuilder().programName("ringspindle").addCommand("data-plane", data)
-                .addCommand("control-plane", control).addCommand("selftest", self).build();
+        Global global = new Global();
+        CommandLine line = new CommandLine(global);
+        JCommander parser = line.parser();
+        parser.addCommand("data-plane", data);
+        parser.addCommand("control-plane", control);
+        parser.addCommand("selftest", self);
         cli.addTo(parser);
         try {
-            parser.parse(args);
+            line.parse(args);
+            String command = line.command();
+            if (global.help) {
+                parser.usage();
+                return 0;
+            }
+            if (command == null) {
+                throw new ParameterException("no command given");
+            }
+            if (data.help || control.help || self.help || cli.wantsHelp(command)) {
+                parser.getUsageFormatter().usage(command);
+                return 0;
+            }
+            return execute(command, cli, command.equals("data-plane") ? data : control);
         } catch (ParameterException x) {
             System.err.println(x.getMessage());
+            System.err.println(line.usageLine());
             return USAGE;
         }
-        String command = parser.getParsedCommand();
-        if (command == null) {
-            parser.usage();
-            return USAGE;
-        }
-        if (Arrays.asList(args).contains("--help") || Arrays.asList(args).contains("-h")) {
-            parser.getUsageFormatter().usage(command);
-            return 0;
-        }
+    }
+
+    private static int execute(String command, Cli cli, Daemon daemon) {
         switch (command) {
             case "data-plane":
-                return daemon(command, data);
             case "control-plane":
-                return daemon(command, control);
+                return daemon(command, daemon);
             case "selftest":
                 JsonLines.install(Level.INFO);
                 return SelfTest.run();
@@ -80,12 +97,10 @@
         try {
             JsonLines.install(Level.parse(d.level));
         } catch (IllegalArgumentException x) {
-            System.err.println("unknown log level " + d.level);
-            return USAGE;
+            throw new ParameterException("unknown log level " + d.level);
         }
         if (d.settings == null || d.settings.isEmpty()) {
-            LOG.atSevere().log("no settings file: give --settings or RINGSPINDLE_SETTINGS");
-            return USAGE;
+            throw new ParameterException("no settings file: give --settings or RINGSPINDLE_SETTINGS");
         }
         Checked<NodeConfig> c = NodeConfig.read(Path.of(d.settings));
         if (c instanceof Checked.Refused<NodeConfig> bad) {
--- a/src/main/java/ringspindle/ops/Cli.java
+++ b/src/main/java/ringspindle/ops/Cli.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.*;
 
 import com.beust.jcommander.*;
+import com.beust.jcommander.validators.PositiveInteger;
 import jakarta.json.*;
 import jakarta.json.spi.*;
 import java.io.*;
@@ -125,10 +126,10 @@
         @Parameter(names = "--model", description = "explain: its model")
         String model = "";
 
-        @Parameter(names = "--prompt", description = "explain: its prompt tokens")
+        @Parameter(names = "--prompt", description = "explain: its prompt tokens", validateWith = PositiveInteger.class)
         int prompt;
 
-        @Parameter(names = "--prefix", description = "explain: its Prompt-Prefix")
+        @Parameter(names = "--prefix", description = "explain: its Prompt-Prefix", validateWith = PromptPrefixValidator.class)
         String prefix = "";
 
         @Parameter(names = "--home", description = "explain: it is bound to regions")
@@ -171,27 +172,43 @@
         commands.forEach(parser::addCommand);
     }
 
+    /** Whether help on a command was asked for; {@code cli.wantsHelp("status")}. */
+    public boolean wantsHelp(String name) {
+        return commands.containsKey(name) && commands.get(name).help;
+    }
+
     /** Runs a command that was parsed; {@code cli.run("status")} gives the exit code. */
     public int run(String name) {
-        Common c = commands.get(name);
+        try {
+            return execute(commands.get(name));
+        } catch (ParameterException x) {
+            err.println(x.getMessage());
+            err.println(CommandLine.usageLine(name, commands.get(name)));
+            return USAGE;
+        }
+    }
+
+    private int execute(Common c) {
         if (c instanceof Config g && !g.words.isEmpty() && g.words.get(0).equals("check")) {
-            return g.words.size() == 2 ? check(g.words.get(1)) : usage("config check FILE");
+            requireWords(g.words, 2, "config check FILE");
+            return check(g.words.get(1));
         }
         if (c instanceof Rules r && !r.words.isEmpty() && r.words.get(0).equals("check")) {
-            return r.words.size() == 2 ? check(r, r.words.get(1)) : usage("rules check FILE");
+            requireWords(r.words, 2, "rules check FILE");
+            return check(r, r.words.get(1));
         }
         if (c instanceof Rules r && r.file != null && r.words.equals(List.of("explain"))) {
             return explain(r, r.file, List.of());
         }
         if (c.control == null || c.control.isBlank()) {
-            return usage("no control nodes: give --control ip:port,... or RINGSPINDLE_CONTROL");
+            throw new ParameterException("no control nodes: give --control ip:port,... or RINGSPINDLE_CONTROL");
         }
         List<String> nodes = new ArrayList<>();
         for (String s : c.control.split(",")) {
             try {
                 nodes.add(NodeId.of(s.trim()).toString());
             } catch (RuntimeException x) {
-                return usage("not an address: " + s);
+                throw new ParameterException("not an address: " + s);
             }
         }
         try (Fleet fleet = new Fleet(nodes)) {
@@ -210,10 +227,12 @@
                 return config(fleet, g);
             }
             if (c instanceof Evacuate e) {
-                return e.words.size() == 1 ? done(fleet.call(Operation.EVACUATE, e.words.get(0), null, null)) : usage("evacuate ZONE");
+                requireWords(e.words, 1, "evacuate ZONE");
+                return done(fleet.call(Operation.EVACUATE, e.words.get(0), null, null));
             }
             if (c instanceof Restore e) {
-                return e.words.size() == 1 ? done(fleet.call(Operation.RESTORE, e.words.get(0), null, null)) : usage("restore ZONE");
+                requireWords(e.words, 1, "restore ZONE");
+                return done(fleet.call(Operation.RESTORE, e.words.get(0), null, null));
             }
             if (c instanceof Rules r) {
                 return rules(fleet, r);
@@ -222,23 +241,35 @@
                 return ledger(fleet, c);
             }
             return rollout(fleet, (Rollout) c);
+        } catch (ParameterException x) {
+            throw x;
         } catch (Exception x) {
             err.println("failed: " + x.getMessage());
             return FAILED;
         }
     }
 
-    private int usage(String text) {
-        err.println(text);
+    private int unreadable(String file) {
+        err.println("cannot read " + file);
         return USAGE;
     }
 
+    private static void requireWords(List<String> words, int count, String expected) {
+        if (words.size() != count) {
+            throw badWords(expected);
+        }
+    }
+
+    private static ParameterException badWords(String expected) {
+        return new ParameterException("expected " + expected);
+    }
+
     private int check(String file) {
         byte[] body;
         try {
             body = Files.readAllBytes(Path.of(file));
         } catch (IOException x) {
-            return usage("cannot read " + file);
+            return unreadable(file);
         }
         if (FleetConfig.read(body) instanceof Refused<FleetConfig> bad) {
             bad.problems().forEach(p -> err.println("refused: " + p.text()));
@@ -277,7 +308,7 @@
             }
             return problems.isEmpty() ? OK : REFUSED;
         } catch (IOException x) {
-            return usage("cannot read " + x.getMessage());
+            return unreadable(x.getMessage());
         }
     }
 
@@ -285,7 +316,7 @@
         try {
             return explain(r, file(name), engines);
         } catch (IOException x) {
-            return usage("cannot read " + name);
+            return unreadable(name);
         }
     }
 
@@ -315,13 +346,13 @@
             return explain(r, now.body().getBytes(UTF_8), candidates(fleet, r));
         }
         if (!List.of("put", "diff").contains(word) || r.words.size() != 2) {
-            return usage("rules get | check FILE | put FILE | diff FILE | explain | status");
+            throw badWords("rules get | check FILE | put FILE | diff FILE | explain | status");
         }
         byte[] body;
         try {
             body = file(r.words.get(1));
         } catch (IOException x) {
-            return usage("cannot read " + r.words.get(1));
+            return unreadable(r.words.get(1));
         }
         Long base = r.base;
         JsonObject current = null;
@@ -466,13 +497,13 @@
             return show(g, fleet.call(Operation.CONFIG_GET, "", null, null), o -> out.println(o));
         }
         if (!List.of("put", "patch", "diff").contains(word) || g.words.size() != 2) {
-            return usage("config get | check FILE | put FILE | patch FILE | diff FILE");
+            throw badWords("config get | check FILE | put FILE | patch FILE | diff FILE");
         }
         byte[] body;
         try {
             body = Files.readAllBytes(Path.of(g.words.get(1)));
         } catch (IOException x) {
-            return usage("cannot read " + g.words.get(1));
+            return unreadable(g.words.get(1));
         }
         Long base = g.base;
         JsonObject current = null;
@@ -531,17 +562,17 @@
 
     private int rollout(Fleet fleet, Rollout r) throws Exception {
         String word = r.words.isEmpty() ? "show" : r.words.get(0);
-        if (word.equals("show")) {
+        if (word.equals("show") && r.words.size() <= 1) {
             return show(r, fleet.call(Operation.ROLLOUTS, "", null, null), o -> table(o.getJsonArray("rollouts"), "service", "state",
                     "target", "from", "turn", "swapped", "cause"));
         }
         if (r.words.size() != 2 || !List.of("start", "resume", "abort", "back").contains(word)) {
-            return usage("rollout show | start SERVICE --target N | resume SERVICE | abort SERVICE | back SERVICE");
+            throw badWords("rollout show | start SERVICE --target N | resume SERVICE | abort SERVICE | back SERVICE");
         }
         JsonObjectBuilder b = JSON.createObjectBuilder().add("order", word);
         if (word.equals("start")) {
             if (r.target == null) {
-                return usage("rollout start SERVICE --target N");
+                throw badWords("rollout start SERVICE --target N");
             }
             b.add("target", r.target).add("atOnce", r.atOnce).add("floor", r.floor).add("patienceS", r.patienceS);
         }
