Control is split by job: calls, knowledge, frontends, sums, news, leases, roll-outs

Cause: Control had grown to some 920 lines with all duties of a control node in one class. Change: Calls, Knowledge, Frontends, LoadSums, NewsFeed, LeaseGrants and RolloutDriver have one job each; Control keeps the locks, sessions, the chain's commands and the tick, in about 650 lines. No change of behaviour is meant. Result: all 186 tests passed on the split; after the last unused field went, CallIdsTest, ControlInterfacesTest, RulesFleetTest and RestartTest were run once more and pass.

--- /dev/null
+++ b/src/main/java/ringspindle/cp/Calls.java
@@ -0,0 +1,61 @@
+package ringspindle.cp;
+
+import java.util.*;
+import java.util.concurrent.*;
+import java.util.concurrent.atomic.*;
+import ringspindle.api.*;
+import ringspindle.chain.*;
+import ringspindle.wire.*;
+
+/** Calls under way at this node, by number. Thread safe. */
+final class Calls {
+    /** How long after a call came in its outcome is told; later nobody waits for it, and what it says may be old. */
+    private static final int ANSWER_MS = 1500;
+    private static final int ANSWER_CONFIG_MS = 3000;
+    private static final byte[] NONE = {};
+
+    /** What comes back of a call. */
+    interface Answered {
+        void answer(Outcome o, byte[] body);
+    }
+
+    private record Open(long untilMs, Answered then) {
+    }
+
+    private final Steady clock;
+    private final Executor pool;
+    private final AtomicLong numbers;
+    private final Map<Long, Open> open = new ConcurrentHashMap<>();
+
+    /** A reply is matched by the number of its call alone, and may come after a restart: {@code first} is from chance. */
+    Calls(Steady clock, Executor pool, long first) {
+        this.clock = clock;
+        this.pool = pool;
+        numbers = new AtomicLong(first);
+    }
+
+    /** The number of a call that came in at that time. */
+    long open(int kind, long fromMs, Answered then) {
+        long number = numbers.incrementAndGet();
+        boolean config = kind == Chain.PUT || kind == Chain.PATCH;
+        open.put(number, new Open(fromMs + (config ? ANSWER_CONFIG_MS : ANSWER_MS), then));
+        return number;
+    }
+
+    /** Tells the outcome of a call, once, from a thread of the pool. */
+    void answered(Chain.Out.Answer answer) {
+        Open call = open.remove(answer.call());
+        if (call != null) {
+            pool.execute(() -> tell(call, answer));
+        }
+    }
+
+    /** An outcome that comes late, as after a freeze, is no longer told: it may rest on what is old by now. */
+    private void tell(Open call, Chain.Out.Answer answer) {
+        if (clock.nowMs() < call.untilMs()) {
+            call.then().answer(answer.outcome(), answer.body());
+        } else {
+            call.then().answer(Outcome.UNCLEAR, NONE);
+        }
+    }
+}
--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -1,9 +1,10 @@
 package ringspindle.cp;
 
+import static java.nio.charset.StandardCharsets.*;
+
 import com.google.common.flogger.*;
 import java.util.*;
 import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
 import java.util.function.*;
 import ringspindle.api.*;
 import ringspindle.chain.*;
@@ -20,20 +21,15 @@
     static final int TICK_MS = 100;
     /** Heartbeats to data nodes go out every so many ticks. */
     private static final int DATA_TICKS = 4;
-    private static final int LEASE_TTL_MS = 3000;
-    /** Ours: how long a report counts, and a region's sum. */
-    private static final int REPORT_TTL_MS = 2000;
-    private static final int REGION_TTL_MS = 2500;
-    /** Ours: how long a node's fact holds after the control node that told it is out of touch. */
-    private static final int VIA_MS = 2000;
-    /** How long after a call came in its outcome is told; later nobody waits for it, and what it says may be old. */
-    private static final int ANSWER_MS = 1500;
-    private static final int ANSWER_CONFIG_MS = 3000;
+    private static final int CONTROL_TICKS = 2;
+    /** Every so many heartbeats that show other facts the two compare what they know. */
+    private static final int DIGEST_HEARTBEATS = 16;
+    private static final int DIAL_TICKS = 2;
+    private static final int ROLL_TICKS = 3;
+    private static final int SUM_TICKS = 5;
+    private static final int KEEP_TICKS = 20;
     /** So many heartbeats of theirs engines get to be heard after this node was out of touch. */
     private static final int ENGINE_HEARTBEATS = 4;
-    /** Ours: engines silent for so long are forgotten. */
-    private static final int FORGET_MS = 600_000;
-
     private static final byte[] NONE = {};
 
     /** What a control node waits for before it serves. */
@@ -41,14 +37,8 @@
         NOTHING, RELEARNING, MAJORITY, FOUNDING, VIEW
     }
 
-    /** What comes back of a call. */
-    interface Answered {
-        void answer(Outcome o, byte[] body);
-    }
-
     private volatile NodeConfig config;
     private final NodeId me;
-    private final long life;
     private final Steady clock;
     private final Mesh mesh;
     private final Executor pool;
@@ -56,28 +46,18 @@
 
     private final Object chainLock = new Object();
     private final Chain chain;
-    private final Map<Long, Answered> calls = new ConcurrentHashMap<>();
-    private final AtomicLong callIds;
+    private final Calls calls;
 
     private final Object bookLock = new Object();
-    private final Book book = Book.create();
     private final Meet meet;
-    private final Map<String, Long> seenMs = new HashMap<>();
-    private final Map<NodeId, Boolean> filled = new HashMap<>();
-    private final Map<NodeId, Long> viaLostMs = new HashMap<>();
-    private final Presence presence;
-    private final Collector sources = new Collector(REPORT_TTL_MS);
-    private final Collector peers = new Collector(REPORT_TTL_MS);
-    private final Map<String, Long> regionMs = new TreeMap<>();
-    private final Map<String, List<RegionLoad>> regions = new TreeMap<>();
+    private final Knowledge knowledge;
+    private final Frontends frontends;
+    private final LoadSums sums;
+    private final NewsFeed news;
+    private final LeaseGrants leases;
     private final Ledgers ledgers = new Ledgers();
-    private long sumSeq;
-    private Sum total = Sum.NONE;
-    private NodeId lastHead;
-    private long grantFromMs;
-    private final Map<String, RollPlan> plans = new HashMap<>();
-    private final Reports reports;
-    private volatile boolean rolling;
+
+    private final RolloutDriver rollouts;
     private long ticks;
     private volatile boolean leaving;
     private final MajorityProof proof = new MajorityProof();
@@ -90,17 +70,20 @@
     Control(NodeConfig config, Means means, Storage storage, Reports reports) throws Exception {
         this.config = config;
         this.storage = storage;
-        this.reports = reports;
         pool = means.pool();
         clock = means.clock();
-        life = means.life();
         me = NodeId.of(config.ip() + ":" + config.innerPort());
-        // a reply is matched by the number of its call alone, and may come after a restart
-        callIds = new AtomicLong(means.chance().getAsLong());
-        mesh = means.mesh().apply(new Hello(me, life, 0, config.control().orElseThrow().bits(), config.name(), config.zone(),
-                config.region()));
+        calls = new Calls(clock, pool, means.chance().getAsLong());
+        Hello self = new Hello(me, means.life(), 0, config.control().orElseThrow().bits(), config.name(), config.zone(),
+                config.region());
+        mesh = means.mesh().apply(self);
         meet = Meet.forControl(me);
-        presence = new Presence(config.engineBeatMs());
+        knowledge = new Knowledge(config, clock);
+        frontends = new Frontends(me, meet, knowledge);
+        sums = new LoadSums(config, self, mesh, meet, knowledge);
+        news = new NewsFeed(mesh, meet, knowledge);
+        leases = new LeaseGrants(me, knowledge, frontends);
+        rollouts = new RolloutDriver(reports, (service, body, then) -> call(Chain.ROLLOUT, 0, service, body, (o, text) -> then.run()));
         List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
         chain = Chain.create(me, seeds, config.bootstrap(), storage.load(), means.chance().getAsLong(), 2 * config.lossesBorne() + 1);
     }
@@ -108,12 +91,16 @@
     /** Settings changed while running. */
     void settings(NodeConfig c) {
         config = c;
+        synchronized (bookLock) {
+            knowledge.settings(c);
+            sums.settings(c);
+        }
     }
 
     /** Opens disk and mesh; whoever starts it ticks it every {@link #TICK_MS}. */
     void start() throws Exception {
         synchronized (bookLock) {
-            merge(storage.engines());
+            knowledge.merge(storage.engines());
         }
         storage.open(this::stored, () -> {
             synchronized (chainLock) {
@@ -126,14 +113,12 @@
     // ---- calls from outside
 
     /** Passes a call to the chain; without a majority that is proven to be in touch the answer is UNCLEAR at once. */
-    void call(int kind, long base, String arg, byte[] body, Answered then) {
+    void call(int kind, long base, String arg, byte[] body, Calls.Answered then) {
         long fromMs = clock.nowMs();
-        int answerMs = kind == Chain.PUT || kind == Chain.PATCH ? ANSWER_CONFIG_MS : ANSWER_MS;
-        long id = callIds.incrementAndGet();
         synchronized (chainLock) {
             long nowMs = clock.nowMs();
             if (proof.inTouch(nowMs)) {
-                calls.put(id, (outcome, text) -> answerInTime(fromMs + answerMs, outcome, text, then));
+                long id = calls.open(kind, fromMs, then);
                 carryOut(chain.call(new Call(id, kind, base, arg, body), nowMs));
                 return;
             }
@@ -141,15 +126,6 @@
         then.answer(Outcome.UNCLEAR, NONE);
     }
 
-    /** An outcome that comes late, as after a freeze, is no longer told: it may rest on what is old by now. */
-    private void answerInTime(long untilMs, Outcome outcome, byte[] text, Answered then) {
-        if (clock.nowMs() < untilMs) {
-            then.answer(outcome, text);
-        } else {
-            then.answer(Outcome.UNCLEAR, NONE);
-        }
-    }
-
     /** True while this node is proven to hear of all that is committed, and does not leave. */
     boolean quorate() {
         return current && !leaving && proof.upToDate(clock.nowMs());
@@ -252,28 +228,20 @@
     /** Data nodes that take requests, as known here. */
     int ready() {
         synchronized (bookLock) {
-            int n = 0;
-            for (Item i : book.all(Book.NODE)) {
-                n += Roster.of(i.value()).ready() ? 1 : 0;
-            }
-            return n;
+            return frontends.ready();
         }
     }
 
     <T> T book(Function<Book, T> f) {
         synchronized (bookLock) {
-            return f.apply(book);
+            return f.apply(knowledge.book());
         }
     }
 
     /** Milliseconds since a fact last moved, as this node saw it; of engines since they were last heard. */
     long ageMs(int kind, String key) {
         synchronized (bookLock) {
-            if (kind == Book.ENGINE) {
-                return presence.agoMs(key, clock.nowMs());
-            }
-            Long at = seenMs.get(kind + " " + key);
-            return at == null ? Long.MAX_VALUE : clock.nowMs() - at;
+            return knowledge.ageMs(kind, key);
         }
     }
 
@@ -283,9 +251,7 @@
             if (!quorate()) {
                 return false;
             }
-            if (presence.heard(id, e, seq, clock.nowMs())) {
-                merge(List.of(new Item(Book.ENGINE, id, 0, seq, Codec.encode(e))));
-            }
+            knowledge.heartbeat(id, e, seq);
             return true;
         }
     }
@@ -317,52 +283,11 @@
      * others told it may be old.
      */
     List<String> frontends(String region, String zone) {
-        List<String> inZone = new ArrayList<>();
-        List<String> inRegion = new ArrayList<>();
-        List<String> all = new ArrayList<>();
         synchronized (bookLock) {
             long nowMs = clock.nowMs();
             meet.advance(nowMs);
-            boolean inTouch = proof.inTouch(nowMs);
-            for (Item i : book.all(Book.NODE)) {
-                Roster r = Roster.of(i.value());
-                if (!r.ready() || !(inTouch ? holds(i, r, nowMs, 3000) : linkedHere(r))) {
-                    continue;
-                }
-                Hello h = r.hello();
-                String address = new NodeId(h.front()).toString();
-                all.add(address);
-                if (h.region().equals(region)) {
-                    inRegion.add(address);
-                }
-                if (h.zone().equals(zone)) {
-                    inZone.add(address);
-                }
-            }
+            return frontends.addresses(region, zone, proof.inTouch(nowMs), nowMs);
         }
-        List<String> out = !inZone.isEmpty() ? inZone : !inRegion.isEmpty() ? inRegion : all;
-        return out.size() > 64 ? out.subList(0, 64) : out;
-    }
-
-    private boolean linkedHere(Roster r) {
-        Meet.Peer p = meet.peer(r.hello().node());
-        return p != null && p.linked();
-    }
-
-    /** True while the control node that told a fact of a node is in touch, and a moment longer. */
-    private boolean holds(Item i, Roster r, long nowMs, int moreMs) {
-        Long at = seenMs.get(Book.NODE + " " + i.key());
-        if (at != null && nowMs - at < moreMs) {
-            return true;
-        }
-        if (r.via().equals(me)) {
-            return linkedHere(r);
-        }
-        if (meet.linked(me, r.via())) {
-            viaLostMs.remove(r.via());
-            return true;
-        }
-        return nowMs - viaLostMs.computeIfAbsent(r.via(), k -> nowMs) < VIA_MS;
     }
 
     // ---- wires
@@ -372,10 +297,8 @@
         long nowMs = clock.nowMs();
         synchronized (bookLock) {
             meet.opened(peer, nowMs);
-            sources.restarted(peer.node(), peer.life());
-            peers.restarted(peer.node(), peer.life());
-            book.reset(peer.node());
-            filled.remove(peer.node());
+            sums.opened(peer);
+            news.opened(peer.node());
         }
         if (peer.kind() == 0) {
             synchronized (chainLock) {
@@ -388,30 +311,17 @@
     @Override
     public void heard(NodeId from, Msg m) {
         long nowMs = clock.nowMs();
-        if (m instanceof Heartbeat p) {
-            synchronized (bookLock) {
-                meet.heard(from, p, nowMs);
-                Meet.Peer peer = meet.peer(from);
-                if (peer != null && peer.hello().kind() == 1) {
-                    publish(peer, p, nowMs);
-                }
-                if (peer != null && p.digest() != 0 && p.digest() != book.digest() && peer.heardN() % 16 == 0) {
-                    mesh.send(from, new Digest(book.ranges()));
-                }
-            }
-            if (p.echo() == 0) {
-                // a new wire: the sooner both know that they hear each other, the better
-                heartbeat(from);
-            }
+        if (m instanceof Heartbeat h) {
+            heard(from, h, nowMs);
         } else if (m instanceof News n) {
             Facts.check(n.items());
             synchronized (bookLock) {
-                merge(n.items());
-                book.told(from, n.items());
+                knowledge.merge(n.items());
+                knowledge.book().told(from, n.items());
             }
         } else if (m instanceof Report r) {
             synchronized (bookLock) {
-                reported(from, r, nowMs);
+                sums.reported(from, r, nowMs);
             }
         } else if (m instanceof LedgerReport l) {
             synchronized (bookLock) {
@@ -419,19 +329,11 @@
             }
         } else if (m instanceof Load l) {
             synchronized (bookLock) {
-                for (RegionLoad g : l.regions()) {
-                    if (!g.region().equals(config.region())) {
-                        regionMs.put(g.region(), nowMs);
-                        regions.put(g.region(), l.regions().stream().filter(x -> x.region().equals(g.region())).toList());
-                    }
-                }
+                sums.heard(l, nowMs);
             }
         } else if (m instanceof Digest d) {
             synchronized (bookLock) {
-                List<Item> items = book.differing(d.ranges());
-                if (!items.isEmpty() && mayTell(meet.peer(from))) {
-                    mesh.send(from, new News(false, items));
-                }
+                news.repair(from, d, quorate());
             }
         } else {
             synchronized (chainLock) {
@@ -440,113 +342,35 @@
         }
     }
 
-    @Override
-    public void closed(NodeId peer) {
+    private void heard(NodeId from, Heartbeat heartbeat, long nowMs) {
         synchronized (bookLock) {
-            Meet.Peer p = meet.peer(peer);
-            if (p != null && p.hello().kind() == 1 && p.heartbeat().n() > 0) {
-                merge(List.of(nodeItem(p, 0, p.heartbeat().n() * 2 + 1)));
-                sources.drop(peer);
+            Book book = knowledge.book();
+            meet.heard(from, heartbeat, nowMs);
+            Meet.Peer peer = meet.peer(from);
+            if (peer != null && peer.hello().kind() == 1) {
+                frontends.heard(peer, heartbeat);
             }
-            meet.closed(peer);
-            book.drop(peer);
-        }
-    }
-
-    /** A node's session is told once; told anew if it changes, or if whoever told it is out of touch. */
-    private void publish(Meet.Peer peer, Heartbeat p, long nowMs) {
-        Item old = book.get(Book.NODE, peer.hello().node().toString());
-        Roster was = old == null ? null : Roster.of(old.value());
-        boolean same = was != null && was.flags() == p.flags() && was.hello().life() == peer.hello().life()
-                && (was.via().equals(me) || meet.linked(me, was.via()));
-        if (!same) {
-            merge(List.of(nodeItem(peer, p.flags(), p.n() * 2)));
-        }
-    }
-
-    /** A restart has a new life that must win, though the time of day that lives are drawn from may go back. */
-    private Item nodeItem(Meet.Peer peer, int flags, long version) {
-        Item old = book.get(Book.NODE, peer.hello().node().toString());
-        long ownLife = peer.hello().life();
-        long wasLife = old == null ? ownLife : Roster.of(old.value()).hello().life();
-        long nodeLife = old == null ? ownLife : wasLife == ownLife ? old.life() : Math.max(ownLife, old.life() + 1);
-        return new Item(Book.NODE, peer.hello().node().toString(), nodeLife, version,
-                new Roster(flags, me, peer.hello()).value());
-    }
-
-    // ---- sums
-
-    private void reported(NodeId from, Report r, long nowMs) {
-        Meet.Peer p = meet.peer(from);
-        if (p == null || p.hello().life() != r.life()) {
-            return;
-        }
-        Collector of = p.hello().kind() == 1 ? sources : peers;
-        Taken t = of.take(from, r, nowMs);
-        if (t.refused()) {
-            LOG.atWarning().log("report of %s is %s, %s so far", p.hello().name(), t, of.count(t));
-            return;
-        }
-        if (t == Taken.NEWEST && p.hello().kind() == 0) {
-            presence.peers(Sum.of(r), nowMs);
-            r.sources().forEach(s -> sources.leave(s.node(), s.life(), s.seq()));
-        }
-    }
-
-    /** Sums go to the region's other control nodes, back to data nodes, and by service to other regions. */
-    private void sums(long nowMs) {
-        Sum own = sources.sum(nowMs);
-        total = own.merge(peers.sum(nowMs));
-        sumSeq++;
-        Report report = new Report(life, sumSeq, own.report(life, sumSeq).tallies(), presence.own(nowMs), sources.holds(nowMs));
-        NodeId speaker = me;
-        for (Meet.Peer p : meet.peers()) {
-            if (p.hello().kind() == 0 && p.linked() && p.hello().region().equals(config.region())) {
-                mesh.send(p.hello().node(), report);
-                speaker = p.hello().node().compareTo(speaker) < 0 ? p.hello().node() : speaker;
+            boolean differs = heartbeat.digest() != 0 && heartbeat.digest() != book.digest();
+            if (peer != null && differs && peer.heardN() % DIGEST_HEARTBEATS == 0) {
+                mesh.send(from, new Digest(book.ranges()));
             }
         }
-        List<RegionLoad> mine = Totals.region(total, members(), config.region());
-        regions.put(config.region(), mine);
-        regionMs.put(config.region(), nowMs);
-        regionMs.values().removeIf(at -> nowMs - at > REGION_TTL_MS);
-        regions.keySet().retainAll(regionMs.keySet());
-        List<RegionLoad> all = new ArrayList<>();
-        regions.values().forEach(all::addAll);
-        Load back = new Load(life, sumSeq, Totals.engines(total), all);
-        Set<NodeId> asking = sources.sources(nowMs);
-        for (Meet.Peer p : meet.peers()) {
-            if (p.hello().kind() == 1 && asking.contains(p.hello().node())) {
-                mesh.send(p.hello().node(), back);
-            } else if (p.hello().kind() == 0 && speaker.equals(me) && !p.hello().region().equals(config.region())) {
-                mesh.send(p.hello().node(), new Load(life, sumSeq, List.of(), mine));
-            }
+        if (heartbeat.echo() == 0) {
+            // a new connection: the sooner both know that they hear each other, the better
+            heartbeat(from);
         }
     }
 
-    private List<Totals.Member> members() {
-        List<Totals.Member> out = new ArrayList<>();
-        for (Item i : book.all(Book.ENGINE)) {
-            Item silent = book.get(Book.SILENT, i.key());
-            if ((silent == null || silent.value()[0] == 0) && book.get(Book.LEAVING, i.key()) == null) {
-                Engine e = (Engine) Codec.decode(i.value());
-                out.add(new Totals.Member(Sum.key(i.key()), e.service(), config.regionOf(e.zone()), e.capacity()));
+    @Override
+    public void closed(NodeId peer) {
+        synchronized (bookLock) {
+            Meet.Peer p = meet.peer(peer);
+            if (p != null && p.hello().kind() == 1 && p.heartbeat().n() > 0) {
+                frontends.closed(p);
+                sums.closed(peer);
             }
-        }
-        return out;
-    }
-
-    /** Engines of this region that fell silent or are heard again become facts. */
-    private void judgeEngines(long nowMs) {
-        for (Presence.Change c : presence.judge(e -> config.regionOf(e.zone()).equals(config.region()), nowMs)) {
-            LOG.atInfo().log("engine %s %s", c.id(), c.silent() ? "is silent" : "is heard again");
-            merge(List.of(new Item(Book.SILENT, c.id(), 0, 2 * c.seq() + (c.silent() ? 1 : 0), new byte[] {(byte) (c.silent() ? 1 : 0)})));
-        }
-        for (String id : presence.forget(FORGET_MS, nowMs)) {
-            book.forget(Book.ENGINE, id);
-            book.forget(Book.SILENT, id);
-            seenMs.remove(Book.ENGINE + " " + id);
-            seenMs.remove(Book.SILENT + " " + id);
+            meet.closed(peer);
+            news.closed(peer);
         }
     }
 
@@ -560,33 +384,14 @@
     /** Data nodes as known here, and whether their facts still hold. */
     Map<Roster, Boolean> roster() {
         synchronized (bookLock) {
-            long nowMs = clock.nowMs();
-            Map<Roster, Boolean> out = new LinkedHashMap<>();
-            for (Item i : book.all(Book.NODE)) {
-                Roster r = Roster.of(i.value());
-                out.put(r, r.ready() && holds(i, r, nowMs, 3000));
-            }
-            return out;
+            return frontends.all(clock.nowMs());
         }
     }
 
     /** The sums as this node last made them, for the operator. */
     Sum total() {
         synchronized (bookLock) {
-            return total;
-        }
-    }
-
-    private void merge(List<Item> items) {
-        long nowMs = clock.nowMs();
-        for (Item i : book.merge(items)) {
-            seenMs.put(i.kind() + " " + i.key(), nowMs);
-            if (i.kind() == Book.ENGINE) {
-                presence.told(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
-            } else if (i.kind() == Book.SILENT && i.value()[0] == 1
-                    && presence.contradicts(i.key(), (i.version() - 1) / 2, nowMs)) {
-                book.merge(List.of(new Item(Book.SILENT, i.key(), 0, 2 * presence.seq(i.key()), new byte[] {0})));
-            }
+            return sums.total();
         }
     }
 
@@ -605,10 +410,7 @@
             } else if (o instanceof Chain.Out.Store s) {
                 storage.take(s);
             } else if (o instanceof Chain.Out.Answer a) {
-                Answered then = calls.remove(a.call());
-                if (then != null) {
-                    pool.execute(() -> then.answer(a.outcome(), a.body()));
-                }
+                calls.answered(a);
             } else if (o instanceof Chain.Out.Committed c) {
                 committed = c.state();
                 pool.execute(() -> committed(c.state()));
@@ -634,10 +436,10 @@
                 case Chain.MARK_RULES -> Book.RULES;
                 default -> Book.ROLLOUT;
             };
-            items.add(new Item(kind, m.key(), 0, m.version(), m.value().getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+            items.add(new Item(kind, m.key(), 0, m.version(), m.value().getBytes(UTF_8)));
         }
         synchronized (bookLock) {
-            merge(items);
+            knowledge.merge(items);
             mergedSeq = Math.max(mergedSeq, s.seq());
             push();
         }
@@ -664,52 +466,15 @@
                     }
                     wanted.addAll(p.heartbeat().heard());
                 }
-                if (ticks % (p.hello().kind() == 1 ? DATA_TICKS : 2) == 0 || leaving) {
+                if (ticks % (p.hello().kind() == 1 ? DATA_TICKS : CONTROL_TICKS) == 0 || leaving) {
                     heartbeatTo.add(p.hello().node());
                 }
             }
         }
-        Chain.Reach reach = new Chain.Reach() {
-            @Override
-            public boolean linked(NodeId a, NodeId b) {
-                synchronized (bookLock) {
-                    return meet.linked(a, b);
-                }
-            }
-
-            @Override
-            public Collection<NodeId> live() {
-                return live;
-            }
-
-            @Override
-            public boolean leaving(NodeId n) {
-                synchronized (bookLock) {
-                    Meet.Peer p = meet.peer(n);
-                    return n.equals(me) ? leaving : p != null && (p.heartbeat().flags() & Heartbeat.LEAVING) != 0;
-                }
-            }
-
-            @Override
-            public boolean blank(NodeId n) {
-                synchronized (bookLock) {
-                    Meet.Peer p = meet.peer(n);
-                    return !n.equals(me) && p != null && (p.heartbeat().flags() & Heartbeat.BLANK) != 0;
-                }
-            }
-
-            @Override
-            public String place(NodeId n) {
-                synchronized (bookLock) {
-                    Meet.Peer p = meet.peer(n);
-                    return n.equals(me) ? config.region() : p == null ? "" : p.hello().region();
-                }
-            }
-        };
         View view;
         boolean blank;
         synchronized (chainLock) {
-            carryOut(chain.beat(nowMs, reach));
+            carryOut(chain.beat(nowMs, new Reach(live)));
             view = chain.view();
             current = chain.current(nowMs);
             blank = chain.blank();
@@ -720,28 +485,78 @@
         if (view != null) {
             wanted.addAll(view.voters());
         }
-        if (ticks % 2 == 0) {
-            boolean unknown = view == null || !view.voters().contains(me);
-            for (NodeId n : wanted) {
-                // one wire for two nodes: the lower address dials, and whoever is not known as a voter yet
-                if ((me.compareTo(n) < 0 || unknown && !me.equals(n)) && !mesh.up(n)) {
-                    mesh.dial(n);
-                }
-            }
+        if (ticks % DIAL_TICKS == 0) {
+            dial(wanted, view);
         }
         heartbeatTo.forEach(this::heartbeat);
         roll(view, nowMs);
         synchronized (bookLock) {
-            grant(view, nowMs);
-            if (ticks % 5 == 0) {
+            leases.tick(view, quorate(), ticks, nowMs);
+            if (ticks % SUM_TICKS == 0) {
                 if (hearsEngines(nowMs)) {
-                    judgeEngines(nowMs);
+                    knowledge.judgeEngines(nowMs);
                 }
-                sums(nowMs);
+                sums.send(nowMs);
             }
             push();
-            if (ticks % 20 == 0) {
-                storage.keep(book.all(Book.ENGINE));
+            if (ticks % KEEP_TICKS == 0) {
+                storage.keep(knowledge.book().all(Book.ENGINE));
+            }
+        }
+    }
+
+    /** One connection for two nodes: the lower address dials, and whoever is not known as a voter yet. */
+    private void dial(Set<NodeId> wanted, View view) {
+        boolean unknown = view == null || !view.voters().contains(me);
+        for (NodeId n : wanted) {
+            if ((me.compareTo(n) < 0 || unknown && !me.equals(n)) && !mesh.up(n)) {
+                mesh.dial(n);
+            }
+        }
+    }
+
+    /** Who is in touch with whom, for the chain. */
+    private final class Reach implements Chain.Reach {
+        private final Set<NodeId> live;
+
+        Reach(Set<NodeId> live) {
+            this.live = live;
+        }
+
+        @Override
+        public boolean linked(NodeId a, NodeId b) {
+            synchronized (bookLock) {
+                return meet.linked(a, b);
+            }
+        }
+
+        @Override
+        public Collection<NodeId> live() {
+            return live;
+        }
+
+        @Override
+        public boolean leaving(NodeId n) {
+            return n.equals(me) ? leaving : says(n, Heartbeat.LEAVING);
+        }
+
+        @Override
+        public boolean blank(NodeId n) {
+            return !n.equals(me) && says(n, Heartbeat.BLANK);
+        }
+
+        private boolean says(NodeId n, int flag) {
+            synchronized (bookLock) {
+                Meet.Peer p = meet.peer(n);
+                return p != null && (p.heartbeat().flags() & flag) != 0;
+            }
+        }
+
+        @Override
+        public String place(NodeId n) {
+            synchronized (bookLock) {
+                Meet.Peer p = meet.peer(n);
+                return n.equals(me) ? config.region() : p == null ? "" : p.hello().region();
             }
         }
     }
@@ -774,75 +589,25 @@
         long epoch = view == null ? 0 : view.epoch();
         long seq = state == null ? -1 : state.seq();
         synchronized (bookLock) {
-            mesh.send(to, meet.heartbeat(to, flags, epoch, seq, book.digest(), clock.nowMs()));
+            mesh.send(to, meet.heartbeat(to, flags, epoch, seq, knowledge.book().digest(), clock.nowMs()));
         }
     }
 
-    /** The holder of the duty grants every data node its share of the budgets. */
-    private void grant(View view, long nowMs) {
-        if (view == null || !quorate() || !view.head().equals(me)) {
-            lastHead = view == null ? lastHead : view.head();
-            return;
-        }
-        if (!me.equals(lastHead)) {
-            // what another holder granted has to run out first; at the very first start there was none
-            grantFromMs = lastHead == null && view.epoch() == 1 ? nowMs : nowMs + LEASE_TTL_MS + 500;
-            lastHead = me;
-        }
-        if (nowMs < grantFromMs || ticks % 10 != 0) {
-            return;
-        }
-        int nodes = 0;
-        for (Item i : book.all(Book.NODE)) {
-            Roster r = Roster.of(i.value());
-            Long at = seenMs.get(Book.NODE + " " + i.key());
-            nodes += r.flags() != 0 || at != null && nowMs - at < 10_000 ? 1 : 0;
-        }
-        if (nodes > 0) {
-            merge(List.of(new Item(Book.LEASE, "", view.epoch(), nextVersion(Book.LEASE, "", view.epoch()),
-                    Codec.encode(new Lease(view.epoch(), nodes, LEASE_TTL_MS)))));
-        }
-    }
-
-    /** The holder of the duty drives roll-outs; without one this costs nothing. */
+    /** The head of the view drives roll-outs. */
     private void roll(View view, long nowMs) {
-        if (view == null || !quorate() || !hearsEngines(nowMs) || !view.head().equals(me) || ticks % 3 != 0 || rolling) {
-            return;
-        }
-        for (Item i : book(b -> new ArrayList<>(b.all(Book.ROLLOUT)))) {
-            Rollout r = Rollout.read(new String(i.value(), java.nio.charset.StandardCharsets.UTF_8));
-            List<RollPlan.Member> members = members(r.service());
-            if (r.state() == Rollout.Standing.RUNNING && ticks % 6 == 0) {
-                r.turn().forEach(id -> reports.ask(id, engineAddress(id)));
-            }
-            RollPlan.Order o = plans.computeIfAbsent(r.service(), k -> new RollPlan()).next(r, members, nowMs);
-            if (o == null) {
-                continue;
-            }
-            LOG.atInfo().log("roll-out of %s: %s %s %s", r.service(), o.order(), o.id(), o.cause());
-            String body = jakarta.json.Json.createObjectBuilder().add("order", o.order()).add("id", o.id())
-                    .add("cause", o.cause().name()).add("epoch", view.epoch()).build().toString();
-            rolling = true;
-            call(Chain.ROLLOUT, 0, r.service(), body.getBytes(java.nio.charset.StandardCharsets.UTF_8), (out, text) -> rolling = false);
+        boolean holder = view != null && quorate() && hearsEngines(nowMs) && view.head().equals(me);
+        if (!holder || ticks % ROLL_TICKS != 0 || rollouts.ordering()) {
             return;
         }
+        List<Rollout> known = book(b -> b.all(Book.ROLLOUT).stream().map(i -> Rollout.read(new String(i.value(), UTF_8))).toList());
+        rollouts.tick(known, this::members, this::engineAddress, view.epoch(), ticks, nowMs);
     }
 
     /** The engines of a service, for roll-outs. */
     List<RollPlan.Member> members(String service) {
-        List<RollPlan.Member> out = new ArrayList<>();
         synchronized (bookLock) {
-            long nowMs = clock.nowMs();
-            for (Item i : book.all(Book.ENGINE)) {
-                Engine e = (Engine) Codec.decode(i.value());
-                long ageMs = presence.agoMs(i.key(), nowMs);
-                if (e.service().equals(service) && ageMs < 30_000) {
-                    out.add(new RollPlan.Member(i.key(), config.regionOf(e.zone()), e.weights(),
-                            e.draining() || book.get(Book.LEAVING, i.key()) != null, ageMs > 3L * config.engineBeatMs()));
-                }
-            }
+            return knowledge.rollMembers(service);
         }
-        return out;
     }
 
     private String engineAddress(String id) {
@@ -858,44 +623,14 @@
         }
         String text = active + queued == 0 ? "free to swap" : "still runs " + (active + queued);
         synchronized (bookLock) {
-            merge(List.of(new Item(Book.TURN, id, view.epoch(), nextVersion(Book.TURN, id, view.epoch()),
-                    text.getBytes(java.nio.charset.StandardCharsets.UTF_8))));
+            knowledge.merge(List.of(new Item(Book.TURN, id, view.epoch(), knowledge.nextVersion(Book.TURN, id, view.epoch()),
+                    text.getBytes(UTF_8))));
         }
     }
 
-    /** What a holder of a duty says under its view comes after all that is known to have been said under it. */
-    private long nextVersion(int kind, String key, long epoch) {
-        Item old = book.get(kind, key);
-        return old == null || old.life() != epoch ? 1 : old.version() + 1;
-    }
-
-    /** A data node acts on what it is told, so only a node that is proven to be up to date tells it anything. */
-    private boolean mayTell(Meet.Peer peer) {
-        return peer != null && (peer.hello().kind() == 0 || quorate());
-    }
-
-    /** Passes on what peers have not been sent. */
     private void push() {
         State state = committed;
-        boolean merged = state == null || mergedSeq >= state.seq();
-        for (Meet.Peer p : meet.peers()) {
-            NodeId to = p.hello().node();
-            if (!mayTell(p)) {
-                continue;
-            }
-            String region = p.hello().region();
-            // a data node needs the data nodes of its region, for gossip, and not what engines in turn still run
-            List<Item> items = p.hello().kind() == 0 ? book.pending(to, 512) : book.pending(to, 512,
-                    i -> i.kind() != Book.TURN && (i.kind() != Book.NODE || Roster.of(i.value()).hello().region().equals(region)));
-            boolean first = p.hello().kind() == 1 && !filled.getOrDefault(to, false);
-            if (!items.isEmpty() || first && merged) {
-                boolean full = first && merged && items.size() < 512;
-                if (full) {
-                    filled.put(to, true);
-                }
-                mesh.send(to, new News(full, items));
-            }
-        }
+        news.push(quorate(), state == null || mergedSeq >= state.seq());
     }
 
     List<Map<String, Object>> sessions() {
--- /dev/null
+++ b/src/main/java/ringspindle/cp/Knowledge.java
@@ -0,0 +1,132 @@
+package ringspindle.cp;
+
+import com.google.common.flogger.*;
+import java.util.*;
+import ringspindle.conf.*;
+import ringspindle.know.*;
+import ringspindle.meet.*;
+import ringspindle.sum.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** What a control node knows of the system, and when it learned it; engines' heartbeats among it. Guarded by its owner. */
+final class Knowledge {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** Ours: engines silent for so long are forgotten. */
+    private static final int FORGET_MS = 600_000;
+    /** Engines silent for so long take no part in a roll-out. */
+    private static final int ROLL_SILENT_MS = 30_000;
+    private static final int SILENT_HEARTBEATS = 3;
+
+    private final Steady clock;
+    private final Book book = Book.create();
+    private final Presence presence;
+    private final Map<String, Long> seenMs = new HashMap<>();
+    private NodeConfig config;
+
+    Knowledge(NodeConfig config, Steady clock) {
+        this.config = config;
+        this.clock = clock;
+        presence = new Presence(config.engineBeatMs());
+    }
+
+    void settings(NodeConfig c) {
+        config = c;
+    }
+
+    Book book() {
+        return book;
+    }
+
+    Presence presence() {
+        return presence;
+    }
+
+    void merge(List<Item> items) {
+        long nowMs = clock.nowMs();
+        for (Item i : book.merge(items)) {
+            seenMs.put(seenKey(i.kind(), i.key()), nowMs);
+            if (i.kind() == Book.ENGINE) {
+                presence.told(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
+            } else if (i.kind() == Book.SILENT && i.value()[0] == 1
+                    && presence.contradicts(i.key(), (i.version() - 1) / 2, nowMs)) {
+                book.merge(List.of(new Item(Book.SILENT, i.key(), 0, 2 * presence.seq(i.key()), new byte[] {0})));
+            }
+        }
+    }
+
+    private static String seenKey(int kind, String key) {
+        return kind + " " + key;
+    }
+
+    /** When a fact last moved, as this node saw it; null if never. */
+    Long seenMs(int kind, String key) {
+        return seenMs.get(seenKey(kind, key));
+    }
+
+    /** Milliseconds since a fact last moved, as this node saw it; of engines since they were last heard. */
+    long ageMs(int kind, String key) {
+        if (kind == Book.ENGINE) {
+            return presence.agoMs(key, clock.nowMs());
+        }
+        Long at = seenMs(kind, key);
+        return at == null ? Long.MAX_VALUE : clock.nowMs() - at;
+    }
+
+    /** What a holder of a duty says under its view comes after all that is known to have been said under it. */
+    long nextVersion(int kind, String key, long epoch) {
+        Item old = book.get(kind, key);
+        return old == null || old.life() != epoch ? 1 : old.version() + 1;
+    }
+
+    /** An engine's heartbeat, spread only if it says something new. */
+    void heartbeat(String id, Engine e, long seq) {
+        if (presence.heard(id, e, seq, clock.nowMs())) {
+            merge(List.of(new Item(Book.ENGINE, id, 0, seq, Codec.encode(e))));
+        }
+    }
+
+    /** Engines of this region that fell silent or are heard again become facts. */
+    void judgeEngines(long nowMs) {
+        for (Presence.Change c : presence.judge(e -> config.regionOf(e.zone()).equals(config.region()), nowMs)) {
+            LOG.atInfo().log("engine %s %s", c.id(), c.silent() ? "is silent" : "is heard again");
+            byte silent = (byte) (c.silent() ? 1 : 0);
+            merge(List.of(new Item(Book.SILENT, c.id(), 0, 2 * c.seq() + silent, new byte[] {silent})));
+        }
+        for (String id : presence.forget(FORGET_MS, nowMs)) {
+            book.forget(Book.ENGINE, id);
+            book.forget(Book.SILENT, id);
+            seenMs.remove(seenKey(Book.ENGINE, id));
+            seenMs.remove(seenKey(Book.SILENT, id));
+        }
+    }
+
+    /** Engines that count for the load of their region. */
+    List<Totals.Member> loadMembers() {
+        List<Totals.Member> out = new ArrayList<>();
+        for (Item i : book.all(Book.ENGINE)) {
+            Item silent = book.get(Book.SILENT, i.key());
+            if ((silent == null || silent.value()[0] == 0) && book.get(Book.LEAVING, i.key()) == null) {
+                Engine e = (Engine) Codec.decode(i.value());
+                out.add(new Totals.Member(Sum.key(i.key()), e.service(), config.regionOf(e.zone()), e.capacity()));
+            }
+        }
+        return out;
+    }
+
+    /** The engines of a service, for roll-outs. */
+    List<RollPlan.Member> rollMembers(String service) {
+        List<RollPlan.Member> out = new ArrayList<>();
+        long nowMs = clock.nowMs();
+        for (Item i : book.all(Book.ENGINE)) {
+            Engine e = (Engine) Codec.decode(i.value());
+            long ageMs = presence.agoMs(i.key(), nowMs);
+            if (e.service().equals(service) && ageMs < ROLL_SILENT_MS) {
+                out.add(new RollPlan.Member(i.key(), config.regionOf(e.zone()), e.weights(),
+                        e.draining() || book.get(Book.LEAVING, i.key()) != null,
+                        ageMs > (long) SILENT_HEARTBEATS * config.engineBeatMs()));
+            }
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/cp/LeaseGrants.java
@@ -0,0 +1,47 @@
+package ringspindle.cp;
+
+import java.util.*;
+import ringspindle.know.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** The duty of granting every data node its share of the budgets. Guarded by its owner. */
+final class LeaseGrants {
+    private static final int TTL_MS = 3000;
+    /** What another holder granted has run out so long after this node took the duty over. */
+    private static final int TAKEOVER_MS = TTL_MS + 500;
+    private static final int EVERY_TICKS = 10;
+
+    private final NodeId me;
+    private final Knowledge knowledge;
+    private final Frontends frontends;
+    private NodeId lastHead;
+    private long grantFromMs;
+
+    LeaseGrants(NodeId me, Knowledge knowledge, Frontends frontends) {
+        this.me = me;
+        this.knowledge = knowledge;
+        this.frontends = frontends;
+    }
+
+    /** The head of the view holds the duty while it is quorate. */
+    void tick(View view, boolean quorate, long ticks, long nowMs) {
+        if (view == null || !quorate || !view.head().equals(me)) {
+            lastHead = view == null ? lastHead : view.head();
+            return;
+        }
+        if (!me.equals(lastHead)) {
+            // at the very first start there was no other holder
+            grantFromMs = lastHead == null && view.epoch() == 1 ? nowMs : nowMs + TAKEOVER_MS;
+            lastHead = me;
+        }
+        if (nowMs < grantFromMs || ticks % EVERY_TICKS != 0) {
+            return;
+        }
+        int nodes = frontends.sharing(nowMs);
+        if (nodes > 0) {
+            knowledge.merge(List.of(new Item(Book.LEASE, "", view.epoch(), knowledge.nextVersion(Book.LEASE, "", view.epoch()),
+                    Codec.encode(new Lease(view.epoch(), nodes, TTL_MS)))));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/cp/LoadSums.java
@@ -0,0 +1,125 @@
+package ringspindle.cp;
+
+import com.google.common.flogger.*;
+import java.util.*;
+import ringspindle.conf.*;
+import ringspindle.meet.*;
+import ringspindle.sum.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** What data nodes saw of engines, summed here, over the region, and by service over regions. Guarded by its owner. */
+final class LoadSums {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** Ours: how long a report counts, and a region's sum. */
+    private static final int REPORT_TTL_MS = 2000;
+    private static final int REGION_TTL_MS = 2500;
+    private static final int CONTROL_KIND = 0;
+    private static final int DATA_KIND = 1;
+
+    private final NodeId me;
+    private final long life;
+    private final Mesh mesh;
+    private final Meet meet;
+    private final Knowledge knowledge;
+    private final Collector sources = new Collector(REPORT_TTL_MS);
+    private final Collector peers = new Collector(REPORT_TTL_MS);
+    private final Map<String, Long> regionMs = new TreeMap<>();
+    private final Map<String, List<RegionLoad>> regions = new TreeMap<>();
+    private String region;
+    private long seq;
+    private Sum total = Sum.NONE;
+
+    LoadSums(NodeConfig config, Hello self, Mesh mesh, Meet meet, Knowledge knowledge) {
+        region = config.region();
+        me = self.node();
+        life = self.life();
+        this.mesh = mesh;
+        this.meet = meet;
+        this.knowledge = knowledge;
+    }
+
+    void settings(NodeConfig c) {
+        region = c.region();
+    }
+
+    /** A session says which life of its node counts from now on. */
+    void opened(Hello peer) {
+        sources.restarted(peer.node(), peer.life());
+        peers.restarted(peer.node(), peer.life());
+    }
+
+    /** The session of a data node is gone: what it said here counts no more. */
+    void closed(NodeId peer) {
+        sources.drop(peer);
+    }
+
+    void reported(NodeId from, Report r, long nowMs) {
+        Meet.Peer p = meet.peer(from);
+        if (p == null || p.hello().life() != r.life()) {
+            return;
+        }
+        Collector of = p.hello().kind() == DATA_KIND ? sources : peers;
+        Taken t = of.take(from, r, nowMs);
+        if (t.refused()) {
+            LOG.atWarning().log("report of %s is %s, %s so far", p.hello().name(), t, of.count(t));
+            return;
+        }
+        if (t == Taken.NEWEST && p.hello().kind() == CONTROL_KIND) {
+            knowledge.presence().peers(Sum.of(r), nowMs);
+            r.sources().forEach(s -> sources.leave(s.node(), s.life(), s.seq()));
+        }
+    }
+
+    /** Another region's sums. */
+    void heard(Load load, long nowMs) {
+        for (RegionLoad g : load.regions()) {
+            if (!g.region().equals(region)) {
+                regionMs.put(g.region(), nowMs);
+                regions.put(g.region(), load.regions().stream().filter(x -> x.region().equals(g.region())).toList());
+            }
+        }
+    }
+
+    /** Sums go to the region's other control nodes, back to data nodes, and by service to other regions. */
+    void send(long nowMs) {
+        Sum own = sources.sum(nowMs);
+        total = own.merge(peers.sum(nowMs));
+        seq++;
+        NodeId speaker = toRegion(own, nowMs);
+        List<RegionLoad> mine = Totals.region(total, knowledge.loadMembers(), region);
+        regions.put(region, mine);
+        regionMs.put(region, nowMs);
+        regionMs.values().removeIf(at -> nowMs - at > REGION_TTL_MS);
+        regions.keySet().retainAll(regionMs.keySet());
+        List<RegionLoad> all = new ArrayList<>();
+        regions.values().forEach(all::addAll);
+        Load back = new Load(life, seq, Totals.engines(total), all);
+        Set<NodeId> asking = sources.sources(nowMs);
+        for (Meet.Peer p : meet.peers()) {
+            if (p.hello().kind() == DATA_KIND && asking.contains(p.hello().node())) {
+                mesh.send(p.hello().node(), back);
+            } else if (p.hello().kind() == CONTROL_KIND && speaker.equals(me) && !p.hello().region().equals(region)) {
+                mesh.send(p.hello().node(), new Load(life, seq, List.of(), mine));
+            }
+        }
+    }
+
+    /** Tells the region's other control nodes; returns which of all of them speaks for the region. */
+    private NodeId toRegion(Sum own, long nowMs) {
+        Report report = new Report(life, seq, own.report(life, seq).tallies(), knowledge.presence().own(nowMs), sources.holds(nowMs));
+        NodeId speaker = me;
+        for (Meet.Peer p : meet.peers()) {
+            if (p.hello().kind() == CONTROL_KIND && p.linked() && p.hello().region().equals(region)) {
+                mesh.send(p.hello().node(), report);
+                speaker = p.hello().node().compareTo(speaker) < 0 ? p.hello().node() : speaker;
+            }
+        }
+        return speaker;
+    }
+
+    /** The sums as this node last made them. */
+    Sum total() {
+        return total;
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/cp/NewsFeed.java
@@ -0,0 +1,83 @@
+package ringspindle.cp;
+
+import java.util.*;
+import ringspindle.know.*;
+import ringspindle.meet.*;
+import ringspindle.wire.*;
+import ringspindle.wire.Msg.*;
+
+/** Tells facts to peers: to control nodes all, to data nodes what they use. Guarded by its owner. */
+final class NewsFeed {
+    private static final int ITEMS_MAX = 512;
+    private static final int CONTROL_KIND = 0;
+
+    private final Mesh mesh;
+    private final Meet meet;
+    private final Knowledge knowledge;
+    private final Set<NodeId> filled = new TreeSet<>();
+
+    NewsFeed(Mesh mesh, Meet meet, Knowledge knowledge) {
+        this.mesh = mesh;
+        this.meet = meet;
+        this.knowledge = knowledge;
+    }
+
+    /** A new session: its peer is told everything. */
+    void opened(NodeId peer) {
+        knowledge.book().reset(peer);
+        filled.remove(peer);
+    }
+
+    void closed(NodeId peer) {
+        knowledge.book().drop(peer);
+    }
+
+    /** A data node acts on what it is told, so only a node that is proven to be up to date tells it anything. */
+    private static boolean mayTell(Meet.Peer peer, boolean quorate) {
+        return peer.hello().kind() == CONTROL_KIND || quorate;
+    }
+
+    /** Answers a peer's digest with the facts that differ. */
+    void repair(NodeId from, Digest digest, boolean quorate) {
+        Meet.Peer peer = meet.peer(from);
+        List<Item> items = knowledge.book().differing(digest.ranges());
+        if (peer != null && mayTell(peer, quorate) && !items.isEmpty()) {
+            mesh.send(from, new News(false, items));
+        }
+    }
+
+    /**
+     * Passes on what peers have not been sent.
+     *
+     * @param merged all that is committed here is among the facts, so that a data node may be told that it is filled
+     */
+    void push(boolean quorate, boolean merged) {
+        for (Meet.Peer p : meet.peers()) {
+            if (mayTell(p, quorate)) {
+                push(p, merged);
+            }
+        }
+    }
+
+    private void push(Meet.Peer p, boolean merged) {
+        NodeId to = p.hello().node();
+        boolean toControl = p.hello().kind() == CONTROL_KIND;
+        String region = p.hello().region();
+        List<Item> items = toControl ? knowledge.book().pending(to, ITEMS_MAX)
+                : knowledge.book().pending(to, ITEMS_MAX, i -> usefulToData(i, region));
+        boolean first = !toControl && merged && !filled.contains(to);
+        if (items.isEmpty() && !first) {
+            return;
+        }
+        boolean full = first && items.size() < ITEMS_MAX;
+        if (full) {
+            filled.add(to);
+        }
+        mesh.send(to, new News(full, items));
+    }
+
+    /** A data node needs the data nodes of its region, for gossip, and not what engines in turn still run. */
+    private static boolean usefulToData(Item i, String region) {
+        return i.kind() != Book.TURN && (i.kind() != Book.NODE || Roster.of(i.value()).hello().region().equals(region));
+    }
+}
