A control node that was told to end stops its threads within 0.2 s

Cause: the connectors stop the thread pool they were given, which waits for its threads for more than five seconds; meanwhile the port takes connections that nobody serves. With up to five seconds of handing over before that a node would outlive its grace. No unit test covers the end of a process.

--- a/src/main/java/ringspindle/cp/ControlPlane.java
+++ b/src/main/java/ringspindle/cp/ControlPlane.java
@@ -17,6 +17,8 @@
     private static final int LEAVE_LEAST_MS = 700;
     private static final int LEAVE_MOST_MS = 5000;
     private static final int LEAVE_STEP_MS = 100;
+    /** How long threads get to end: nobody is served meanwhile, though the port still takes connections. */
+    private static final int STOP_MS = 200;
 
     private ControlPlane() {
     }
@@ -26,6 +28,7 @@
         NodeConfig config = settings.now();
         Threads threads = Threads.start("cp", 16, 6);
         QueuedThreadPool pool = threads.pool();
+        pool.setStopTimeout(STOP_MS);
         org.eclipse.jetty.util.thread.Scheduler beats = threads.timers();
         Reports reports = new Reports(pool, beats);
         Path folder = Path.of(config.dataPath().isEmpty() ? "/tmp/ringspindle" : config.dataPath());
