--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -1,43 +1,56 @@
 package ringspindle;
 
-import com.beust.jcommander.*;
-import com.google.common.flogger.*;
-import java.nio.file.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.logging.*;
-import ringspindle.conf.*;
-import ringspindle.cp.*;
-import ringspindle.dp.*;
-import ringspindle.log.*;
-import ringspindle.ops.*;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.google.common.flogger.FluentLogger;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import ringspindle.conf.Checked;
+import ringspindle.conf.NodeConfig;
+import ringspindle.conf.Settings;
+import ringspindle.cp.ControlPlane;
+import ringspindle.dp.DataPlane;
+import ringspindle.log.JsonLines;
+import ringspindle.ops.Cli;
+import ringspindle.ops.CommandLine;
+import ringspindle.ops.SelfTest;
 
 /** The program: {@code data-plane}, {@code control-plane}, and the operator's command line. */
 public final class Main {
     /** Bad usage or settings. */
     static final int USAGE = 2;
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
     /** Options that come before a command. */
     static final class Global {
-        @Parameter(names = {"--help", "-h"}, help = true, description = "this text")
+        @Parameter(
+                names = {"--help", "-h"},
+                help = true,
+                description = "this text")
         boolean help;
     }
 
     /** Options of a daemon. */
     static final class Daemon {
-        @Parameter(names = "--settings", description = "the settings file (default: the file named by RINGSPINDLE_SETTINGS)")
+        @Parameter(
+                names = "--settings",
+                description = "the settings file (default: the file named by RINGSPINDLE_SETTINGS)")
         String settings = System.getenv("RINGSPINDLE_SETTINGS");
 
         @Parameter(names = "--log", description = "log level: FINE, INFO, WARNING")
         String level = "INFO";
 
-        @Parameter(names = {"--help", "-h"}, help = true, description = "this text")
+        @Parameter(
+                names = {"--help", "-h"},
+                help = true,
+                description = "this text")
         boolean help;
     }
 
-    private Main() {
-    }
+    private Main() {}
 
     /** {@code java -jar ringspindle.jar control-plane --settings node.conf}. */
     public static void main(String[] args) {
--- a/src/main/java/ringspindle/act/Action.java
+++ b/src/main/java/ringspindle/act/Action.java
@@ -8,7 +8,9 @@
 
     /** Where an action stands. */
     enum State {
-        ACTIVE, COMPLETED, CANCELED
+        ACTIVE,
+        COMPLETED,
+        CANCELED
     }
 
     /** Why an action ended other than by an answer of an engine. */
@@ -73,8 +75,7 @@
     }
 
     /** What may be tried again, from the mapping. */
-    record Policy(boolean repeatable, boolean resumable, int maxAttempts) {
-    }
+    record Policy(boolean repeatable, boolean resumable, int maxAttempts) {}
 
     /** What is to be done after an attempt. */
     enum Verdict {
@@ -93,18 +94,26 @@
     }
 
     /** The one terminal event. */
-    record Terminal(String actionId, State state, Cause cause, int attempts, boolean responseCommitted, End lastEnd,
-            long elapsedMs, long leftMs) {
-    }
+    record Terminal(
+            String actionId,
+            State state,
+            Cause cause,
+            int attempts,
+            boolean responseCommitted,
+            End lastEnd,
+            long elapsedMs,
+            long leftMs) {}
 
     /** Where the terminal event goes; called once. */
     interface Ear {
+        /** Takes the terminal event. */
         void ended(Terminal t);
     }
 
     /** Its identifier, nothing of the consumer in it. */
     String id();
 
+    /** The state the action is in. */
     State state();
 
     /** When the whole action is over at the latest. */
@@ -119,6 +128,7 @@
     /** Output reached the consumer. */
     void commitResponse();
 
+    /** True once output has reached the consumer. */
     boolean responseCommitted();
 
     /** The move active to completed; true for the one that made it. */
--- a/src/main/java/ringspindle/act/Attempt.java
+++ b/src/main/java/ringspindle/act/Attempt.java
@@ -17,5 +17,6 @@
     /** Notes that the request went out, so that from here on it may run. */
     void sent();
 
+    /** True once the request went out to the engine. */
     boolean wasSent();
 }
--- a/src/main/java/ringspindle/act/OneAction.java
+++ b/src/main/java/ringspindle/act/OneAction.java
@@ -1,13 +1,14 @@
 package ringspindle.act;
 
-import java.util.*;
-import java.util.concurrent.atomic.*;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
 
 /** The parent scope: one atomic reference decides how it ends. */
 final class OneAction implements Action {
     /** State and cause in one, so that they move together. */
-    private record Standing(State state, Cause cause) {
-    }
+    private record Standing(State state, Cause cause) {}
 
     private static final Standing ACTIVE = new Standing(State.ACTIVE, null);
 
@@ -135,8 +136,8 @@
             cleanups.clear();
         }
         run.forEach(Runnable::run);
-        ear.ended(new Terminal(id, to.state(), to.cause(), children.size(), committed, lastEnd, nowMs - sinceMs,
-                deadlineMs - nowMs));
+        ear.ended(new Terminal(
+                id, to.state(), to.cause(), children.size(), committed, lastEnd, nowMs - sinceMs, deadlineMs - nowMs));
         return true;
     }
 
--- a/src/main/java/ringspindle/api/Operation.java
+++ b/src/main/java/ringspindle/api/Operation.java
@@ -53,7 +53,8 @@
         }
         String[] part = path.substring(BASE.length()).split("/", -1);
         for (Operation o : values()) {
-            if (o.method.equals(method) && o.noun.equals(part[0])
+            if (o.method.equals(method)
+                    && o.noun.equals(part[0])
                     && (o.arg.isEmpty() ? part.length == 1 : part.length == 2 && !part[1].isEmpty())) {
                 return o;
             }
--- a/src/main/java/ringspindle/chain/Acceptor.java
+++ b/src/main/java/ringspindle/chain/Acceptor.java
@@ -85,7 +85,9 @@
             return;
         }
         if (promisedEpoch > prepare.epoch() || promisedEpoch == prepare.epoch() && prepare.ballot() <= promised) {
-            replica.send(from, new Pledge(prepare.epoch(), prepare.ballot(), false, promised, 0, 0, 0, null, replica.view()));
+            replica.send(
+                    from,
+                    new Pledge(prepare.epoch(), prepare.ballot(), false, promised, 0, 0, 0, null, replica.view()));
             return;
         }
         if (promisedEpoch < prepare.epoch()) {
@@ -96,8 +98,16 @@
         promisedEpoch = prepare.epoch();
         promised = prepare.ballot();
         Position at = position.get();
-        Pledge pledge = new Pledge(prepare.epoch(), prepare.ballot(), true, promised, acceptedBallot, at.lineage(), at.seq(),
-                accepted, replica.view());
+        Pledge pledge = new Pledge(
+                prepare.epoch(),
+                prepare.ballot(),
+                true,
+                promised,
+                acceptedBallot,
+                at.lineage(),
+                at.seq(),
+                accepted,
+                replica.view());
         replica.store(List.of(vote()), false, () -> replica.send(from, pledge));
     }
 
@@ -129,8 +139,13 @@
             return;
         }
         Vote vote = vote();
-        Relearned answer = new Relearned(relearn.id(), vote.promisedEpoch(), vote.promised(), vote.acceptedBallot(),
-                vote.accepted(), vote.view());
+        Relearned answer = new Relearned(
+                relearn.id(),
+                vote.promisedEpoch(),
+                vote.promised(),
+                vote.acceptedBallot(),
+                vote.accepted(),
+                vote.view());
         replica.store(List.of(vote), false, () -> replica.send(from, answer));
     }
 
--- a/src/main/java/ringspindle/chain/Chain.java
+++ b/src/main/java/ringspindle/chain/Chain.java
@@ -1,32 +1,33 @@
 package ringspindle.chain;
 
-import java.util.*;
-import ringspindle.api.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.Collection;
+import java.util.List;
+import ringspindle.api.Outcome;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Call;
+import ringspindle.wire.Msg.State;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /** The replicated control state of one node: a state machine without clock, socket, disk or chance. */
 public interface Chain {
 
     /** What the owner is to do. */
     sealed interface Out {
-        record Send(NodeId to, Msg m) implements Out {
-        }
+        /** Send the message to the node. */
+        record Send(NodeId to, Msg m) implements Out {}
 
         /** Write and sync in order, then call {@link Chain#stored}. */
-        record Store(long token, List<Msg> records, boolean image) implements Out {
-        }
+        record Store(long token, List<Msg> records, boolean image) implements Out {}
 
         /** The answer to a call that came in at this node. */
-        record Answer(long call, Outcome outcome, byte[] body) implements Out {
-        }
+        record Answer(long call, Outcome outcome, byte[] body) implements Out {}
 
         /** The committed state moved. */
-        record Committed(State state) implements Out {
-        }
+        record Committed(State state) implements Out {}
 
-        record Viewed(View view) implements Out {
-        }
+        /** The node works under this view from now on. */
+        record Viewed(View view) implements Out {}
     }
 
     /** Who is in touch with whom, as this node knows it. */
@@ -55,6 +56,7 @@
 
     /** Kinds of calls and ops. */
     int PUT = 1;
+
     int PATCH = 2;
     int EVACUATE = 3;
     int RESTORE = 4;
@@ -66,6 +68,7 @@
 
     /** Kinds of marks. */
     int MARK_EVACUATED = 1;
+
     int MARK_LEAVING = 2;
     int MARK_ROLLOUT = 3;
     int MARK_RULES = 4;
--- a/src/main/java/ringspindle/chain/ChainMachine.java
+++ b/src/main/java/ringspindle/chain/ChainMachine.java
@@ -42,7 +42,8 @@
     private final ViewMonitor monitor;
     private boolean announced;
 
-    ChainMachine(NodeId self, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long randomSeed, int leastVoters) {
+    ChainMachine(
+            NodeId self, List<NodeId> seeds, boolean bootstrap, List<Msg> found, long randomSeed, int leastVoters) {
         replica = new Replica(self, seeds, new Random(randomSeed));
         Membership membership = new Membership(self, Math.min(Membership.VOTERS_MAX, leastVoters));
         monitor = new ViewMonitor(replica, membership, bootstrap);
@@ -126,8 +127,8 @@
     /** Where it stands, for tests and logs. */
     String standing() {
         View view = replica.view();
-        return "view " + (view == null ? null : view.epoch() + " " + view.chain()) + " " + acceptor + " " + replication + " blank "
-                + replica.blank() + " " + orders + " proposes " + proposer.proposing();
+        return "view " + (view == null ? null : view.epoch() + " " + view.chain()) + " " + acceptor + " " + replication
+                + " blank " + replica.blank() + " " + orders + " proposes " + proposer.proposing();
     }
 
     // ---- inputs
--- a/src/main/java/ringspindle/chain/Content.java
+++ b/src/main/java/ringspindle/chain/Content.java
@@ -1,14 +1,32 @@
 package ringspindle.chain;
 
-import com.google.common.hash.*;
-import java.util.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.rule.*;
-import ringspindle.wire.Msg.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static ringspindle.chain.Chain.DRAIN;
+import static ringspindle.chain.Chain.EVACUATE;
+import static ringspindle.chain.Chain.GONE;
+import static ringspindle.chain.Chain.MARK_EVACUATED;
+import static ringspindle.chain.Chain.MARK_LEAVING;
+import static ringspindle.chain.Chain.MARK_ROLLOUT;
+import static ringspindle.chain.Chain.MARK_RULES;
+import static ringspindle.chain.Chain.PATCH;
+import static ringspindle.chain.Chain.PUT;
+import static ringspindle.chain.Chain.RESTORE;
+import static ringspindle.chain.Chain.ROLLOUT;
+import static ringspindle.chain.Chain.RULES;
 
-import static java.nio.charset.StandardCharsets.*;
-import static ringspindle.chain.Chain.*;
+import com.google.common.hash.Hashing;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import ringspindle.api.Outcome;
+import ringspindle.conf.Checked;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.Problem;
+import ringspindle.rule.ServingRules;
+import ringspindle.wire.Msg.Call;
+import ringspindle.wire.Msg.Mark;
+import ringspindle.wire.Msg.Op;
+import ringspindle.wire.Msg.State;
 
 /** What the control state holds and how calls change it. Pure. */
 final class Content {
@@ -16,11 +34,11 @@
     static final int PAST_MAX = 1024;
     /** In place of a revision: the order was on serving rules. */
     private static final long NO_REVISION = -1;
+
     private static final int LEAVING_MAX = 400;
 
     /** What a call comes to: an op to commit, or an outcome at once. */
-    record Decision(Op op, Outcome outcome, byte[] body) {
-    }
+    record Decision(Op op, Outcome outcome, byte[] body) {}
 
     private FleetConfig parsed;
 
@@ -104,7 +122,13 @@
      * one meet by chance less than once in 10^16 orders; callers are trusted not to look for a collision.
      */
     private static long digest(Call c) {
-        return Hashing.sha256().newHasher().putInt(c.kind()).putLong(c.base()).putBytes(c.body()).hash().asLong();
+        return Hashing.sha256()
+                .newHasher()
+                .putInt(c.kind())
+                .putLong(c.base())
+                .putBytes(c.body())
+                .hash()
+                .asLong();
     }
 
     private static boolean takenBefore(State s, long digest) {
@@ -148,7 +172,9 @@
         }
         ServingRules next = ((Checked.Good<ServingRules>) checked).value();
         Mark m = mark(s, MARK_RULES, "");
-        ServingRules now = m == null ? null : ((Checked.Good<ServingRules>) ServingRules.read(m.value().getBytes(UTF_8))).value();
+        ServingRules now = m == null
+                ? null
+                : ((Checked.Good<ServingRules>) ServingRules.read(m.value().getBytes(UTF_8))).value();
         long revision = now == null ? 0 : now.revision();
         if (now != null && now.digest() == next.digest() || takenBefore(s, digest(c))) {
             return outcome(Outcome.TAKEN);
@@ -234,7 +260,7 @@
             }
         }
         out.add(m);
-        for (int i = 0; leaving > LEAVING_MAX && i < out.size();) {
+        for (int i = 0; leaving > LEAVING_MAX && i < out.size(); ) {
             if (out.get(i).kind() == MARK_LEAVING) {
                 out.remove(i);
                 leaving--;
--- a/src/main/java/ringspindle/chain/Membership.java
+++ b/src/main/java/ringspindle/chain/Membership.java
@@ -110,7 +110,9 @@
     private List<NodeId> joiners(View view, Chain.Reach reach) {
         List<NodeId> joiners = new ArrayList<>();
         for (NodeId node : reach.live()) {
-            if (!view.voters().contains(node) && !reach.leaving(node) && !reach.blank(node)
+            if (!view.voters().contains(node)
+                    && !reach.leaving(node)
+                    && !reach.blank(node)
                     && votersInTouch(node, view, reach) >= view.majority()) {
                 joiners.add(node);
             }
--- a/src/main/java/ringspindle/chain/Orders.java
+++ b/src/main/java/ringspindle/chain/Orders.java
@@ -36,6 +36,7 @@
 final class Orders implements Replication.Listener {
     /** How long an order is held before its caller is told that nothing is clear. */
     private static final long HELD_MS = 950;
+
     private static final long HELD_CONFIG_MS = 2500;
     private static final long UNSENT = -1;
     private static final byte[] NONE = {};
@@ -60,12 +61,10 @@
      *
      * @param decision what was decided on the state of that number; null for a reading, which is made once it is confirmed
      */
-    private record Unconfirmed(Held held, Content.Decision decision, long seq, long sinceMs, Set<NodeId> confirmedBy) {
-    }
+    private record Unconfirmed(Held held, Content.Decision decision, long seq, long sinceMs, Set<NodeId> confirmedBy) {}
 
     /** A confirmed answer that waits until all that it rests on is committed. */
-    private record Waiting(Held held, Content.Decision decision, long seq) {
-    }
+    private record Waiting(Held held, Content.Decision decision, long seq) {}
 
     private final Replica replica;
     private final BooleanSupplier takesOrders;
@@ -75,6 +74,7 @@
     private final List<Waiting> waiting = new ArrayList<>();
     /** Answered while {@link #held} was walked through. */
     private final List<Held> answered = new ArrayList<>();
+
     private Replication replication;
     private long nextConfirm;
 
@@ -102,11 +102,12 @@
 
     /** How new what a caller's order may replace is, as far as this node knows; orders on revisions name theirs. */
     private long knownVersion(Call call) {
-        Mark mark = switch (call.kind()) {
-            case EVACUATE, RESTORE -> Content.mark(replication.last(), MARK_EVACUATED, call.arg());
-            case ROLLOUT -> Content.mark(replication.last(), MARK_ROLLOUT, call.arg());
-            default -> null;
-        };
+        Mark mark =
+                switch (call.kind()) {
+                    case EVACUATE, RESTORE -> Content.mark(replication.last(), MARK_EVACUATED, call.arg());
+                    case ROLLOUT -> Content.mark(replication.last(), MARK_ROLLOUT, call.arg());
+                    default -> null;
+                };
         return mark == null ? call.base() : Math.max(call.base(), mark.version());
     }
 
@@ -140,7 +141,8 @@
             return;
         }
         if (peer.equals(replica.view().head()) || peer.equals(replica.view().tail())) {
-            held.getOrDefault(replica.self, Map.of()).values().stream().filter(h -> target(h.call).equals(peer))
+            held.getOrDefault(replica.self, Map.of()).values().stream()
+                    .filter(h -> target(h.call).equals(peer))
                     .forEach(h -> h.sentEpoch = UNSENT);
         }
         goOn();
@@ -223,14 +225,19 @@
     /** Asks the voters whether this view is still the newest, before an answer that rests on the state held here. */
     private void confirm(Held call, Content.Decision decision) {
         long id = nextConfirm++;
-        unconfirmed.put(id, new Unconfirmed(call, decision, replication.last().seq(), replica.nowMs(), new TreeSet<>()));
+        unconfirmed.put(
+                id, new Unconfirmed(call, decision, replication.last().seq(), replica.nowMs(), new TreeSet<>()));
         replica.view().voters().forEach(voter -> replica.send(voter, new Confirm(replica.epoch(), id)));
     }
 
     void onConfirmed(NodeId from, Confirmed confirmation) {
         Unconfirmed answer = unconfirmed.get(confirmation.id());
-        boolean counts = answer != null && confirmation.ok() && replica.view() != null && confirmation.epoch() == replica.epoch()
-                && replica.view().voters().contains(from) && replication.established();
+        boolean counts = answer != null
+                && confirmation.ok()
+                && replica.view() != null
+                && confirmation.epoch() == replica.epoch()
+                && replica.view().voters().contains(from)
+                && replication.established();
         if (!counts) {
             return;
         }
@@ -273,7 +280,10 @@
         waiting.removeIf(answer -> {
             boolean due = answer.seq() <= seq;
             if (due) {
-                answer(answer.held(), answer.decision().outcome(), answer.decision().body());
+                answer(
+                        answer.held(),
+                        answer.decision().outcome(),
+                        answer.decision().body());
             }
             return due;
         });
--- a/src/main/java/ringspindle/chain/Proposer.java
+++ b/src/main/java/ringspindle/chain/Proposer.java
@@ -19,6 +19,7 @@
     private static final long PROPOSAL_MS = 700;
     /** How long a majority waits for the promises of others that seem to be there. */
     private static final long STRAGGLERS_MS = 250;
+
     private static final long BACKOFF_MS = 150;
     private static final int BACKOFF_SPREAD_MS = 400;
     private static final long AFTER_VIEW_MS = 300;
@@ -91,7 +92,9 @@
     }
 
     void onPledge(NodeId from, Pledge pledge) {
-        boolean awaited = proposal != null && proposal.value == null && proposal.epoch == pledge.epoch()
+        boolean awaited = proposal != null
+                && proposal.value == null
+                && proposal.epoch == pledge.epoch()
                 && proposal.ballot == pledge.ballot();
         if (!awaited) {
             return;
@@ -108,10 +111,15 @@
 
     /** Goes on once a majority promised; waits a little for the others that seem to be there. */
     private void maybeAccept() {
-        if (proposal == null || proposal.value != null || proposal.promises.size() < replica.view().majority() || expired()) {
+        if (proposal == null
+                || proposal.value != null
+                || proposal.promises.size() < replica.view().majority()
+                || expired()) {
             return;
         }
-        long expected = replica.view().voters().stream().filter(v -> v.equals(replica.self) || replica.linked(v)).count();
+        long expected = replica.view().voters().stream()
+                .filter(v -> v.equals(replica.self) || replica.linked(v))
+                .count();
         if (proposal.promises.size() < expected && replica.nowMs() - proposal.sinceMs < STRAGGLERS_MS) {
             return;
         }
@@ -141,7 +149,9 @@
     }
 
     void onAccepted(NodeId from, Accepted answer) {
-        boolean awaited = proposal != null && proposal.value != null && proposal.epoch == answer.epoch()
+        boolean awaited = proposal != null
+                && proposal.value != null
+                && proposal.epoch == answer.epoch()
                 && proposal.ballot == answer.ballot();
         if (!awaited) {
             return;
--- a/src/main/java/ringspindle/chain/Relearning.java
+++ b/src/main/java/ringspindle/chain/Relearning.java
@@ -47,7 +47,9 @@
 
     /** A node that does not vote may have missed a view: it asks one that may know better. */
     void askOne() {
-        if (replica.votes() || replica.nowMs() < nextAskMs || replica.reach().live().isEmpty()) {
+        if (replica.votes()
+                || replica.nowMs() < nextAskMs
+                || replica.reach().live().isEmpty()) {
             return;
         }
         nextAskMs = replica.nowMs() + ASK_AS_LEARNER_EVERY_MS;
@@ -84,7 +86,8 @@
         long ballot = 0;
         for (Map.Entry<NodeId, Relearned> entry : answers.entrySet()) {
             Relearned answer = entry.getValue();
-            boolean higher = answer.promisedEpoch() > epoch || answer.promisedEpoch() == epoch && answer.promised() > ballot;
+            boolean higher =
+                    answer.promisedEpoch() > epoch || answer.promisedEpoch() == epoch && answer.promised() > ballot;
             if (newest.voters().contains(entry.getKey()) && higher) {
                 epoch = answer.promisedEpoch();
                 ballot = answer.promised();
@@ -94,7 +97,9 @@
         View accepted = null;
         for (Map.Entry<NodeId, Relearned> entry : answers.entrySet()) {
             Relearned answer = entry.getValue();
-            if (newest.voters().contains(entry.getKey()) && answer.promisedEpoch() == epoch && epoch > newest.epoch()
+            if (newest.voters().contains(entry.getKey())
+                    && answer.promisedEpoch() == epoch
+                    && epoch > newest.epoch()
                     && answer.acceptedBallot() > acceptedBallot) {
                 acceptedBallot = answer.acceptedBallot();
                 accepted = answer.accepted();
--- a/src/main/java/ringspindle/chain/Replica.java
+++ b/src/main/java/ringspindle/chain/Replica.java
@@ -118,7 +118,9 @@
     /** The next member of the chain, null if there is none. */
     NodeId successor() {
         int index = view.chain().indexOf(self);
-        return index < 0 || index + 1 >= view.chain().size() ? null : view.chain().get(index + 1);
+        return index < 0 || index + 1 >= view.chain().size()
+                ? null
+                : view.chain().get(index + 1);
     }
 
     /** The member before this one, null if there is none. */
--- a/src/main/java/ringspindle/chain/Replication.java
+++ b/src/main/java/ringspindle/chain/Replication.java
@@ -21,6 +21,7 @@
     private static final byte[] NONE = {};
     /** What is not confirmed by the successor is sent again after so long, then after twice as long. */
     private static final long RESEND_MS = 400;
+
     private static final long RESEND_MAX_MS = 6400;
     private static final long NOTHING = -1;
 
@@ -34,8 +35,7 @@
     }
 
     /** An entry that is not committed yet, and the state after it; without an origin where another node took the order. */
-    private record Pending(long seq, State state, byte[] op, NodeId origin, long call) {
-    }
+    private record Pending(long seq, State state, byte[] op, NodeId origin, long call) {}
 
     private final Replica replica;
     private final Acceptor acceptor;
@@ -46,6 +46,7 @@
     private State committed;
     /** The number of the last entry of this view that is on this disk, and the state as of it. */
     private long synced = NOTHING;
+
     private State syncedState = last;
     private long sentDown = NOTHING;
     private long ackedDown = NOTHING;
@@ -97,7 +98,8 @@
 
     /** True while entries wait for longer than that to be committed. */
     boolean stalledFor(long ms) {
-        return last.seq() > (committed == null ? NOTHING : committed.seq()) && replica.nowMs() - uncommittedSinceMs > ms;
+        return last.seq() > (committed == null ? NOTHING : committed.seq())
+                && replica.nowMs() - uncommittedSinceMs > ms;
     }
 
     // ---- a start, a lost disk, a new view
@@ -132,7 +134,7 @@
     /** Starts anew with nothing, and with a vote that was relearned. */
     void reset() {
         load(new State(NOTHING, 0, 0, List.of(), List.of(), NONE));
-        replica.store(List.of(vote.get(), last), true, () -> { });
+        replica.store(List.of(vote.get(), last), true, () -> {});
     }
 
     /** A new view is in force. Its head turns the copy it holds into the first of the view; others wait for a snapshot. */
@@ -142,19 +144,22 @@
         ackedDown = NOTHING;
         resendMs = RESEND_MS;
         uncommittedSinceMs = replica.nowMs();
-        boolean leads = replica.inChain() && replica.isHead() && last.lineage() >= 0 && last.lineage() < replica.epoch();
+        boolean leads =
+                replica.inChain() && replica.isHead() && last.lineage() >= 0 && last.lineage() < replica.epoch();
         if (leads) {
             last = inThisView(last);
             State first = last;
             replica.store(List.of(vote.get(), first), true, () -> onStored(first));
         } else {
-            replica.store(List.of(vote.get()), false, () -> { });
+            replica.store(List.of(vote.get()), false, () -> {});
         }
     }
 
     private State inThisView(State state) {
-        return state.lineage() == replica.epoch() ? state
-                : new State(replica.epoch(), state.seq(), state.revision(), state.past(), state.marks(), state.config());
+        return state.lineage() == replica.epoch()
+                ? state
+                : new State(
+                        replica.epoch(), state.seq(), state.revision(), state.past(), state.marks(), state.config());
     }
 
     // ---- down the chain
@@ -295,7 +300,9 @@
     }
 
     void onSynced(NodeId from, Synced confirmation) {
-        if (replica.view() == null || confirmation.epoch() != replica.epoch() || !from.equals(replica.successor())
+        if (replica.view() == null
+                || confirmation.epoch() != replica.epoch()
+                || !from.equals(replica.successor())
                 || !ofThisView()) {
             return;
         }
@@ -341,7 +348,8 @@
     @Override
     public String toString() {
         return "lineage " + last.lineage() + " seq " + last.seq() + " committed "
-                + (committed == null ? null : committed.lineage() + "/" + committed.seq()) + " synced " + synced + " down "
+                + (committed == null ? null : committed.lineage() + "/" + committed.seq()) + " synced " + synced
+                + " down "
                 + sentDown + "/" + ackedDown;
     }
 }
--- a/src/main/java/ringspindle/chain/Rollouts.java
+++ b/src/main/java/ringspindle/chain/Rollouts.java
@@ -1,21 +1,26 @@
 package ringspindle.chain;
 
-import static java.nio.charset.StandardCharsets.*;
-import static ringspindle.chain.Chain.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static ringspindle.chain.Chain.MARK_ROLLOUT;
 
-import jakarta.json.*;
-import jakarta.json.spi.*;
-import java.util.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.wire.Msg.*;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.spi.JsonProvider;
+import java.util.ArrayList;
+import java.util.List;
+import ringspindle.api.Outcome;
+import ringspindle.conf.Checked;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.Problem;
+import ringspindle.wire.Msg.Call;
+import ringspindle.wire.Msg.Mark;
+import ringspindle.wire.Msg.State;
 
 /** Orders on roll-outs and what they make of the control state. Pure. */
 final class Rollouts {
     private static final JsonProvider JSON = JsonProvider.provider();
 
-    private Rollouts() {
-    }
+    private Rollouts() {}
 
     static Content.Decision decide(State s, Call c) {
         Checked<JsonObject> body = FleetConfig.json(c.body());
@@ -38,11 +43,13 @@
         // an operator's order that was held up must not undo a newer one; the duty's own orders name their epoch
         boolean operators = !o.containsKey("epoch");
         return operators && decision.op() != null && Content.overtaken(c, Content.mark(s, MARK_ROLLOUT, c.arg()))
-                ? Content.outcome(Outcome.UNCLEAR) : decision;
+                ? Content.outcome(Outcome.UNCLEAR)
+                : decision;
     }
 
     private static Content.Decision decide(State s, Call c, JsonObject o, Rollout now, String order) {
-        boolean open = now != null && (now.state() == Rollout.Standing.RUNNING || now.state() == Rollout.Standing.PAUSED);
+        boolean open =
+                now != null && (now.state() == Rollout.Standing.RUNNING || now.state() == Rollout.Standing.PAUSED);
         switch (order) {
             case "start": {
                 long target = o.getJsonNumber("target").longValueExact();
@@ -60,18 +67,35 @@
                     return refused(new Problem.UnknownService("of the roll-out", c.arg()).text());
                 }
                 long from = o.get("from") instanceof JsonNumber n ? n.longValue() : -1;
-                return write(c, new Rollout(c.arg(), target, from, atOnce, floor, patienceS, Rollout.Standing.RUNNING, "",
-                        s.lineage(), List.of(), List.of()));
+                return write(
+                        c,
+                        new Rollout(
+                                c.arg(),
+                                target,
+                                from,
+                                atOnce,
+                                floor,
+                                patienceS,
+                                Rollout.Standing.RUNNING,
+                                "",
+                                s.lineage(),
+                                List.of(),
+                                List.of()));
             }
             case "resume":
-                return now == null ? Content.outcome(Outcome.NO_SUCH)
-                        : now.state() == Rollout.Standing.RUNNING ? Content.outcome(Outcome.TAKEN)
-                        : !open ? Content.outcome(Outcome.CLASH)
-                        : write(c, now.with(Rollout.Standing.RUNNING, "", now.turn(), now.swapped()));
+                return now == null
+                        ? Content.outcome(Outcome.NO_SUCH)
+                        : now.state() == Rollout.Standing.RUNNING
+                                ? Content.outcome(Outcome.TAKEN)
+                                : !open
+                                        ? Content.outcome(Outcome.CLASH)
+                                        : write(c, now.with(Rollout.Standing.RUNNING, "", now.turn(), now.swapped()));
             case "abort":
-                return now == null ? Content.outcome(Outcome.NO_SUCH)
-                        : !open ? Content.outcome(Outcome.TAKEN)
-                        : write(c, now.with(Rollout.Standing.ABORTED, "", List.of(), now.swapped()));
+                return now == null
+                        ? Content.outcome(Outcome.NO_SUCH)
+                        : !open
+                                ? Content.outcome(Outcome.TAKEN)
+                                : write(c, now.with(Rollout.Standing.ABORTED, "", List.of(), now.swapped()));
             case "back":
                 if (now == null) {
                     return Content.outcome(Outcome.NO_SUCH);
@@ -79,8 +103,20 @@
                 if (now.from() < 0) {
                     return refused("it is not known which checkpoint to turn back to");
                 }
-                return write(c, new Rollout(now.service(), now.from(), now.target(), now.atOnce(), now.floor(),
-                        now.patienceS(), Rollout.Standing.RUNNING, "", s.lineage(), now.turn(), List.of()));
+                return write(
+                        c,
+                        new Rollout(
+                                now.service(),
+                                now.from(),
+                                now.target(),
+                                now.atOnce(),
+                                now.floor(),
+                                now.patienceS(),
+                                Rollout.Standing.RUNNING,
+                                "",
+                                s.lineage(),
+                                now.turn(),
+                                List.of()));
             default:
                 return duty(s, c, o, now, order);
         }
@@ -119,7 +155,8 @@
             case "pause":
                 return write(c, now.with(Rollout.Standing.PAUSED, o.getString("cause", ""), turn, swapped));
             case "done":
-                return turn.isEmpty() ? write(c, now.with(Rollout.Standing.DONE, "", turn, swapped))
+                return turn.isEmpty()
+                        ? write(c, now.with(Rollout.Standing.DONE, "", turn, swapped))
                         : Content.outcome(Outcome.CLASH);
             default:
                 return refused("no such order: " + order);
@@ -127,7 +164,8 @@
     }
 
     private static boolean hasService(State s, String name) {
-        return s.config().length > 0 && FleetConfig.read(FleetConfig.unpack(s.config())) instanceof Checked.Good<FleetConfig> c
+        return s.config().length > 0
+                && FleetConfig.read(FleetConfig.unpack(s.config())) instanceof Checked.Good<FleetConfig> c
                 && c.value().service(name) != null;
     }
 
--- a/src/main/java/ringspindle/chain/ViewMonitor.java
+++ b/src/main/java/ringspindle/chain/ViewMonitor.java
@@ -15,12 +15,15 @@
     private static final long RANK_MS = 350;
     /** A voter that is back is taken into the chain after so long; longer, up to the bound, if that keeps failing. */
     private static final long READD_MS = 300;
+
     private static final long READD_MAX_MS = 1200;
     /** How long a node that may join is waited for before the voters change. */
     private static final long JOIN_MS = 300;
+
     private static final long JOIN_FOUNDING_MS = 600;
     /** How long a start with too few voters waits for nodes that it has not heard of yet. */
     private static final long FOUNDING_MS = 8000;
+
     private static final long RESTART_FOUNDING_MS = 3000;
     /** After so long nothing is waited for: a node that never joins must not hold up orders for good. */
     private static final long FOUNDING_MAX_MS = 30_000;
@@ -66,7 +69,8 @@
     }
 
     private boolean quorumLinked() {
-        return replica.view().voters().stream().filter(this::inTouch).count() >= replica.view().majority();
+        return replica.view().voters().stream().filter(this::inTouch).count()
+                >= replica.view().majority();
     }
 
     private boolean inTouch(NodeId node) {
@@ -86,12 +90,14 @@
             return true;
         }
         long waitedMs = nowMs - startedMs;
-        return waitedMs < (bootstrap ? FOUNDING_MS : RESTART_FOUNDING_MS) || waitedMs < FOUNDING_MAX_MS && joinerInTouch();
+        return waitedMs < (bootstrap ? FOUNDING_MS : RESTART_FOUNDING_MS)
+                || waitedMs < FOUNDING_MAX_MS && joinerInTouch();
     }
 
     private boolean joinerInTouch() {
         return replica.reach() != null
-                && replica.reach().live().stream().anyMatch(n -> !replica.view().voters().contains(n) && !replica.leaving(n));
+                && replica.reach().live().stream()
+                        .anyMatch(n -> !replica.view().voters().contains(n) && !replica.leaving(n));
     }
 
     /** True if this node is to propose another view now. */
@@ -112,7 +118,9 @@
     private long rank() {
         List<NodeId> order = new ArrayList<>(replica.view().chain());
         replica.view().voters().stream().filter(voter -> !order.contains(voter)).forEach(order::add);
-        return order.subList(0, order.indexOf(replica.self)).stream().filter(replica::linked).count();
+        return order.subList(0, order.indexOf(replica.self)).stream()
+                .filter(replica::linked)
+                .count();
     }
 
     /** How long to bear what is wrong with the view, below 0 if nothing is. */
@@ -153,16 +161,21 @@
     }
 
     private boolean memberLeaves(View view) {
-        long staying = view.chain().stream().filter(node -> !replica.leaving(node)).count();
+        long staying =
+                view.chain().stream().filter(node -> !replica.leaving(node)).count();
         return staying < view.chain().size() && staying >= view.majority();
     }
 
     /** True if a voter outside the chain could be a member: in touch here and with a member in touch. */
     private boolean voterToReadd(View view) {
         for (NodeId voter : view.voters()) {
-            boolean candidate = !view.chain().contains(voter) && !replica.leaving(voter) && !replica.reach().blank(voter)
+            boolean candidate = !view.chain().contains(voter)
+                    && !replica.leaving(voter)
+                    && !replica.reach().blank(voter)
                     && inTouch(voter);
-            if (candidate && view.chain().stream().anyMatch(m -> inTouch(m) && replica.reach().linked(m, voter))) {
+            if (candidate
+                    && view.chain().stream()
+                            .anyMatch(m -> inTouch(m) && replica.reach().linked(m, voter))) {
                 return true;
             }
         }
--- a/src/main/java/ringspindle/chain/ViewPlanner.java
+++ b/src/main/java/ringspindle/chain/ViewPlanner.java
@@ -35,7 +35,8 @@
         }
         NodeId head = head(newest, promises);
         View view = replica.view();
-        List<NodeId> voters = replica.reach() == null ? view.voters()
+        List<NodeId> voters = replica.reach() == null
+                ? view.voters()
                 : membership.nextVoters(view, promises.keySet(), head, replica.reach(), replica.nowMs());
         List<NodeId> chain = chain(head, voters, promises.keySet());
         if (chain == null && !voters.equals(view.voters())) {
@@ -58,7 +59,9 @@
      * that was stale when that view was decided, and got nothing since, does not tell what was acknowledged before it.
      */
     private boolean safe(Pledge newest, Map<NodeId, Pledge> promises) {
-        return newest != null && newest.lineage() >= 0 && newest.position().compareTo(replica.view().base()) >= 0
+        return newest != null
+                && newest.lineage() >= 0
+                && newest.position().compareTo(replica.view().base()) >= 0
                 && replica.view().chain().stream().anyMatch(member -> keptDisk(promises.get(member)));
     }
 
@@ -72,8 +75,12 @@
      */
     private Position safeBase(Map<NodeId, Pledge> promises) {
         View view = replica.view();
-        Position least = view.chain().stream().map(promises::get).filter(ViewPlanner::keptDisk).map(Pledge::position)
-                .min(Comparator.naturalOrder()).orElse(null);
+        Position least = view.chain().stream()
+                .map(promises::get)
+                .filter(ViewPlanner::keptDisk)
+                .map(Pledge::position)
+                .min(Comparator.naturalOrder())
+                .orElse(null);
         return least != null && least.lineage() == view.epoch() ? least : view.base();
     }
 
@@ -81,7 +88,8 @@
     private NodeId head(Pledge newest, Map<NodeId, Pledge> promises) {
         List<NodeId> order = new ArrayList<>(replica.view().chain());
         replica.view().voters().stream().filter(voter -> !order.contains(voter)).forEach(order::add);
-        order.removeIf(node -> !promises.containsKey(node) || !promises.get(node).position().equals(newest.position()));
+        order.removeIf(node ->
+                !promises.containsKey(node) || !promises.get(node).position().equals(newest.position()));
         return order.stream().filter(node -> !replica.leaving(node)).findFirst().orElse(order.get(0));
     }
 
@@ -114,7 +122,8 @@
                 places.add(place);
             }
         }
-        members.sort(Comparator.comparingInt(member -> places.indexOf(replica.reach().place(member))));
+        members.sort(
+                Comparator.comparingInt(member -> places.indexOf(replica.reach().place(member))));
     }
 
     /** The longest path from the head over links that stand, or the best that a bounded search finds. */
--- a/src/main/java/ringspindle/conf/Checked.java
+++ b/src/main/java/ringspindle/conf/Checked.java
@@ -1,14 +1,14 @@
 package ringspindle.conf;
 
-import java.util.*;
+import java.util.List;
 
 /** A value, or what is wrong with it. */
 public sealed interface Checked<T> {
-    record Good<T>(T value) implements Checked<T> {
-    }
+    /** A value that passed all checks. */
+    record Good<T>(T value) implements Checked<T> {}
 
-    record Refused<T>(List<Problem> problems) implements Checked<T> {
-    }
+    /** The problems for which there is no value. */
+    record Refused<T>(List<Problem> problems) implements Checked<T> {}
 
     /** {@code Checked.refused(new Problem.Missing("node.zone"))}. */
     static <T> Checked<T> refused(Problem... p) {
--- a/src/main/java/ringspindle/conf/FleetConfig.java
+++ b/src/main/java/ringspindle/conf/FleetConfig.java
@@ -1,12 +1,38 @@
 package ringspindle.conf;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import jakarta.json.*;
-import java.io.*;
-import java.util.*;
-import java.util.zip.*;
-import ringspindle.conf.Checked.*;
+import jakarta.json.Json;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonConfig;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.JsonReader;
+import jakarta.json.JsonReaderFactory;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+import ringspindle.conf.Checked.Good;
+import ringspindle.conf.Checked.Refused;
 
 /** A configuration of the operator, read and checked. */
 public final class FleetConfig {
@@ -14,12 +40,22 @@
             Json.createReaderFactory(Map.of(JsonConfig.KEY_STRATEGY, JsonConfig.KeyStrategy.NONE));
 
     /** A share of a mapping's requests. */
-    public record Target(String service, double weight) {
-    }
+    public record Target(String service, double weight) {}
 
     /** Where requests of a host and prefix go. */
-    public record Mapping(String name, String host, String pathPrefix, Kind kind, int deadlineMs, int aimMs,
-            int priority, List<Target> targets, int maxAttempts, boolean resumable, boolean sticky, int tokenGapMs,
+    public record Mapping(
+            String name,
+            String host,
+            String pathPrefix,
+            Kind kind,
+            int deadlineMs,
+            int aimMs,
+            int priority,
+            List<Target> targets,
+            int maxAttempts,
+            boolean resumable,
+            boolean sticky,
+            int tokenGapMs,
             Set<String> homes) {
         /** True where a request may run more than once; {@code mapping.repeatable()}. */
         public boolean repeatable() {
@@ -29,17 +65,23 @@
 
     /** What may be repeated. */
     public enum Kind {
-        IDEMPOTENT, MUTATING, STREAMING
+        IDEMPOTENT,
+        MUTATING,
+        STREAMING
     }
 
     /** Engines of one sort. */
-    public record Service(String name, String healthPath, int maxConnections, double warmupS, double warmupPerS,
-            long cacheTokens, int capacity) {
-    }
+    public record Service(
+            String name,
+            String healthPath,
+            int maxConnections,
+            double warmupS,
+            double warmupPerS,
+            long cacheTokens,
+            int capacity) {}
 
     /** What a consumer may send and how long it may take. */
-    public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
-    }
+    public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {}
 
     private final JsonObject source;
     private final long revision;
@@ -47,14 +89,18 @@
     private final Map<String, Service> services = new HashMap<>();
     private final Limits limits;
 
-    private FleetConfig(JsonObject source, long revision, List<Mapping> mappings, List<Service> services, Limits limits) {
+    private FleetConfig(
+            JsonObject source, long revision, List<Mapping> mappings, List<Service> services, Limits limits) {
         this.source = source;
         this.revision = revision;
         this.limits = limits;
         for (Mapping m : mappings) {
-            byHost.computeIfAbsent(m.host().toLowerCase(Locale.ROOT), k -> new ArrayList<>()).add(m);
+            byHost.computeIfAbsent(m.host().toLowerCase(Locale.ROOT), k -> new ArrayList<>())
+                    .add(m);
         }
-        byHost.values().forEach(l -> l.sort(Comparator.comparingInt((Mapping m) -> -m.pathPrefix().length())));
+        byHost.values()
+                .forEach(l -> l.sort(
+                        Comparator.comparingInt((Mapping m) -> -m.pathPrefix().length())));
         services.forEach(s -> this.services.put(s.name(), s));
     }
 
@@ -63,7 +109,8 @@
         try (JsonReader r = READERS.createReader(new InputStreamReader(new ByteArrayInputStream(body), UTF_8))) {
             return new Good<>(r.readObject());
         } catch (RuntimeException x) {
-            return Checked.refused(new Problem.Unreadable("not a whole JSON object: " + x.getClass().getSimpleName()));
+            return Checked.refused(new Problem.Unreadable(
+                    "not a whole JSON object: " + x.getClass().getSimpleName()));
         }
     }
 
@@ -98,8 +145,13 @@
                 problems.add(new Problem.SameName(name));
             }
             JsonObject engine = s.get("engine") instanceof JsonObject e ? e : JsonValue.EMPTY_JSON_OBJECT;
-            services.add(new Service(name, s.getString("healthPath", "/health"), s.getInt("maxConnections", 100),
-                    number(s, "warmupS", 0), number(s, "warmupPerS", 0), (long) number(engine, "cacheTokens", 0),
+            services.add(new Service(
+                    name,
+                    s.getString("healthPath", "/health"),
+                    s.getInt("maxConnections", 100),
+                    number(s, "warmupS", 0),
+                    number(s, "warmupPerS", 0),
+                    (long) number(engine, "cacheTokens", 0),
                     (int) number(engine, "capacity", 0)));
         }
         List<Mapping> mappings = new ArrayList<>();
@@ -143,19 +195,33 @@
             if (r.get("homeRegions") instanceof JsonArray a) {
                 a.getValuesAs(JsonString.class).forEach(h -> homes.add(h.getString()));
             }
-            Kind kind = switch (r.getString("routeKind", "mutating")) {
-                case "idempotent" -> Kind.IDEMPOTENT;
-                case "streaming" -> Kind.STREAMING;
-                default -> Kind.MUTATING;
-            };
-            mappings.add(new Mapping(name, host, prefix, kind, deadlineMs, (int) number(r, "targetLatencyMs", 1000),
-                    (int) number(r, "priority", 0), List.copyOf(targets), Math.max(1, (int) number(r, "maxAttempts", 1)),
-                    r.getBoolean("resumable", false), r.getBoolean("sticky", false), (int) number(r, "tokenGapMs", 1000),
+            Kind kind =
+                    switch (r.getString("routeKind", "mutating")) {
+                        case "idempotent" -> Kind.IDEMPOTENT;
+                        case "streaming" -> Kind.STREAMING;
+                        default -> Kind.MUTATING;
+                    };
+            mappings.add(new Mapping(
+                    name,
+                    host,
+                    prefix,
+                    kind,
+                    deadlineMs,
+                    (int) number(r, "targetLatencyMs", 1000),
+                    (int) number(r, "priority", 0),
+                    List.copyOf(targets),
+                    Math.max(1, (int) number(r, "maxAttempts", 1)),
+                    r.getBoolean("resumable", false),
+                    r.getBoolean("sticky", false),
+                    (int) number(r, "tokenGapMs", 1000),
                     Set.copyOf(homes)));
         }
         JsonObject l = o.get("limits") instanceof JsonObject x ? x : JsonValue.EMPTY_JSON_OBJECT;
-        Limits limits = new Limits((int) number(l, "maxHeaderBytes", 16384), (int) number(l, "maxBodyBytes", 4 << 20),
-                (int) number(l, "headerTimeoutMs", 3000), (int) number(l, "idleTimeoutMs", 15000));
+        Limits limits = new Limits(
+                (int) number(l, "maxHeaderBytes", 16384),
+                (int) number(l, "maxBodyBytes", 4 << 20),
+                (int) number(l, "headerTimeoutMs", 3000),
+                (int) number(l, "idleTimeoutMs", 15000));
         if (!problems.isEmpty()) {
             return new Refused<>(problems);
         }
--- a/src/main/java/ringspindle/conf/NodeConfig.java
+++ b/src/main/java/ringspindle/conf/NodeConfig.java
@@ -1,17 +1,48 @@
 package ringspindle.conf;
 
-import java.io.*;
-import java.nio.file.*;
-import java.util.*;
-import ringspindle.conf.Checked.*;
-import ringspindle.wire.*;
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Properties;
+import java.util.TreeMap;
+import ringspindle.conf.Checked.Good;
+import ringspindle.conf.Checked.Refused;
+import ringspindle.wire.NodeId;
 
 /** The checked settings of one node. */
-public record NodeConfig(String name, String ip, String zone, String region, boolean bootstrap, String dataPath,
-        Optional<NodeId> frontend, Optional<NodeId> readiness, Optional<NodeId> control, Optional<NodeId> registry,
-        int innerPort, List<NodeId> seeds, Map<String, String> regionOfZone, int memoryMb, int engineBeatMs,
-        int contactMs, int drainMs, double graceS, double retryRatio, double retryWindowS, int retrySlack,
-        double warmupOverrun, int warmupSlack, int evacuationMs, double ttlS, int lossesBorne) {
+public record NodeConfig(
+        String name,
+        String ip,
+        String zone,
+        String region,
+        boolean bootstrap,
+        String dataPath,
+        Optional<NodeId> frontend,
+        Optional<NodeId> readiness,
+        Optional<NodeId> control,
+        Optional<NodeId> registry,
+        int innerPort,
+        List<NodeId> seeds,
+        Map<String, String> regionOfZone,
+        int memoryMb,
+        int engineBeatMs,
+        int contactMs,
+        int drainMs,
+        double graceS,
+        double retryRatio,
+        double retryWindowS,
+        int retrySlack,
+        double warmupOverrun,
+        int warmupSlack,
+        int evacuationMs,
+        double ttlS,
+        int lossesBorne) {
 
     /** Reads and checks the file; {@code NodeConfig.read(Path.of("node.conf"))}. */
     public static Checked<NodeConfig> read(Path file) {
@@ -57,16 +88,32 @@
         if (seeds.isEmpty()) {
             r.problems.add(new Problem.Missing("seeds"));
         }
-        NodeConfig c = new NodeConfig(r.text("node.name"), ip, r.text("node.zone"), r.text("node.region"),
+        NodeConfig c = new NodeConfig(
+                r.text("node.name"),
+                ip,
+                r.text("node.zone"),
+                r.text("node.region"),
                 Boolean.parseBoolean(p.getProperty("node.bootstrap", "false").trim()),
-                p.getProperty("node.data", "").trim(), r.maybe("listen.frontend"), r.maybe("listen.readiness"),
-                r.maybe("listen.control"), r.maybe("listen.registry"), inner, List.copyOf(seeds),
-                Collections.unmodifiableMap(zones), (int) r.number("limit.memoryMb", 512),
-                (int) r.number("engine.beatMs", 1000), (int) r.number("bound.contactMs", 4000),
-                (int) r.number("bound.drainMs", 2500), r.number("bound.graceS", 8), r.number("bound.retryRatio", 0.1),
-                r.number("bound.retryWindowS", 10), (int) r.number("bound.retrySlack", 0),
-                r.number("bound.warmupOverrun", 1), (int) r.number("bound.warmupSlack", 0),
-                (int) r.number("bound.evacuationMs", 5000), r.number("bound.ttlS", 5),
+                p.getProperty("node.data", "").trim(),
+                r.maybe("listen.frontend"),
+                r.maybe("listen.readiness"),
+                r.maybe("listen.control"),
+                r.maybe("listen.registry"),
+                inner,
+                List.copyOf(seeds),
+                Collections.unmodifiableMap(zones),
+                (int) r.number("limit.memoryMb", 512),
+                (int) r.number("engine.beatMs", 1000),
+                (int) r.number("bound.contactMs", 4000),
+                (int) r.number("bound.drainMs", 2500),
+                r.number("bound.graceS", 8),
+                r.number("bound.retryRatio", 0.1),
+                r.number("bound.retryWindowS", 10),
+                (int) r.number("bound.retrySlack", 0),
+                r.number("bound.warmupOverrun", 1),
+                (int) r.number("bound.warmupSlack", 0),
+                (int) r.number("bound.evacuationMs", 5000),
+                r.number("bound.ttlS", 5),
                 (int) r.number("loss.nodes", 1));
         return r.problems.isEmpty() ? new Good<>(c) : new Refused<>(List.copyOf(r.problems));
     }
--- a/src/main/java/ringspindle/conf/Problem.java
+++ b/src/main/java/ringspindle/conf/Problem.java
@@ -5,6 +5,7 @@
     /** Names the problem for a person; {@code new Problem.Missing("node.zone").text()}. */
     String text();
 
+    /** A required key is not there. */
     record Missing(String key) implements Problem {
         @Override
         public String text() {
@@ -12,6 +13,7 @@
         }
     }
 
+    /** The value of a key cannot be read as what is wanted. */
     record Bad(String key, String value, String wanted) implements Problem {
         @Override
         public String text() {
@@ -19,6 +21,7 @@
         }
     }
 
+    /** A file or document cannot be read at all. */
     record Unreadable(String what) implements Problem {
         @Override
         public String text() {
@@ -26,6 +29,7 @@
         }
     }
 
+    /** A route names a service that is not configured. */
     record UnknownService(String mapping, String service) implements Problem {
         @Override
         public String text() {
@@ -33,6 +37,7 @@
         }
     }
 
+    /** Two routes have the same host and path prefix. */
     record SamePlace(String one, String other) implements Problem {
         @Override
         public String text() {
@@ -40,6 +45,7 @@
         }
     }
 
+    /** The weights of a route's targets add up to zero. */
     record NoWeight(String mapping) implements Problem {
         @Override
         public String text() {
@@ -47,6 +53,7 @@
         }
     }
 
+    /** A route has no deadline. */
     record NoDeadline(String mapping) implements Problem {
         @Override
         public String text() {
@@ -54,6 +61,7 @@
         }
     }
 
+    /** The revision is not newer than the one in force. */
     record OldRevision(long revision, long current) implements Problem {
         @Override
         public String text() {
@@ -61,6 +69,7 @@
         }
     }
 
+    /** Two items have the same name. */
     record SameName(String name) implements Problem {
         @Override
         public String text() {
@@ -68,6 +77,7 @@
         }
     }
 
+    /** A field that the format does not have. */
     record UnknownField(String place, String field) implements Problem {
         @Override
         public String text() {
@@ -75,6 +85,7 @@
         }
     }
 
+    /** A value outside the range that is allowed. */
     record OutOfRange(String place, String value, String wanted) implements Problem {
         @Override
         public String text() {
@@ -82,6 +93,7 @@
         }
     }
 
+    /** A reference to a name that does not exist. */
     record UnknownName(String place, String name) implements Problem {
         @Override
         public String text() {
@@ -89,6 +101,7 @@
         }
     }
 
+    /** A region that is not among the home regions of the route. */
     record OutsideHomes(String place, String region) implements Problem {
         @Override
         public String text() {
@@ -96,6 +109,7 @@
         }
     }
 
+    /** A rule that never applies, as an earlier rule matches all of its requests. */
     record Unreachable(String place, String by) implements Problem {
         @Override
         public String text() {
@@ -103,6 +117,7 @@
         }
     }
 
+    /** The document is larger than the limit. */
     record TooLong(int bytes, int most) implements Problem {
         @Override
         public String text() {
--- a/src/main/java/ringspindle/conf/Settings.java
+++ b/src/main/java/ringspindle/conf/Settings.java
@@ -1,12 +1,14 @@
 package ringspindle.conf;
 
-import java.util.*;
-import java.util.concurrent.*;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /** The settings in force in a running node, and what a changed file changes in them. */
 public final class Settings {
     /** Told when settings that can be taken over while running have changed. */
     public interface Listener {
+        /** Takes the settings that are in force from now on. */
         void settings(NodeConfig c);
     }
 
@@ -17,8 +19,7 @@
      * @param restart settings that differ and wait for a restart of the process
      * @param problems why nothing was taken, empty if the file is good
      */
-    public record Reload(List<String> taken, List<String> restart, List<Problem> problems) {
-    }
+    public record Reload(List<String> taken, List<String> restart, List<Problem> problems) {}
 
     private NodeConfig now;
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
@@ -75,11 +76,33 @@
             differs(taken, "bound.warmupSlack", o.warmupSlack(), next.warmupSlack());
             differs(taken, "bound.evacuationMs", o.evacuationMs(), next.evacuationMs());
             differs(taken, "bound.ttlS", o.ttlS(), next.ttlS());
-            merged = new NodeConfig(o.name(), o.ip(), o.zone(), o.region(), o.bootstrap(), o.dataPath(), o.frontend(),
-                    o.readiness(), o.control(), o.registry(), o.innerPort(), next.seeds(), next.regionOfZone(), o.memoryMb(),
-                    next.engineBeatMs(), next.contactMs(), next.drainMs(), next.graceS(), next.retryRatio(),
-                    next.retryWindowS(), next.retrySlack(), next.warmupOverrun(), next.warmupSlack(), next.evacuationMs(),
-                    next.ttlS(), o.lossesBorne());
+            merged = new NodeConfig(
+                    o.name(),
+                    o.ip(),
+                    o.zone(),
+                    o.region(),
+                    o.bootstrap(),
+                    o.dataPath(),
+                    o.frontend(),
+                    o.readiness(),
+                    o.control(),
+                    o.registry(),
+                    o.innerPort(),
+                    next.seeds(),
+                    next.regionOfZone(),
+                    o.memoryMb(),
+                    next.engineBeatMs(),
+                    next.contactMs(),
+                    next.drainMs(),
+                    next.graceS(),
+                    next.retryRatio(),
+                    next.retryWindowS(),
+                    next.retrySlack(),
+                    next.warmupOverrun(),
+                    next.warmupSlack(),
+                    next.evacuationMs(),
+                    next.ttlS(),
+                    o.lossesBorne());
             now = merged;
         }
         if (!taken.isEmpty()) {
--- a/src/main/java/ringspindle/cp/Calls.java
+++ b/src/main/java/ringspindle/cp/Calls.java
@@ -1,16 +1,18 @@
 package ringspindle.cp;
 
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
-import ringspindle.api.*;
-import ringspindle.chain.*;
-import ringspindle.wire.*;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import ringspindle.api.Outcome;
+import ringspindle.chain.Chain;
+import ringspindle.wire.Steady;
 
 /** Calls under way at this node, by number. Thread safe. */
 final class Calls {
     /** How long after a call came in its outcome is told; later nobody waits for it, and what it says may be old. */
     private static final int ANSWER_MS = 1500;
+
     private static final int ANSWER_CONFIG_MS = 3000;
     private static final byte[] NONE = {};
 
@@ -19,8 +21,7 @@
         void answer(Outcome o, byte[] body);
     }
 
-    private record Open(long untilMs, Answered then) {
-    }
+    private record Open(long untilMs, Answered then) {}
 
     private final Steady clock;
     private final Executor pool;
--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -1,19 +1,47 @@
 package ringspindle.cp;
 
-import static java.nio.charset.StandardCharsets.*;
-
-import com.google.common.flogger.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.function.*;
-import ringspindle.api.*;
-import ringspindle.chain.*;
-import ringspindle.conf.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import ringspindle.api.Outcome;
+import ringspindle.chain.Chain;
+import ringspindle.chain.Rollout;
+import ringspindle.conf.NodeConfig;
+import ringspindle.know.Book;
+import ringspindle.meet.Facts;
+import ringspindle.meet.Meet;
+import ringspindle.meet.RollPlan;
+import ringspindle.meet.Roster;
+import ringspindle.sum.Sum;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Means;
+import ringspindle.wire.Mesh;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Call;
+import ringspindle.wire.Msg.Digest;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.Msg.Load;
+import ringspindle.wire.Msg.Mark;
+import ringspindle.wire.Msg.News;
+import ringspindle.wire.Msg.Report;
+import ringspindle.wire.Msg.State;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
+import ringspindle.wire.Steady;
 
 /** Owner of a control node's state machines: events come in, commands are carried out. */
 final class Control implements Mesh.Ear {
@@ -21,20 +49,27 @@
     static final int TICK_MS = 100;
     /** Heartbeats to data nodes go out every so many ticks. */
     private static final int DATA_TICKS = 4;
+
     private static final int CONTROL_TICKS = 2;
     /** Every so many heartbeats that show other facts the two compare what they know. */
     private static final int DIGEST_HEARTBEATS = 16;
+
     private static final int DIAL_TICKS = 2;
     private static final int ROLL_TICKS = 3;
     private static final int SUM_TICKS = 5;
     private static final int KEEP_TICKS = 20;
     /** So many heartbeats of theirs engines get to be heard after this node was out of touch. */
     private static final int ENGINE_HEARTBEATS = 4;
+
     private static final byte[] NONE = {};
 
     /** What a control node waits for before it serves. */
     enum Awaited {
-        NOTHING, RELEARNING, MAJORITY, FOUNDING, VIEW
+        NOTHING,
+        RELEARNING,
+        MAJORITY,
+        FOUNDING,
+        VIEW
     }
 
     private volatile NodeConfig config;
@@ -65,6 +100,7 @@
     private volatile boolean current;
     /** The newest committed state, and the seq of the newest whose facts are in the book. */
     private volatile State committed;
+
     private long mergedSeq = -1;
 
     Control(NodeConfig config, Means means, Storage storage, Reports reports) throws Exception {
@@ -74,7 +110,13 @@
         clock = means.clock();
         me = NodeId.of(config.ip() + ":" + config.innerPort());
         calls = new Calls(clock, pool, means.chance().getAsLong());
-        Hello self = new Hello(me, means.life(), 0, config.control().orElseThrow().bits(), config.name(), config.zone(),
+        Hello self = new Hello(
+                me,
+                means.life(),
+                0,
+                config.control().orElseThrow().bits(),
+                config.name(),
+                config.zone(),
                 config.region());
         mesh = means.mesh().apply(self);
         meet = Meet.forControl(me);
@@ -83,9 +125,19 @@
         sums = new LoadSums(config, self, mesh, meet, knowledge);
         news = new NewsFeed(mesh, meet, knowledge);
         leases = new LeaseGrants(me, knowledge, frontends);
-        rollouts = new RolloutDriver(reports, (service, body, then) -> call(Chain.ROLLOUT, 0, service, body, (o, text) -> then.run()));
-        List<NodeId> seeds = config.seeds().stream().map(s -> s.at(config.innerPort())).sorted().toList();
-        chain = Chain.create(me, seeds, config.bootstrap(), storage.load(), means.chance().getAsLong(), 2 * config.lossesBorne() + 1);
+        rollouts = new RolloutDriver(
+                reports, (service, body, then) -> call(Chain.ROLLOUT, 0, service, body, (o, text) -> then.run()));
+        List<NodeId> seeds = config.seeds().stream()
+                .map(s -> s.at(config.innerPort()))
+                .sorted()
+                .toList();
+        chain = Chain.create(
+                me,
+                seeds,
+                config.bootstrap(),
+                storage.load(),
+                means.chance().getAsLong(),
+                2 * config.lossesBorne() + 1);
     }
 
     /** Settings changed while running. */
@@ -173,7 +225,8 @@
             for (Meet.Peer p : meet.peers()) {
                 Heartbeat newest = p.heartbeat();
                 if (p.hello().kind() == 0 && p.linked()) {
-                    holders.add(new Handover.Holder(p.hello().node(), newest.epoch(), newest.seq(), (newest.flags() & Heartbeat.BLANK) != 0));
+                    holders.add(new Handover.Holder(
+                            p.hello().node(), newest.epoch(), newest.seq(), (newest.flags() & Heartbeat.BLANK) != 0));
                 }
             }
         }
@@ -417,10 +470,13 @@
                 committed = c.state();
                 pool.execute(() -> committed(c.state()));
             } else if (o instanceof Chain.Out.Viewed v) {
-                LOG.atInfo().log("view %s chain %s voters %s", v.view().epoch(), v.view().chain(), v.view().voters());
+                LOG.atInfo().log(
+                        "view %s chain %s voters %s",
+                        v.view().epoch(), v.view().chain(), v.view().voters());
                 if (v.view().voters().size() < 2 * config.lossesBorne() + 1) {
-                    LOG.atWarning().log("%s voters cannot bear the loss of %s disks at once", v.view().voters().size(),
-                            config.lossesBorne());
+                    LOG.atWarning().log(
+                            "%s voters cannot bear the loss of %s disks at once",
+                            v.view().voters().size(), config.lossesBorne());
                 }
             }
         }
@@ -432,12 +488,13 @@
             items.add(new Item(Book.CONFIG, "", 0, s.revision(), s.config()));
         }
         for (Mark m : s.marks()) {
-            int kind = switch (m.kind()) {
-                case Chain.MARK_EVACUATED -> Book.EVACUATED;
-                case Chain.MARK_LEAVING -> Book.LEAVING;
-                case Chain.MARK_RULES -> Book.RULES;
-                default -> Book.ROLLOUT;
-            };
+            int kind =
+                    switch (m.kind()) {
+                        case Chain.MARK_EVACUATED -> Book.EVACUATED;
+                        case Chain.MARK_LEAVING -> Book.LEAVING;
+                        case Chain.MARK_RULES -> Book.RULES;
+                        default -> Book.ROLLOUT;
+                    };
             items.add(new Item(kind, m.key(), 0, m.version(), m.value().getBytes(UTF_8)));
         }
         synchronized (bookLock) {
@@ -558,7 +615,9 @@
         public String place(NodeId n) {
             synchronized (bookLock) {
                 Meet.Peer p = meet.peer(n);
-                return n.equals(me) ? config.region() : p == null ? "" : p.hello().region();
+                return n.equals(me)
+                        ? config.region()
+                        : p == null ? "" : p.hello().region();
             }
         }
     }
@@ -587,7 +646,9 @@
             view = chain.view();
             blank = chain.blank();
         }
-        int flags = (quorate() ? Heartbeat.QUORATE : 0) | (leaving ? Heartbeat.LEAVING : Heartbeat.READY) | (blank ? Heartbeat.BLANK : 0);
+        int flags = (quorate() ? Heartbeat.QUORATE : 0)
+                | (leaving ? Heartbeat.LEAVING : Heartbeat.READY)
+                | (blank ? Heartbeat.BLANK : 0);
         long epoch = view == null ? 0 : view.epoch();
         long seq = state == null ? -1 : state.seq();
         synchronized (bookLock) {
@@ -597,11 +658,14 @@
 
     /** The head of the view drives roll-outs. */
     private void roll(View view, long nowMs) {
-        boolean holder = view != null && quorate() && hearsEngines(nowMs) && view.head().equals(me);
+        boolean holder =
+                view != null && quorate() && hearsEngines(nowMs) && view.head().equals(me);
         if (!holder || ticks % ROLL_TICKS != 0 || rollouts.ordering()) {
             return;
         }
-        List<Rollout> known = book(b -> b.all(Book.ROLLOUT).stream().map(i -> Rollout.read(new String(i.value(), UTF_8))).toList());
+        List<Rollout> known = book(b -> b.all(Book.ROLLOUT).stream()
+                .map(i -> Rollout.read(new String(i.value(), UTF_8)))
+                .toList());
         rollouts.tick(known, this::members, this::engineAddress, view.epoch(), ticks, nowMs);
     }
 
@@ -625,7 +689,11 @@
         }
         String text = active + queued == 0 ? "free to swap" : "still runs " + (active + queued);
         synchronized (bookLock) {
-            knowledge.merge(List.of(new Item(Book.TURN, id, view.epoch(), knowledge.nextVersion(Book.TURN, id, view.epoch()),
+            knowledge.merge(List.of(new Item(
+                    Book.TURN,
+                    id,
+                    view.epoch(),
+                    knowledge.nextVersion(Book.TURN, id, view.epoch()),
                     text.getBytes(UTF_8))));
         }
     }
--- a/src/main/java/ringspindle/cp/ControlPlane.java
+++ b/src/main/java/ringspindle/cp/ControlPlane.java
@@ -1,13 +1,21 @@
 package ringspindle.cp;
 
-import com.google.common.flogger.*;
-import java.nio.file.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.server.*;
-import org.eclipse.jetty.util.thread.*;
-import ringspindle.conf.*;
-import ringspindle.wire.*;
+import com.google.common.flogger.FluentLogger;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import ringspindle.conf.NodeConfig;
+import ringspindle.conf.Settings;
+import ringspindle.wire.LifeCycleQuietly;
+import ringspindle.wire.Means;
+import ringspindle.wire.NodeId;
+import ringspindle.wire.Threads;
+import ringspindle.wire.Ticker;
 
 /** The control plane's program. */
 public final class ControlPlane {
@@ -15,13 +23,13 @@
 
     /** How long a node that leaves stays at least, so that all hear of it, and at most. */
     private static final int LEAVE_LEAST_MS = 700;
+
     private static final int LEAVE_MOST_MS = 5000;
     private static final int LEAVE_STEP_MS = 100;
     /** How long threads get to end: nobody is served meanwhile, though the port still takes connections. */
     private static final int STOP_MS = 200;
 
-    private ControlPlane() {
-    }
+    private ControlPlane() {}
 
     /** Runs until told to end; {@code ControlPlane.run(settings, term)} then hands over and ends. */
     public static void run(Settings settings, CountDownLatch term) throws Exception {
@@ -39,7 +47,8 @@
         http.setSendServerVersion(false);
         http.setSendDateHeader(false);
         http.setRequestHeaderSize(16384);
-        for (NodeId at : new java.util.TreeSet<>(java.util.List.of(config.control().orElseThrow(),
+        for (NodeId at : new java.util.TreeSet<>(java.util.List.of(
+                config.control().orElseThrow(),
                 config.registry().orElse(config.control().orElseThrow())))) {
             ServerConnector c = new ServerConnector(server, pool, beats, null, 0, 1, new HttpConnectionFactory(http));
             c.setHost(at.ip());
@@ -57,7 +66,8 @@
         term.await();
         control.leave();
         LOG.atInfo().log("control plane %s leaves", config.name());
-        // peers and data nodes hear of it with the next heartbeats; calls under way get their answers; the others take over
+        // peers and data nodes hear of it with the next heartbeats; calls under way get their answers; the others take
+        // over
         for (int ms = 0; ms < LEAVE_MOST_MS && (ms < LEAVE_LEAST_MS || !control.handedOver()); ms += LEAVE_STEP_MS) {
             Thread.sleep(LEAVE_STEP_MS);
         }
--- a/src/main/java/ringspindle/cp/DiskStorage.java
+++ b/src/main/java/ringspindle/cp/DiskStorage.java
@@ -1,14 +1,20 @@
 package ringspindle.cp;
 
-import java.io.*;
-import java.nio.file.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.function.*;
-import ringspindle.chain.*;
-import ringspindle.disk.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.LongConsumer;
+import ringspindle.chain.Chain;
+import ringspindle.disk.Disk;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Entry;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.Op;
+import ringspindle.wire.Msg.State;
+import ringspindle.wire.Msg.Vote;
 
 /** Two slots and a log in a folder, and the engines beside them. */
 final class DiskStorage implements Storage {
@@ -22,7 +28,8 @@
     }
 
     private static boolean known(Msg record) {
-        return record instanceof Vote || record instanceof State
+        return record instanceof Vote
+                || record instanceof State
                 || record instanceof Entry e && Codec.decode(e.op()) instanceof Op;
     }
 
--- a/src/main/java/ringspindle/cp/DiskThread.java
+++ b/src/main/java/ringspindle/cp/DiskThread.java
@@ -1,14 +1,17 @@
 package ringspindle.cp;
 
-import com.google.common.flogger.*;
-import java.io.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.function.*;
-import ringspindle.chain.Chain.Out.*;
-import ringspindle.disk.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.function.LongConsumer;
+import ringspindle.chain.Chain.Out.Store;
+import ringspindle.disk.Disk;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Entry;
+import ringspindle.wire.Msg.State;
 
 /**
  * Writes records in order and in groups; a disk that hangs holds up only this thread. What a group wrote is told and never
@@ -19,6 +22,7 @@
     static final long COMPACTION = -1;
     /** While the disk takes images, the log is at most this long, and one record. */
     static final long LOG_MAX = 4 << 20;
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final long RETRY_MS = 200;
     private static final int SMALL_RECORD = 512;
--- a/src/main/java/ringspindle/cp/EngineFile.java
+++ b/src/main/java/ringspindle/cp/EngineFile.java
@@ -1,16 +1,24 @@
 package ringspindle.cp;
 
-import com.google.common.flogger.*;
-import java.io.*;
-import java.nio.*;
-import java.nio.file.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
-import java.util.zip.*;
-import ringspindle.know.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.zip.CRC32C;
+import ringspindle.know.Book;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.News;
 
 /**
  * The engines as last heard, kept as a hint for the time right after a restart, when none has called yet. Nothing is
@@ -70,7 +78,12 @@
                 CRC32C c = new CRC32C();
                 c.update(body);
                 Path next = file.resolveSibling("engines.next");
-                Files.write(next, ByteBuffer.allocate(4 + body.length).putInt((int) c.getValue()).put(body).array());
+                Files.write(
+                        next,
+                        ByteBuffer.allocate(4 + body.length)
+                                .putInt((int) c.getValue())
+                                .put(body)
+                                .array());
                 Files.move(next, file, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
             } catch (IOException x) {
                 LOG.atInfo().log("engines not kept: %s", x.toString());
--- a/src/main/java/ringspindle/cp/Fleet.java
+++ b/src/main/java/ringspindle/cp/Fleet.java
@@ -1,38 +1,66 @@
 package ringspindle.cp;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import jakarta.json.*;
-import jakarta.json.spi.*;
-import java.util.*;
-import ringspindle.chain.*;
-import ringspindle.conf.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.rule.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.spi.JsonProvider;
+import java.util.ArrayList;
+import ringspindle.chain.Chain;
+import ringspindle.conf.Checked;
+import ringspindle.conf.FleetConfig;
+import ringspindle.know.Book;
+import ringspindle.meet.Roster;
+import ringspindle.rule.Ledger;
+import ringspindle.rule.ServingRules;
+import ringspindle.sum.Sum;
+import ringspindle.sum.Tally;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.Msg.LedgerRow;
+import ringspindle.wire.Msg.Mark;
+import ringspindle.wire.Msg.State;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /** What a control node tells the operator of the fleet, as JSON. */
 final class Fleet {
     private static final JsonProvider JSON = JsonProvider.provider();
 
-    private Fleet() {
-    }
+    private Fleet() {}
 
     static JsonObject status(Control c) {
-        JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name()).add("quorate", c.quorate())
-                .add("founding", c.founding()).add("provenAgoMs", c.provenAgoMs()).add("awaited", c.awaited().name());
+        JsonObjectBuilder out = JSON.createObjectBuilder()
+                .add("node", c.config().name())
+                .add("quorate", c.quorate())
+                .add("founding", c.founding())
+                .add("provenAgoMs", c.provenAgoMs())
+                .add("awaited", c.awaited().name());
         View v = c.view();
         if (v != null) {
             JsonArrayBuilder voters = JSON.createArrayBuilder();
             v.voters().forEach(n -> voters.add(n.toString()));
             JsonArrayBuilder chain = JSON.createArrayBuilder();
             v.chain().forEach(n -> chain.add(n.toString()));
-            out.add("view", JSON.createObjectBuilder().add("epoch", v.epoch()).add("voters", voters).add("chain", chain));
-            out.add("duties", JSON.createObjectBuilder().add("leases",
-                    JSON.createObjectBuilder().add("holder", v.head().toString()).add("epoch", v.epoch())));
+            out.add(
+                    "view",
+                    JSON.createObjectBuilder()
+                            .add("epoch", v.epoch())
+                            .add("voters", voters)
+                            .add("chain", chain));
+            out.add(
+                    "duties",
+                    JSON.createObjectBuilder()
+                            .add(
+                                    "leases",
+                                    JSON.createObjectBuilder()
+                                            .add("holder", v.head().toString())
+                                            .add("epoch", v.epoch())));
         }
         State s = c.committed();
         if (s != null) {
@@ -53,61 +81,103 @@
         c.sessions().forEach(row -> sessions.add(JSON.createObjectBuilder(row)));
         out.add("sessions", sessions);
         JsonArrayBuilder holders = JSON.createArrayBuilder();
-        c.holders().forEach(h -> holders.add(JSON.createObjectBuilder().add("node", h.node().toString()).add("epoch", h.epoch())
-                .add("seq", h.seq()).add("blank", h.blank())));
+        c.holders()
+                .forEach(h -> holders.add(JSON.createObjectBuilder()
+                        .add("node", h.node().toString())
+                        .add("epoch", h.epoch())
+                        .add("seq", h.seq())
+                        .add("blank", h.blank())));
         out.add("holders", holders);
         JsonArrayBuilder nodes = JSON.createArrayBuilder();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.NODE)))) {
             Roster r = Roster.of(i.value());
             Hello h = r.hello();
-            nodes.add(JSON.createObjectBuilder().add("name", h.name()).add("zone", h.zone())
-                    .add("frontend", new NodeId(h.front()).toString()).add("ready", (r.flags() & Heartbeat.READY) != 0)
-                    .add("leaving", (r.flags() & Heartbeat.LEAVING) != 0).add("via", r.via().toString()));
+            nodes.add(JSON.createObjectBuilder()
+                    .add("name", h.name())
+                    .add("zone", h.zone())
+                    .add("frontend", new NodeId(h.front()).toString())
+                    .add("ready", (r.flags() & Heartbeat.READY) != 0)
+                    .add("leaving", (r.flags() & Heartbeat.LEAVING) != 0)
+                    .add("via", r.via().toString()));
         }
         return out.add("nodes", nodes).build();
     }
 
     /** What nodes that report here say of their actions and rules, and which nodes there are. */
     static JsonObject ledger(Control c) {
-        JsonObjectBuilder out = JSON.createObjectBuilder().add("node", c.config().name());
+        JsonObjectBuilder out =
+                JSON.createObjectBuilder().add("node", c.config().name());
         State s = c.committed();
-        Mark m = s == null ? null : s.marks().stream().filter(x -> x.kind() == Chain.MARK_RULES).findFirst().orElse(null);
-        ServingRules rules = m != null && ServingRules.read(m.value().getBytes(UTF_8)) instanceof Checked.Good<ServingRules> good
-                ? good.value() : null;
-        out.add("revision", rules == null ? 0 : rules.revision()).add("digest", rules == null ? "" : Long.toHexString(rules.digest()));
+        Mark m = s == null
+                ? null
+                : s.marks().stream()
+                        .filter(x -> x.kind() == Chain.MARK_RULES)
+                        .findFirst()
+                        .orElse(null);
+        ServingRules rules =
+                m != null && ServingRules.read(m.value().getBytes(UTF_8)) instanceof Checked.Good<ServingRules> good
+                        ? good.value()
+                        : null;
+        out.add("revision", rules == null ? 0 : rules.revision())
+                .add("digest", rules == null ? "" : Long.toHexString(rules.digest()));
         JsonArrayBuilder idle = JSON.createArrayBuilder();
-        if (rules != null && s.config().length > 0 && FleetConfig.read(FleetConfig.unpack(s.config())) instanceof Checked.Good<FleetConfig> f) {
+        if (rules != null
+                && s.config().length > 0
+                && FleetConfig.read(FleetConfig.unpack(s.config())) instanceof Checked.Good<FleetConfig> f) {
             rules.idle(f.value()).forEach(idle::add);
         }
         out.add("idle", idle);
         JsonArrayBuilder nodes = JSON.createArrayBuilder();
-        c.roster().forEach((r, holds) -> nodes.add(JSON.createObjectBuilder().add("node", r.hello().node().toString())
-                .add("name", r.hello().name()).add("zone", r.hello().zone()).add("region", r.hello().region())
-                .add("life", r.hello().life()).add("inTouch", holds)));
+        c.roster()
+                .forEach((r, holds) -> nodes.add(JSON.createObjectBuilder()
+                        .add("node", r.hello().node().toString())
+                        .add("name", r.hello().name())
+                        .add("zone", r.hello().zone())
+                        .add("region", r.hello().region())
+                        .add("life", r.hello().life())
+                        .add("inTouch", holds)));
         out.add("nodes", nodes);
         JsonArrayBuilder lives = JSON.createArrayBuilder();
-        c.ledgers().forEach((node, of) -> of.forEach(l -> {
-            LedgerReport x = l.report();
-            JsonArrayBuilder rows = JSON.createArrayBuilder();
-            for (LedgerRow w : x.rows()) {
-                rows.add(JSON.createObjectBuilder().add("revision", w.revision()).add("class", w.cls()).add("admitted", w.admitted())
-                        .add("inProgress", w.inProgress()).add("completed", w.completed()).add("clientGone", w.clientGone())
-                        .add("overdue", w.overdue()).add("nodeEnds", w.nodeEnds()).add("givenUp", w.givenUp()).add("sent", w.sent())
-                        .add("notRun", w.notRun()).add("mayHaveRun", w.mayHaveRun()).add("resumed", w.resumed())
-                        .add("runTwice", w.runTwice()));
-            }
-            JsonArrayBuilder broken = JSON.createArrayBuilder();
-            Ledger.broken(x).forEach(b -> broken.add(b.name()));
-            lives.add(JSON.createObjectBuilder().add("node", node.toString()).add("life", x.life()).add("seq", x.seq())
-                    .add("revision", x.revision()).add("digest", Long.toHexString(x.digest())).add("broken", broken).add("rows", rows));
-        }));
+        c.ledgers()
+                .forEach((node, of) -> of.forEach(l -> {
+                    LedgerReport x = l.report();
+                    JsonArrayBuilder rows = JSON.createArrayBuilder();
+                    for (LedgerRow w : x.rows()) {
+                        rows.add(JSON.createObjectBuilder()
+                                .add("revision", w.revision())
+                                .add("class", w.cls())
+                                .add("admitted", w.admitted())
+                                .add("inProgress", w.inProgress())
+                                .add("completed", w.completed())
+                                .add("clientGone", w.clientGone())
+                                .add("overdue", w.overdue())
+                                .add("nodeEnds", w.nodeEnds())
+                                .add("givenUp", w.givenUp())
+                                .add("sent", w.sent())
+                                .add("notRun", w.notRun())
+                                .add("mayHaveRun", w.mayHaveRun())
+                                .add("resumed", w.resumed())
+                                .add("runTwice", w.runTwice()));
+                    }
+                    JsonArrayBuilder broken = JSON.createArrayBuilder();
+                    Ledger.broken(x).forEach(b -> broken.add(b.name()));
+                    lives.add(JSON.createObjectBuilder()
+                            .add("node", node.toString())
+                            .add("life", x.life())
+                            .add("seq", x.seq())
+                            .add("revision", x.revision())
+                            .add("digest", Long.toHexString(x.digest()))
+                            .add("broken", broken)
+                            .add("rows", rows));
+                }));
         return out.add("ledgers", lives).build();
     }
 
     static JsonObject rollouts(Control c) {
         JsonArrayBuilder out = JSON.createArrayBuilder();
         for (Item i : c.book(b -> new ArrayList<>(b.all(Book.ROLLOUT)))) {
-            out.add(JSON.createReader(new java.io.StringReader(new String(i.value(), UTF_8))).readObject());
+            out.add(JSON.createReader(new java.io.StringReader(new String(i.value(), UTF_8)))
+                    .readObject());
         }
         return JSON.createObjectBuilder().add("rollouts", out).build();
     }
@@ -121,10 +191,20 @@
             long ageMs = Math.min(Integer.MAX_VALUE, c.ageMs(Book.ENGINE, i.key()));
             Tally t = total.all(Sum.key(i.key()));
             Item turn = c.ageMs(Book.TURN, i.key()) < 3000 ? c.book(b -> b.get(Book.TURN, i.key())) : null;
-            out.add(JSON.createObjectBuilder().add("turn", turn == null ? "" : new String(turn.value(), UTF_8)).add("id", i.key()).add("service", e.service()).add("address", e.address())
-                    .add("zone", e.zone()).add("region", c.config().regionOf(e.zone())).add("revision", e.revision()).add("weights", e.weights())
-                    .add("state", leaving == null ? "ready" : new String(leaving.value(), UTF_8)).add("beatAgeMs", ageMs)
-                    .add("callSeq", i.version()).add("running", t.running()).add("answered", t.answered())
+            out.add(JSON.createObjectBuilder()
+                    .add("turn", turn == null ? "" : new String(turn.value(), UTF_8))
+                    .add("id", i.key())
+                    .add("service", e.service())
+                    .add("address", e.address())
+                    .add("zone", e.zone())
+                    .add("region", c.config().regionOf(e.zone()))
+                    .add("revision", e.revision())
+                    .add("weights", e.weights())
+                    .add("state", leaving == null ? "ready" : new String(leaving.value(), UTF_8))
+                    .add("beatAgeMs", ageMs)
+                    .add("callSeq", i.version())
+                    .add("running", t.running())
+                    .add("answered", t.answered())
                     .add("failed", t.failed()));
         }
         return JSON.createObjectBuilder().add("engines", out).build();
--- a/src/main/java/ringspindle/cp/Frontends.java
+++ b/src/main/java/ringspindle/cp/Frontends.java
@@ -1,15 +1,23 @@
 package ringspindle.cp;
 
-import java.util.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import ringspindle.know.Book;
+import ringspindle.meet.Meet;
+import ringspindle.meet.Roster;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.NodeId;
 
 /** Data nodes as facts: told by the control node that holds the session, and good while that node is in touch. Guarded by its owner. */
 final class Frontends {
     /** Ours: how long a node's fact holds after it moved, and after the control node that told it is out of touch. */
     private static final int HOLD_MS = 3000;
+
     private static final int VIA_MS = 2000;
     private static final int ADDRESSES_MAX = 64;
     /** A data node that was lost counts among those that share the budgets for so long. */
@@ -30,7 +38,9 @@
     void heard(Meet.Peer peer, Heartbeat heartbeat) {
         Item old = knowledge.book().get(Book.NODE, peer.hello().node().toString());
         Roster was = old == null ? null : Roster.of(old.value());
-        boolean same = was != null && was.flags() == heartbeat.flags() && was.hello().life() == peer.hello().life()
+        boolean same = was != null
+                && was.flags() == heartbeat.flags()
+                && was.hello().life() == peer.hello().life()
                 && (was.via().equals(me) || meet.linked(me, was.via()));
         if (!same) {
             knowledge.merge(List.of(item(peer, heartbeat.flags(), heartbeat.n() * 2)));
@@ -48,7 +58,11 @@
         long ownLife = peer.hello().life();
         long wasLife = old == null ? ownLife : Roster.of(old.value()).hello().life();
         long nodeLife = old == null ? ownLife : wasLife == ownLife ? old.life() : Math.max(ownLife, old.life() + 1);
-        return new Item(Book.NODE, peer.hello().node().toString(), nodeLife, version,
+        return new Item(
+                Book.NODE,
+                peer.hello().node().toString(),
+                nodeLife,
+                version,
                 new Roster(flags, me, peer.hello()).value());
     }
 
--- a/src/main/java/ringspindle/cp/Gate.java
+++ b/src/main/java/ringspindle/cp/Gate.java
@@ -1,27 +1,35 @@
 package ringspindle.cp;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.google.common.flogger.*;
-import jakarta.json.*;
-import jakarta.json.spi.*;
-import java.nio.*;
-import java.util.*;
-import java.util.function.*;
-import org.eclipse.jetty.http.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.server.*;
-import org.eclipse.jetty.util.*;
-import ringspindle.api.*;
-import ringspindle.chain.*;
-import ringspindle.conf.*;
-import ringspindle.conf.Checked.*;
-import ringspindle.edge.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.rule.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import com.google.common.flogger.FluentLogger;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.spi.JsonProvider;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Fields;
+import ringspindle.api.Operation;
+import ringspindle.api.Outcome;
+import ringspindle.chain.Chain;
+import ringspindle.conf.Checked;
+import ringspindle.conf.Checked.Good;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.Problem;
+import ringspindle.edge.BoundedBody;
+import ringspindle.meet.RollPlan;
+import ringspindle.rule.ServingRules;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.NodeId;
 
 /** The calls of engines, operators and consumers on a control node. */
 final class Gate extends Handler.Abstract {
@@ -53,8 +61,12 @@
             case RESOLVE:
                 return resolve(request, response, callback);
             case CONFIG_GET:
-                control.call(Chain.READ, 0, "", NONE, (o, body) -> end(response, callback, o,
-                        o == Outcome.TAKEN ? FleetConfig.unpack(body) : NONE));
+                control.call(
+                        Chain.READ,
+                        0,
+                        "",
+                        NONE,
+                        (o, body) -> end(response, callback, o, o == Outcome.TAKEN ? FleetConfig.unpack(body) : NONE));
                 return true;
             case CONFIG_PUT:
                 return configuration(request, response, callback, Chain.PUT);
@@ -68,7 +80,11 @@
                 if (!control.config().regionOfZone().containsKey(arg)) {
                     return end(response, callback, Outcome.NO_SUCH, NONE);
                 }
-                control.call(what == Operation.EVACUATE ? Chain.EVACUATE : Chain.RESTORE, 0, arg, NONE,
+                control.call(
+                        what == Operation.EVACUATE ? Chain.EVACUATE : Chain.RESTORE,
+                        0,
+                        arg,
+                        NONE,
                         (o, body) -> end(response, callback, o, NONE));
                 return true;
             case BEAT:
@@ -77,20 +93,41 @@
                 control.call(Chain.GONE, 0, arg, NONE, (o, body) -> end(response, callback, o, NONE));
                 return true;
             case RULES_GET:
-                control.call(Chain.READ, 0, Chain.READ_RULES, NONE, (o, body) -> end(response, callback, o, o == Outcome.TAKEN ? body : NONE));
+                control.call(
+                        Chain.READ,
+                        0,
+                        Chain.READ_RULES,
+                        NONE,
+                        (o, body) -> end(response, callback, o, o == Outcome.TAKEN ? body : NONE));
                 return true;
             case RULES_PUT:
                 return rules(request, response, callback);
             case LEDGER:
-                return end(response, callback, Outcome.TAKEN, Fleet.ledger(control).toString().getBytes(UTF_8));
+                return end(
+                        response,
+                        callback,
+                        Outcome.TAKEN,
+                        Fleet.ledger(control).toString().getBytes(UTF_8));
             case ROLLOUTS:
-                return end(response, callback, Outcome.TAKEN, Fleet.rollouts(control).toString().getBytes(UTF_8));
+                return end(
+                        response,
+                        callback,
+                        Outcome.TAKEN,
+                        Fleet.rollouts(control).toString().getBytes(UTF_8));
             case ROLLOUT:
                 return rollout(request, response, callback, arg);
             case STATUS:
-                return end(response, callback, Outcome.TAKEN, Fleet.status(control).toString().getBytes(UTF_8));
+                return end(
+                        response,
+                        callback,
+                        Outcome.TAKEN,
+                        Fleet.status(control).toString().getBytes(UTF_8));
             case ENGINES:
-                return end(response, callback, Outcome.TAKEN, Fleet.engines(control).toString().getBytes(UTF_8));
+                return end(
+                        response,
+                        callback,
+                        Outcome.TAKEN,
+                        Fleet.engines(control).toString().getBytes(UTF_8));
             default:
                 return end(response, callback, Outcome.NO_SUCH, NONE);
         }
@@ -109,7 +146,10 @@
         }
         JsonArrayBuilder a = JSON.createArrayBuilder();
         addresses.forEach(a::add);
-        JsonObject o = JSON.createObjectBuilder().add("addresses", a).add("ttlS", Math.min(2, control.config().ttlS())).build();
+        JsonObject o = JSON.createObjectBuilder()
+                .add("addresses", a)
+                .add("ttlS", Math.min(2, control.config().ttlS()))
+                .build();
         return end(response, callback, Outcome.TAKEN, o.toString().getBytes(UTF_8));
     }
 
@@ -123,7 +163,11 @@
         if (base < 0) {
             return end(response, callback, Outcome.MALFORMED, NONE);
         }
-        body(request, BODY_MAX, response, callback,
+        body(
+                request,
+                BODY_MAX,
+                response,
+                callback,
                 b -> control.call(kind, base, "", b, (o, text) -> end(response, callback, o, text)));
         return true;
     }
@@ -150,11 +194,23 @@
                 return;
             }
             Checked<ServingRules> checked = ServingRules.read(b);
-            List<Problem> problems = checked instanceof Checked.Refused<ServingRules> bad ? bad.problems()
-                    : ((Good<ServingRules>) checked).value().problems(null, new TreeSet<>(control.config().regionOfZone().values()));
+            List<Problem> problems = checked instanceof Checked.Refused<ServingRules> bad
+                    ? bad.problems()
+                    : ((Good<ServingRules>) checked)
+                            .value()
+                            .problems(
+                                    null,
+                                    new TreeSet<>(
+                                            control.config().regionOfZone().values()));
             if (!problems.isEmpty()) {
-                end(response, callback, Outcome.INVALID,
-                        problems.stream().map(Problem::text).collect(java.util.stream.Collectors.joining("; ")).getBytes(UTF_8));
+                end(
+                        response,
+                        callback,
+                        Outcome.INVALID,
+                        problems.stream()
+                                .map(Problem::text)
+                                .collect(java.util.stream.Collectors.joining("; "))
+                                .getBytes(UTF_8));
                 return;
             }
             control.call(Chain.RULES, base, "", b, (o, text) -> end(response, callback, o, text));
@@ -163,13 +219,18 @@
     }
 
     private void body(Request request, int most, Response response, Callback callback, Consumer<byte[]> then) {
-        new BoundedBody(request, most, b -> {
-            if (b == null) {
-                end(response, callback, Outcome.TOO_LARGE, NONE);
-            } else {
-                then.accept(b);
-            }
-        }, x -> end(response, callback, Outcome.MALFORMED, NONE)).run();
+        new BoundedBody(
+                        request,
+                        most,
+                        b -> {
+                            if (b == null) {
+                                end(response, callback, Outcome.TOO_LARGE, NONE);
+                            } else {
+                                then.accept(b);
+                            }
+                        },
+                        x -> end(response, callback, Outcome.MALFORMED, NONE))
+                .run();
     }
 
     private boolean instance(Request request, Response response, Callback callback, String id) {
@@ -192,9 +253,16 @@
                     weights = a.getJsonObject(0).getInt("revision", -1);
                 }
                 draining = o.getString("state", "ready").equals("draining");
-                Engine e = new Engine(o.getInt("capacity", 1), o.get("warmupLeftMs") instanceof JsonNumber n ? n.intValue() : 0, draining,
-                        o.get("remainingMs") instanceof JsonNumber n ? n.intValue() : -1, weights, o.getString("service"),
-                        NodeId.of(o.getString("address")).toString(), o.getString("zone", ""), o.getString("revision", ""));
+                Engine e = new Engine(
+                        o.getInt("capacity", 1),
+                        o.get("warmupLeftMs") instanceof JsonNumber n ? n.intValue() : 0,
+                        draining,
+                        o.get("remainingMs") instanceof JsonNumber n ? n.intValue() : -1,
+                        weights,
+                        o.getString("service"),
+                        NodeId.of(o.getString("address")).toString(),
+                        o.getString("zone", ""),
+                        o.getString("revision", ""));
                 long seq = o.get("callSeq") instanceof JsonNumber n ? n.longValue() : 0;
                 if (!control.heartbeat(id, e, seq)) {
                     end(response, callback, Outcome.UNCLEAR, NONE);
@@ -212,7 +280,11 @@
                 end(response, callback, Outcome.TAKEN, taken);
                 return;
             }
-            control.call(Chain.DRAIN, 0, id, NONE,
+            control.call(
+                    Chain.DRAIN,
+                    0,
+                    id,
+                    NONE,
                     (out, text) -> end(response, callback, out, out == Outcome.TAKEN ? taken : NONE));
         });
         return true;
@@ -226,16 +298,28 @@
                 return;
             }
             byte[] order = b;
-            if (FleetConfig.json(b) instanceof Good<JsonObject> good && "start".equals(good.value().getString("order", ""))) {
+            if (FleetConfig.json(b) instanceof Good<JsonObject> good
+                    && "start".equals(good.value().getString("order", ""))) {
                 List<RollPlan.Member> members = control.members(service);
                 double floor = good.value().get("floor") instanceof JsonNumber n ? n.doubleValue() : 0.5;
                 if (!RollPlan.feasible(floor, members)) {
-                    end(response, callback, Outcome.INVALID, "with this floor some region could never take its turn".getBytes(UTF_8));
+                    end(
+                            response,
+                            callback,
+                            Outcome.INVALID,
+                            "with this floor some region could never take its turn".getBytes(UTF_8));
                     return;
                 }
                 if (!good.value().containsKey("from")) {
-                    long from = members.stream().mapToLong(RollPlan.Member::weights).max().orElse(-1);
-                    order = JSON.createObjectBuilder(good.value()).add("from", from).build().toString().getBytes(UTF_8);
+                    long from = members.stream()
+                            .mapToLong(RollPlan.Member::weights)
+                            .max()
+                            .orElse(-1);
+                    order = JSON.createObjectBuilder(good.value())
+                            .add("from", from)
+                            .build()
+                            .toString()
+                            .getBytes(UTF_8);
                 }
             }
             control.call(Chain.ROLLOUT, 0, service, order, (o, text) -> end(response, callback, o, text));
@@ -248,7 +332,11 @@
         response.setStatus(o.status());
         byte[] out = body;
         if (o != Outcome.TAKEN) {
-            out = JSON.createObjectBuilder().add("error", o.name()).add("text", new String(body, UTF_8)).build().toString()
+            out = JSON.createObjectBuilder()
+                    .add("error", o.name())
+                    .add("text", new String(body, UTF_8))
+                    .build()
+                    .toString()
                     .getBytes(UTF_8);
         }
         if (o.status() == 503) {
--- a/src/main/java/ringspindle/cp/Handover.java
+++ b/src/main/java/ringspindle/cp/Handover.java
@@ -1,18 +1,17 @@
 package ringspindle.cp;
 
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.Collection;
+import java.util.List;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /** Whether a control node that leaves may end: the others must hold all that it holds. Pure. */
 final class Handover {
 
     /** What another control node last said of itself; {@code seq} is the newest committed state that it holds. */
-    record Holder(NodeId node, long epoch, long seq, boolean blank) {
-    }
+    record Holder(NodeId node, long epoch, long seq, boolean blank) {}
 
-    private Handover() {
-    }
+    private Handover() {}
 
     /**
      * True once the chain goes on without this node, and a majority of the voters, not counting it, follow that view and
@@ -29,7 +28,9 @@
         long holding = holders.stream()
                 .filter(h -> !h.node().equals(me) && view.voters().contains(h.node()))
                 .filter(h -> !h.blank() && h.epoch() >= view.epoch() && h.seq() >= committedSeq)
-                .map(Holder::node).distinct().count();
+                .map(Holder::node)
+                .distinct()
+                .count();
         return holding >= view.majority();
     }
 }
--- a/src/main/java/ringspindle/cp/Knowledge.java
+++ b/src/main/java/ringspindle/cp/Knowledge.java
@@ -1,13 +1,20 @@
 package ringspindle.cp;
 
-import com.google.common.flogger.*;
-import java.util.*;
-import ringspindle.conf.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import ringspindle.conf.NodeConfig;
+import ringspindle.know.Book;
+import ringspindle.meet.RollPlan;
+import ringspindle.sum.Presence;
+import ringspindle.sum.Sum;
+import ringspindle.sum.Totals;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Steady;
 
 /** What a control node knows of the system, and when it learned it; engines' heartbeats among it. Guarded by its owner. */
 final class Knowledge {
@@ -16,6 +23,7 @@
     private static final int FORGET_MS = 600_000;
     /** Engines silent for so long take no part in a roll-out. */
     private static final int ROLL_SILENT_MS = 30_000;
+
     private static final int SILENT_HEARTBEATS = 3;
 
     private final Steady clock;
@@ -48,7 +56,8 @@
             seenMs.put(seenKey(i.kind(), i.key()), nowMs);
             if (i.kind() == Book.ENGINE) {
                 presence.told(i.key(), (Engine) Codec.decode(i.value()), i.version(), nowMs);
-            } else if (i.kind() == Book.SILENT && i.value()[0] == 1
+            } else if (i.kind() == Book.SILENT
+                    && i.value()[0] == 1
                     && presence.contradicts(i.key(), (i.version() - 1) / 2, nowMs)) {
                 book.merge(List.of(new Item(Book.SILENT, i.key(), 0, 2 * presence.seq(i.key()), new byte[] {0})));
             }
@@ -122,7 +131,10 @@
             Engine e = (Engine) Codec.decode(i.value());
             long ageMs = presence.agoMs(i.key(), nowMs);
             if (e.service().equals(service) && ageMs < ROLL_SILENT_MS) {
-                out.add(new RollPlan.Member(i.key(), config.regionOf(e.zone()), e.weights(),
+                out.add(new RollPlan.Member(
+                        i.key(),
+                        config.regionOf(e.zone()),
+                        e.weights(),
                         e.draining() || book.get(Book.LEAVING, i.key()) != null,
                         ageMs > (long) SILENT_HEARTBEATS * config.engineBeatMs()));
             }
--- a/src/main/java/ringspindle/cp/LeaseGrants.java
+++ b/src/main/java/ringspindle/cp/LeaseGrants.java
@@ -1,15 +1,19 @@
 package ringspindle.cp;
 
-import java.util.*;
-import ringspindle.know.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.List;
+import ringspindle.know.Book;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.Lease;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /** The duty of granting every data node its share of the budgets. Guarded by its owner. */
 final class LeaseGrants {
     private static final int TTL_MS = 3000;
     /** What another holder granted has run out so long after this node took the duty over. */
     private static final int TAKEOVER_MS = TTL_MS + 500;
+
     private static final int EVERY_TICKS = 10;
 
     private final NodeId me;
@@ -40,7 +44,11 @@
         }
         int nodes = frontends.sharing(nowMs);
         if (nodes > 0) {
-            knowledge.merge(List.of(new Item(Book.LEASE, "", view.epoch(), knowledge.nextVersion(Book.LEASE, "", view.epoch()),
+            knowledge.merge(List.of(new Item(
+                    Book.LEASE,
+                    "",
+                    view.epoch(),
+                    knowledge.nextVersion(Book.LEASE, "", view.epoch()),
                     Codec.encode(new Lease(view.epoch(), nodes, TTL_MS)))));
         }
     }
--- a/src/main/java/ringspindle/cp/Ledgers.java
+++ b/src/main/java/ringspindle/cp/Ledgers.java
@@ -1,8 +1,12 @@
 package ringspindle.cp;
 
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.NodeId;
 
 /**
  * The newest ledger of each life of each data node that reports here. Lives are in the order in which they were first heard:
@@ -11,11 +15,11 @@
 final class Ledgers {
     /** Ours: so many lives of a node are kept, and so many nodes. */
     private static final int LIVES = 4;
+
     private static final int NODES_MAX = 10_000;
 
     /** One life's newest ledger. */
-    record Life(LedgerReport report, boolean newest) {
-    }
+    record Life(LedgerReport report, boolean newest) {}
 
     private final Map<NodeId, LinkedHashMap<Long, LedgerReport>> of = new LinkedHashMap<>();
 
--- a/src/main/java/ringspindle/cp/LoadSums.java
+++ b/src/main/java/ringspindle/cp/LoadSums.java
@@ -1,18 +1,30 @@
 package ringspindle.cp;
 
-import com.google.common.flogger.*;
-import java.util.*;
-import ringspindle.conf.*;
-import ringspindle.meet.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import ringspindle.conf.NodeConfig;
+import ringspindle.meet.Meet;
+import ringspindle.sum.Collector;
+import ringspindle.sum.Sum;
+import ringspindle.sum.Taken;
+import ringspindle.sum.Totals;
+import ringspindle.wire.Mesh;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.Msg.Load;
+import ringspindle.wire.Msg.RegionLoad;
+import ringspindle.wire.Msg.Report;
+import ringspindle.wire.NodeId;
 
 /** What data nodes saw of engines, summed here, over the region, and by service over regions. Guarded by its owner. */
 final class LoadSums {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** Ours: how long a report counts, and a region's sum. */
     private static final int REPORT_TTL_MS = 2000;
+
     private static final int REGION_TTL_MS = 2500;
     private static final int CONTROL_KIND = 0;
     private static final int DATA_KIND = 1;
@@ -76,7 +88,11 @@
         for (RegionLoad g : load.regions()) {
             if (!g.region().equals(region)) {
                 regionMs.put(g.region(), nowMs);
-                regions.put(g.region(), load.regions().stream().filter(x -> x.region().equals(g.region())).toList());
+                regions.put(
+                        g.region(),
+                        load.regions().stream()
+                                .filter(x -> x.region().equals(g.region()))
+                                .toList());
             }
         }
     }
@@ -99,7 +115,9 @@
         for (Meet.Peer p : meet.peers()) {
             if (p.hello().kind() == DATA_KIND && asking.contains(p.hello().node())) {
                 mesh.send(p.hello().node(), back);
-            } else if (p.hello().kind() == CONTROL_KIND && speaker.equals(me) && !p.hello().region().equals(region)) {
+            } else if (p.hello().kind() == CONTROL_KIND
+                    && speaker.equals(me)
+                    && !p.hello().region().equals(region)) {
                 mesh.send(p.hello().node(), new Load(life, seq, List.of(), mine));
             }
         }
@@ -107,10 +125,13 @@
 
     /** Tells the region's other control nodes; returns which of all of them speaks for the region. */
     private NodeId toRegion(Sum own, long nowMs) {
-        Report report = new Report(life, seq, own.report(life, seq).tallies(), knowledge.presence().own(nowMs), sources.holds(nowMs));
+        Report report = new Report(
+                life, seq, own.report(life, seq).tallies(), knowledge.presence().own(nowMs), sources.holds(nowMs));
         NodeId speaker = me;
         for (Meet.Peer p : meet.peers()) {
-            if (p.hello().kind() == CONTROL_KIND && p.linked() && p.hello().region().equals(region)) {
+            if (p.hello().kind() == CONTROL_KIND
+                    && p.linked()
+                    && p.hello().region().equals(region)) {
                 mesh.send(p.hello().node(), report);
                 speaker = p.hello().node().compareTo(speaker) < 0 ? p.hello().node() : speaker;
             }
--- a/src/main/java/ringspindle/cp/MajorityProof.java
+++ b/src/main/java/ringspindle/cp/MajorityProof.java
@@ -1,10 +1,13 @@
 package ringspindle.cp;
 
-import java.util.*;
-import java.util.function.*;
-import ringspindle.meet.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import ringspindle.meet.Meet;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /**
  * When a majority of the voters was last proven to be in touch, and to know of no view newer than this node's. It is a
@@ -24,12 +27,10 @@
      * @param epoch the view that it knows
      * @param blank it can neither vote nor hold state
      */
-    record Contact(long sentMs, long epoch, boolean blank) {
-    }
+    record Contact(long sentMs, long epoch, boolean blank) {}
 
     /** The times of one renewal, read together. */
-    private record Proof(long tickMs, long contactMs, long stateMs, long sinceMs) {
-    }
+    private record Proof(long tickMs, long contactMs, long stateMs, long sinceMs) {}
 
     private static final Proof NOTHING = new Proof(Meet.NEVER_MS, Meet.NEVER_MS, Meet.NEVER_MS, Meet.NEVER_MS);
 
@@ -54,7 +55,8 @@
     }
 
     /** The latest time at or after which each of a majority of voters is proven to have spoken to this node. */
-    private long majorityMs(long nowMs, NodeId me, View view, Function<NodeId, Contact> contacts, Predicate<Contact> counts) {
+    private long majorityMs(
+            long nowMs, NodeId me, View view, Function<NodeId, Contact> contacts, Predicate<Contact> counts) {
         if (view == null) {
             return Meet.NEVER_MS;
         }
--- a/src/main/java/ringspindle/cp/NewsFeed.java
+++ b/src/main/java/ringspindle/cp/NewsFeed.java
@@ -1,10 +1,16 @@
 package ringspindle.cp;
 
-import java.util.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import ringspindle.know.Book;
+import ringspindle.meet.Meet;
+import ringspindle.meet.Roster;
+import ringspindle.wire.Mesh;
+import ringspindle.wire.Msg.Digest;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.News;
+import ringspindle.wire.NodeId;
 
 /** Tells facts to peers: to control nodes all, to data nodes what they use. Guarded by its owner. */
 final class NewsFeed {
@@ -63,7 +69,8 @@
         NodeId to = p.hello().node();
         boolean toControl = p.hello().kind() == CONTROL_KIND;
         String region = p.hello().region();
-        List<Item> items = toControl ? knowledge.book().pending(to, ITEMS_MAX)
+        List<Item> items = toControl
+                ? knowledge.book().pending(to, ITEMS_MAX)
                 : knowledge.book().pending(to, ITEMS_MAX, i -> usefulToData(i, region));
         boolean first = !toControl && merged && !filled.contains(to);
         if (items.isEmpty() && !first) {
@@ -78,6 +85,8 @@
 
     /** A data node needs the data nodes of its region, for gossip, and not what engines in turn still run. */
     private static boolean usefulToData(Item i, String region) {
-        return i.kind() != Book.TURN && (i.kind() != Book.NODE || Roster.of(i.value()).hello().region().equals(region));
+        return i.kind() != Book.TURN
+                && (i.kind() != Book.NODE
+                        || Roster.of(i.value()).hello().region().equals(region));
     }
 }
--- a/src/main/java/ringspindle/cp/Reports.java
+++ b/src/main/java/ringspindle/cp/Reports.java
@@ -1,14 +1,18 @@
 package ringspindle.cp;
 
-import jakarta.json.*;
-import jakarta.json.spi.*;
-import java.io.*;
-import java.net.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.client.*;
-import org.eclipse.jetty.client.transport.*;
-import org.eclipse.jetty.util.thread.*;
-import ringspindle.wire.*;
+import jakarta.json.JsonException;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import jakarta.json.spi.JsonProvider;
+import java.io.StringReader;
+import java.net.URI;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.client.BufferingResponseListener;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import ringspindle.wire.PlainConnector;
 
 /** Asks engines for their reports; started when first needed, as most nodes never are. */
 final class Reports {
@@ -19,7 +23,7 @@
 
     private final Executor pool;
     private final org.eclipse.jetty.util.thread.Scheduler beats;
-    private volatile Ear ear = (id, active, queued) -> { };
+    private volatile Ear ear = (id, active, queued) -> {};
     private HttpClient client;
 
     Reports(Executor pool, org.eclipse.jetty.util.thread.Scheduler beats) {
@@ -39,7 +43,8 @@
         }
         try {
             client().newRequest(URI.create("http://" + address + "/ringspindle/report"))
-                    .timeout(800, TimeUnit.MILLISECONDS).send(new BufferingResponseListener(64 << 10) {
+                    .timeout(800, TimeUnit.MILLISECONDS)
+                    .send(new BufferingResponseListener(64 << 10) {
                         @Override
                         public void onComplete(Result r) {
                             if (r.isSucceeded() && r.getResponse().getStatus() == 200) {
--- a/src/main/java/ringspindle/cp/RolloutDriver.java
+++ b/src/main/java/ringspindle/cp/RolloutDriver.java
@@ -1,13 +1,16 @@
 package ringspindle.cp;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.google.common.flogger.*;
-import jakarta.json.*;
-import java.util.*;
-import java.util.function.*;
-import ringspindle.chain.*;
-import ringspindle.meet.*;
+import com.google.common.flogger.FluentLogger;
+import jakarta.json.Json;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+import ringspindle.chain.Rollout;
+import ringspindle.meet.RollPlan;
 
 /** The duty of driving roll-outs; without one this costs nothing. Called by one thread. */
 final class RolloutDriver {
@@ -35,14 +38,20 @@
     }
 
     /** The next order, if there is one; {@code members} gives a service's engines, {@code addresses} an engine's address. */
-    void tick(List<Rollout> rollouts, Function<String, List<RollPlan.Member>> members, UnaryOperator<String> addresses, long epoch,
-            long ticks, long nowMs) {
+    void tick(
+            List<Rollout> rollouts,
+            Function<String, List<RollPlan.Member>> members,
+            UnaryOperator<String> addresses,
+            long epoch,
+            long ticks,
+            long nowMs) {
         for (Rollout r : rollouts) {
             List<RollPlan.Member> engines = members.apply(r.service());
             if (r.state() == Rollout.Standing.RUNNING && ticks % ASK_TICKS == 0) {
                 r.turn().forEach(id -> reports.ask(id, addresses.apply(id)));
             }
-            RollPlan.Order o = plans.computeIfAbsent(r.service(), k -> new RollPlan()).next(r, engines, nowMs);
+            RollPlan.Order o =
+                    plans.computeIfAbsent(r.service(), k -> new RollPlan()).next(r, engines, nowMs);
             if (o != null) {
                 order(r.service(), o, epoch);
                 return;
@@ -52,8 +61,13 @@
 
     private void order(String service, RollPlan.Order o, long epoch) {
         LOG.atInfo().log("roll-out of %s: %s %s %s", service, o.order(), o.id(), o.cause());
-        String body = Json.createObjectBuilder().add("order", o.order()).add("id", o.id()).add("cause", o.cause().name())
-                .add("epoch", epoch).build().toString();
+        String body = Json.createObjectBuilder()
+                .add("order", o.order())
+                .add("id", o.id())
+                .add("cause", o.cause().name())
+                .add("epoch", epoch)
+                .build()
+                .toString();
         ordering = true;
         orders.order(service, body.getBytes(UTF_8), () -> ordering = false);
     }
--- a/src/main/java/ringspindle/cp/Storage.java
+++ b/src/main/java/ringspindle/cp/Storage.java
@@ -1,11 +1,12 @@
 package ringspindle.cp;
 
-import java.io.*;
-import java.util.*;
-import java.util.function.*;
-import ringspindle.chain.*;
-import ringspindle.wire.Msg.*;
-import ringspindle.wire.*;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.LongConsumer;
+import ringspindle.chain.Chain;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Item;
 
 /** What a control node keeps over its ends. */
 interface Storage {
--- a/src/main/java/ringspindle/disk/Disk.java
+++ b/src/main/java/ringspindle/disk/Disk.java
@@ -1,9 +1,9 @@
 package ringspindle.disk;
 
-import java.io.*;
-import java.nio.file.*;
-import java.util.*;
-import java.util.function.*;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.Predicate;
 import ringspindle.wire.Msg;
 
 /** Keeps records: two slots written in turn, and a short log behind the newer one. */
--- a/src/main/java/ringspindle/disk/RecordFormat.java
+++ b/src/main/java/ringspindle/disk/RecordFormat.java
@@ -15,11 +15,9 @@
     private static final byte[] END = {};
 
     /** The whole records that a file starts with: of one generation, {@code size} bytes; {@code closed} by an empty one. */
-    record Records(long generation, List<byte[]> bodies, long size, boolean closed) {
-    }
+    record Records(long generation, List<byte[]> bodies, long size, boolean closed) {}
 
-    private RecordFormat() {
-    }
+    private RecordFormat() {}
 
     static ByteBuffer frame(byte[] body, long generation) {
         ByteBuffer frame = ByteBuffer.allocate(HEADER + body.length);
--- a/src/main/java/ringspindle/disk/SlotDisk.java
+++ b/src/main/java/ringspindle/disk/SlotDisk.java
@@ -33,6 +33,7 @@
     private long generation;
     /** Null if it has to be opened, and cut to {@link #logEnd}, before the next append. */
     private StorageFile log;
+
     private long logEnd;
     /** An image failed: the other slot may or may not be whole, and would hide what is appended now. */
     private boolean otherSlotInDoubt;
@@ -49,8 +50,10 @@
         Records slot = newestSlot();
         generation = slot.generation();
         refuseLogsAbove(generation);
-        Records tail = folder.read(logName(generation)).map(RecordFormat::parse)
-                .filter(records -> records.generation() == generation).orElse(EMPTY);
+        Records tail = folder.read(logName(generation))
+                .map(RecordFormat::parse)
+                .filter(records -> records.generation() == generation)
+                .orElse(EMPTY);
         if (tail.closed()) {
             throw new UnreadableStorageException(Reason.UNKNOWN_RECORD, logName(generation), null);
         }
@@ -66,7 +69,8 @@
     private Records newestSlot() throws IOException {
         Records newest = EMPTY;
         for (long parity = 0; parity < 2; parity++) {
-            Optional<Records> slot = folder.read(slotName(parity)).map(RecordFormat::parse).filter(Records::closed);
+            Optional<Records> slot =
+                    folder.read(slotName(parity)).map(RecordFormat::parse).filter(Records::closed);
             if (slot.isPresent() && slot.get().generation() > newest.generation()) {
                 newest = slot.get();
             }
@@ -84,13 +88,15 @@
 
     private Msg decode(String file, byte[] body) throws UnreadableStorageException {
         try {
-            int version = new MessageHeaderDecoder().wrap(new UnsafeBuffer(body), 0).version();
+            int version =
+                    new MessageHeaderDecoder().wrap(new UnsafeBuffer(body), 0).version();
             if (version > MessageHeaderDecoder.SCHEMA_VERSION) {
                 throw new IllegalArgumentException("schema version " + version);
             }
             Msg record = Codec.decode(body);
             if (!known.test(record)) {
-                throw new IllegalArgumentException("unknown record " + record.getClass().getSimpleName());
+                throw new IllegalArgumentException(
+                        "unknown record " + record.getClass().getSimpleName());
             }
             return record;
         } catch (RuntimeException x) {
@@ -108,8 +114,10 @@
 
     /** Generations of the logs in the folder; other names are none of ours. */
     private List<Long> logGenerations() throws IOException {
-        return folder.list().stream().filter(name -> name.matches(LOG_PREFIX + "\\d{1,18}"))
-                .map(name -> Long.valueOf(name.substring(LOG_PREFIX.length()))).toList();
+        return folder.list().stream()
+                .filter(name -> name.matches(LOG_PREFIX + "\\d{1,18}"))
+                .map(name -> Long.valueOf(name.substring(LOG_PREFIX.length())))
+                .toList();
     }
 
     private void refuseLogsAbove(long newestSlot) throws IOException {
@@ -182,7 +190,9 @@
     }
 
     private static List<ByteBuffer> frames(List<Msg> records, long generation) {
-        return records.stream().map(record -> RecordFormat.frame(Codec.encode(record), generation)).toList();
+        return records.stream()
+                .map(record -> RecordFormat.frame(Codec.encode(record), generation))
+                .toList();
     }
 
     /** Gives the offset behind what was written. */
--- a/src/main/java/ringspindle/dp/Data.java
+++ b/src/main/java/ringspindle/dp/Data.java
@@ -1,20 +1,43 @@
 package ringspindle.dp;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.google.common.flogger.*;
-import java.util.*;
-import java.util.concurrent.*;
-import ringspindle.chain.*;
-import ringspindle.conf.*;
-import ringspindle.edge.*;
-import ringspindle.know.*;
-import ringspindle.meet.*;
-import ringspindle.pick.*;
-import ringspindle.rule.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Executor;
+import ringspindle.chain.Rollout;
+import ringspindle.conf.Checked;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.NodeConfig;
+import ringspindle.edge.Edge;
+import ringspindle.know.Book;
+import ringspindle.meet.Facts;
+import ringspindle.meet.Meet;
+import ringspindle.meet.Roster;
+import ringspindle.pick.Picker;
+import ringspindle.rule.Ledger;
+import ringspindle.rule.ServingRules;
+import ringspindle.sum.Sum;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Means;
+import ringspindle.wire.Mesh;
+import ringspindle.wire.Msg;
+import ringspindle.wire.Msg.Digest;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.Lease;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.Msg.Load;
+import ringspindle.wire.Msg.News;
+import ringspindle.wire.NodeId;
+import ringspindle.wire.Steady;
 
 /** Owner of what a data node knows: sessions with control nodes, gossip with a few other data nodes. */
 final class Data implements Mesh.Ear {
@@ -55,8 +78,15 @@
         life = means.life();
         // a data node talks at the second inner port, so that both programs fit on one machine
         me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
-        mesh = means.mesh().apply(new Hello(me, life, 1, config.frontend().orElseThrow().bits(), config.name(), config.zone(),
-                config.region()));
+        mesh = means.mesh()
+                .apply(new Hello(
+                        me,
+                        life,
+                        1,
+                        config.frontend().orElseThrow().bits(),
+                        config.name(),
+                        config.zone(),
+                        config.region()));
         meet = Meet.forData(me);
         config.seeds().forEach(s -> controls.add(s.at(config.innerPort())));
     }
@@ -216,7 +246,9 @@
             int bestRank = Integer.MAX_VALUE;
             for (Meet.Peer p : meet.peers()) {
                 if (p.serves()) {
-                    int rank = (p.hello().zone().equals(config.zone()) ? 0 : p.hello().region().equals(config.region()) ? 2 : 4)
+                    int rank = (p.hello().zone().equals(config.zone())
+                                    ? 0
+                                    : p.hello().region().equals(config.region()) ? 2 : 4)
                             + (p.hello().node().equals(collector) ? 0 : 1);
                     if (rank < bestRank) {
                         bestRank = rank;
--- a/src/main/java/ringspindle/dp/DataPlane.java
+++ b/src/main/java/ringspindle/dp/DataPlane.java
@@ -1,19 +1,21 @@
 package ringspindle.dp;
 
-import com.google.common.flogger.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.util.thread.*;
-import ringspindle.conf.*;
-import ringspindle.edge.*;
-import ringspindle.pick.*;
-import ringspindle.wire.*;
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.CountDownLatch;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import ringspindle.conf.NodeConfig;
+import ringspindle.conf.Settings;
+import ringspindle.edge.Front;
+import ringspindle.pick.Picker;
+import ringspindle.wire.Means;
+import ringspindle.wire.Threads;
+import ringspindle.wire.Ticker;
 
 /** The data plane's program. */
 public final class DataPlane {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    private DataPlane() {
-    }
+    private DataPlane() {}
 
     /** Runs until told to end; {@code DataPlane.run(settings, term)} then lets requests end. */
     public static void run(Settings settings, CountDownLatch term) throws Exception {
--- a/src/main/java/ringspindle/edge/BoundedBody.java
+++ b/src/main/java/ringspindle/edge/BoundedBody.java
@@ -1,10 +1,10 @@
 package ringspindle.edge;
 
-import java.io.*;
-import java.nio.*;
-import java.util.function.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.server.*;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Request;
 
 /** Reads a request's body, and no more of it than its bound. */
 public final class BoundedBody implements Runnable {
--- a/src/main/java/ringspindle/edge/Edge.java
+++ b/src/main/java/ringspindle/edge/Edge.java
@@ -1,9 +1,9 @@
 package ringspindle.edge;
 
-import java.util.*;
-import ringspindle.conf.*;
-import ringspindle.rule.*;
-import ringspindle.wire.Msg.*;
+import java.util.Map;
+import ringspindle.conf.FleetConfig;
+import ringspindle.rule.ServingRules;
+import ringspindle.wire.Msg.LedgerReport;
 
 /** The clients' side of a data node, as the owner of what the node knows sees it. */
 public interface Edge {
--- a/src/main/java/ringspindle/edge/EngineTransport.java
+++ b/src/main/java/ringspindle/edge/EngineTransport.java
@@ -98,7 +98,9 @@
         public boolean messageComplete() {
             HttpExchange exchange = getHttpExchange();
             ByteBuffer rest = getResponseBuffer();
-            if (exchange != null && rest != null && rest.hasRemaining()
+            if (exchange != null
+                    && rest != null
+                    && rest.hasRemaining()
                     && !HttpStatus.isInterim(exchange.getResponse().getStatus())) {
                 connection.outOfStep();
             }
--- a/src/main/java/ringspindle/edge/Events.java
+++ b/src/main/java/ringspindle/edge/Events.java
@@ -1,16 +1,17 @@
 package ringspindle.edge;
 
-import java.nio.*;
-import java.nio.charset.*;
-import java.util.*;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 
 /** Cuts a stream's bytes into whole events and reads their ids. */
 final class Events {
     private static final int EVENT_MAX = 4 << 20;
 
     /** One whole event, with its closing blank line. id is -1 without one; weights is -1 where none are named. */
-    record Event(byte[] bytes, long id, long weights) {
-    }
+    record Event(byte[] bytes, long id, long weights) {}
 
     private byte[] buffer = new byte[1024];
     private int length;
@@ -31,8 +32,9 @@
         int start = 0;
         int i = Math.max(scanned, 1);
         for (; i < length; i++) {
-            if (buffer[i] == '\n' && (buffer[i - 1] == '\n' && i - 1 >= start
-                    || i >= start + 3 && buffer[i - 1] == '\r' && buffer[i - 2] == '\n')) {
+            if (buffer[i] == '\n'
+                    && (buffer[i - 1] == '\n' && i - 1 >= start
+                            || i >= start + 3 && buffer[i - 1] == '\r' && buffer[i - 2] == '\n')) {
                 out.add(event(Arrays.copyOfRange(buffer, start, i + 1)));
                 start = i + 1;
             }
--- a/src/main/java/ringspindle/edge/Flow.java
+++ b/src/main/java/ringspindle/edge/Flow.java
@@ -1,22 +1,37 @@
 package ringspindle.edge;
 
-import com.google.common.flogger.*;
-import java.io.*;
-import java.net.*;
-import java.nio.*;
-import java.util.*;
-import java.util.concurrent.*;
+import com.google.common.flogger.FluentLogger;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.http.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.server.*;
-import org.eclipse.jetty.util.*;
-import ringspindle.act.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.pick.*;
-import ringspindle.rule.*;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+import ringspindle.act.Action;
+import ringspindle.act.Attempt;
+import ringspindle.api.Outcome;
+import ringspindle.conf.FleetConfig;
+import ringspindle.pick.Picker;
+import ringspindle.rule.Affinity;
+import ringspindle.rule.Asked;
+import ringspindle.rule.Rule;
+import ringspindle.rule.ServingRules;
 
 /** One request from its head to its last byte: the owner of an action. Events come in, one at a time. */
 final class Flow {
@@ -26,6 +41,7 @@
     private static final int BACK_MS = 15;
     /** Ours: an idle wire that the engine had forgotten is reset within this. */
     private static final int STALE_MS = 150;
+
     private static final byte[] NONE = {};
 
     /** One attempt's things. */
@@ -49,6 +65,7 @@
         boolean writing;
         /** The engine's time ran out while a write to the client was under way, so that nobody read from the engine. */
         boolean heldUpByClient;
+
         Result deferred;
 
         Try(Attempt attempt, Picker.Ask ask, Picker.Chosen chosen, boolean resume) {
@@ -116,6 +133,7 @@
     private final int sharedTokens;
     /** The rules that the action was admitted under; all it does follows these, whatever comes since. */
     private final ServingRules rules;
+
     private final Rule rule;
     private long waitSinceMs = -1;
     private final Set<String> tried = new HashSet<>(4);
@@ -129,8 +147,17 @@
     private org.eclipse.jetty.util.thread.Scheduler.Task beat;
     private WatchedEndPoint watched;
 
-    Flow(Front front, Request request, Response response, Callback callback, FleetConfig.Mapping mapping, String service,
-            String attemptId, byte[] body, long sinceMs, long deadlineMs) {
+    Flow(
+            Front front,
+            Request request,
+            Response response,
+            Callback callback,
+            FleetConfig.Mapping mapping,
+            String service,
+            String attemptId,
+            byte[] body,
+            long sinceMs,
+            long deadlineMs) {
         this.front = front;
         this.request = request;
         this.response = response;
@@ -147,14 +174,27 @@
         promptTokens = number(tokens[0]);
         outTokens = tokens.length > 1 ? number(tokens[1]) : 0;
         rules = front.rules();
-        rule = rules == null ? null : rules.of(new Asked(mapping.name(), mapping.host(), request.getHttpURI().getPath(),
-                header("Model", ""), promptTokens, !mapping.homes().isEmpty()));
+        rule = rules == null
+                ? null
+                : rules.of(new Asked(
+                        mapping.name(),
+                        mapping.host(),
+                        request.getHttpURI().getPath(),
+                        header("Model", ""),
+                        promptTokens,
+                        !mapping.homes().isEmpty()));
         String prefix = header("Prompt-Prefix", "");
-        Affinity.Key key = rule == null || rule.affinity() == null ? Affinity.plain(prefix) : rule.affinity().key(prefix);
+        Affinity.Key key = rule == null || rule.affinity() == null
+                ? Affinity.plain(prefix)
+                : rule.affinity().key(prefix);
         affinity = key.key();
         sharedTokens = key.sharedTokens();
-        front.ledger().admitted(action.id(), rules == null ? 0 : rules.revision(), rule == null ? ServingRules.PLAIN : rule.name(),
-                policy.repeatable());
+        front.ledger()
+                .admitted(
+                        action.id(),
+                        rules == null ? 0 : rules.revision(),
+                        rule == null ? ServingRules.PLAIN : rule.name(),
+                        policy.repeatable());
         String last = request.getHeaders().get("Last-Event-Id");
         lastId = last == null ? -1 : number(last);
     }
@@ -182,10 +222,17 @@
             return null;
         }
         double kept = rules.kept(rule);
-        if (kept <= 0 && rule.affinity() == null && rule.busy().isEmpty() && rule.gone().isEmpty()) {
+        if (kept <= 0
+                && rule.affinity() == null
+                && rule.busy().isEmpty()
+                && rule.gone().isEmpty()) {
             return null;
         }
-        return new Picker.Steer(kept, rule.affinity() == null ? 1.5 : rule.affinity().uneven(), rule.busy(), rule.gone(),
+        return new Picker.Steer(
+                kept,
+                rule.affinity() == null ? 1.5 : rule.affinity().uneven(),
+                rule.busy(),
+                rule.gone(),
                 waitSinceMs < 0 ? 0 : nowMs - waitSinceMs);
     }
 
@@ -216,8 +263,17 @@
             }
             return;
         }
-        Picker.Ask ask = new Picker.Ask(service, mapping.homes(), affinity, sharedTokens, Math.max(0, promptTokens - sharedTokens),
-                outTokens, tried, resuming ? weights : -1, front.luck(), steer(nowMs));
+        Picker.Ask ask = new Picker.Ask(
+                service,
+                mapping.homes(),
+                affinity,
+                sharedTokens,
+                Math.max(0, promptTokens - sharedTokens),
+                outTokens,
+                tried,
+                resuming ? weights : -1,
+                front.luck(),
+                steer(nowMs));
         Picker.Choice c = front.picker().choose(ask, nowMs);
         if (c instanceof Picker.NoneNow none) {
             comeBackMs = none.comeBackMs();
@@ -252,8 +308,11 @@
     /** Waits for room, but not longer than helps. */
     private void await(long nowMs) {
         if (waitUntilMs < 0) {
-            long patienceMs = action.mayHaveRun() || action.responseCommitted() ? 1500
-                    : rule != null && rule.waitMs() >= 0 ? rule.waitMs() : Math.max(40, mapping.aimMs() / 5 - (nowMs - sinceMs));
+            long patienceMs = action.mayHaveRun() || action.responseCommitted()
+                    ? 1500
+                    : rule != null && rule.waitMs() >= 0
+                            ? rule.waitMs()
+                            : Math.max(40, mapping.aimMs() / 5 - (nowMs - sinceMs));
             waitSinceMs = nowMs;
             waitUntilMs = Math.min(nowMs + patienceMs, action.deadlineMs() - 50);
         }
@@ -323,20 +382,30 @@
         try {
             r = front.wires().client().newRequest(URI.create(base + raw));
         } catch (IllegalArgumentException x) {
-            r = front.wires().client().newRequest(t.chosen.address().ip(), t.chosen.address().port()).path(raw);
+            r = front.wires()
+                    .client()
+                    .newRequest(t.chosen.address().ip(), t.chosen.address().port())
+                    .path(raw);
         }
         Set<String> perWire = perWire(request.getHeaders());
         r.method(request.getMethod()).headers(h -> {
             for (HttpField f : request.getHeaders()) {
                 String name = f.getLowerCaseName();
-                if (!perWire.contains(name) && !name.equals("content-length") && !name.equals("deadline-ms")
-                        && !name.equals("target-instance") && !name.equals("request-urgency") && !name.equals("expect")
+                if (!perWire.contains(name)
+                        && !name.equals("content-length")
+                        && !name.equals("deadline-ms")
+                        && !name.equals("target-instance")
+                        && !name.equals("request-urgency")
+                        && !name.equals("expect")
                         && !(t.resume && (name.equals("last-event-id") || name.equals("expected-revision")))) {
                     h.add(f);
                 }
             }
-            h.put("Deadline-Ms", Long.toString(Math.max(1, t.attempt.timesOutAlone() ? action.deadlineMs() - nowMs
-                    : t.attempt.deadlineMs() - nowMs)));
+            h.put(
+                    "Deadline-Ms",
+                    Long.toString(Math.max(
+                            1,
+                            t.attempt.timesOutAlone() ? action.deadlineMs() - nowMs : t.attempt.deadlineMs() - nowMs)));
             h.put("Target-Instance", t.chosen.id());
             if (mapping.kind() == FleetConfig.Kind.STREAMING) {
                 h.put("Request-Urgency", Integer.toString(Math.max(0, Math.min(9, rank()))));
@@ -355,8 +424,16 @@
     }
 
     private static Set<String> perWire(HttpFields fields) {
-        Set<String> out = new HashSet<>(List.of("connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade",
-                "proxy-connection", "proxy-authenticate", "proxy-authorization"));
+        Set<String> out = new HashSet<>(List.of(
+                "connection",
+                "keep-alive",
+                "transfer-encoding",
+                "te",
+                "trailer",
+                "upgrade",
+                "proxy-connection",
+                "proxy-authenticate",
+                "proxy-authorization"));
         for (String v : fields.getCSV(HttpHeader.CONNECTION, false)) {
             out.add(v.toLowerCase(Locale.ROOT));
         }
@@ -515,7 +592,8 @@
         if (length >= 0) {
             to.put(HttpHeader.CONTENT_LENGTH, length);
         } else if (request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1) {
-            // else Jetty marks the end by closing where the connection is not kept, and a broken stream would look whole
+            // else Jetty marks the end by closing where the connection is not kept, and a broken stream would look
+            // whole
             to.put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
         }
         if (front.leaving()) {
@@ -708,7 +786,8 @@
     }
 
     private void breakOff(long nowMs) {
-        if (action.cancel(nowMs >= action.deadlineMs() ? Action.Cause.OVERALL_DEADLINE : Action.Cause.GIVEN_UP, nowMs)) {
+        if (action.cancel(
+                nowMs >= action.deadlineMs() ? Action.Cause.OVERALL_DEADLINE : Action.Cause.GIVEN_UP, nowMs)) {
             dropTry(nowMs);
             answered = true;
             disarm();
--- a/src/main/java/ringspindle/edge/Front.java
+++ b/src/main/java/ringspindle/edge/Front.java
@@ -1,30 +1,50 @@
 package ringspindle.edge;
 
-import static java.nio.charset.StandardCharsets.*;
-
-import com.google.common.flogger.*;
-import java.nio.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
-import org.eclipse.jetty.http.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.server.*;
-import org.eclipse.jetty.util.*;
-import org.eclipse.jetty.util.thread.*;
-import ringspindle.act.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.pick.*;
-import ringspindle.rule.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.flogger.FluentLogger;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import ringspindle.act.Action;
+import ringspindle.api.Outcome;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.NodeConfig;
+import ringspindle.pick.Picker;
+import ringspindle.rule.Ledger;
+import ringspindle.rule.ServingRules;
+import ringspindle.wire.LifeCycleQuietly;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.NodeId;
+import ringspindle.wire.Steady;
 
 /** The consumers' side of a data node: mappings, flows, readiness. */
 public final class Front extends Handler.Abstract implements Action.Ear, Edge {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** The longest request line with header fields that a client may send. */
     static final int REQUEST_HEADERS_MAX = 32768;
+
     private static final int INBOX_MS = 20;
     /** Ours: about how long a node that has just started takes until it holds what is in force. */
     private static final int NOT_READY_MS = 1000;
@@ -49,8 +69,13 @@
     private ServerConnector consumers;
 
     /** {@code new Front(node, picker, pool, beats, clock).open()} serves. */
-    public Front(NodeConfig node, Picker picker, QueuedThreadPool pool, org.eclipse.jetty.util.thread.Scheduler beats,
-            Steady clock) throws Exception {
+    public Front(
+            NodeConfig node,
+            Picker picker,
+            QueuedThreadPool pool,
+            org.eclipse.jetty.util.thread.Scheduler beats,
+            Steady clock)
+            throws Exception {
         this.node = node;
         this.picker = picker;
         this.pool = pool;
@@ -159,14 +184,19 @@
     @Override
     public void probe() {
         for (Picker.Probe p : picker.probes(clock.nowMs())) {
-            wires.client().newRequest(p.address().ip(), p.address().port()).path(p.healthPath())
-                    .timeout(900, TimeUnit.MILLISECONDS).headers(h -> h.put(HttpHeader.CONNECTION, "close"))
+            wires.client()
+                    .newRequest(p.address().ip(), p.address().port())
+                    .path(p.healthPath())
+                    .timeout(900, TimeUnit.MILLISECONDS)
+                    .headers(h -> h.put(HttpHeader.CONNECTION, "close"))
                     .send(r -> {
-                        boolean well = r.isSucceeded() && r.getResponse().getStatus() == 200
+                        boolean well = r.isSucceeded()
+                                && r.getResponse().getStatus() == 200
                                 && p.id().equals(r.getResponse().getHeaders().get("Instance-Id"));
                         int coldMs = 0;
                         if (r.isSucceeded() && r.getResponse().getHeaders().get("Warmup-Ms") != null) {
-                            coldMs = (int) Double.parseDouble(r.getResponse().getHeaders().get("Warmup-Ms"));
+                            coldMs = (int) Double.parseDouble(
+                                    r.getResponse().getHeaders().get("Warmup-Ms"));
                         }
                         picker.probed(p.id(), well, coldMs, clock.nowMs());
                     });
@@ -231,8 +261,9 @@
         String how = t.state() + (t.cause() == null ? "" : " " + t.cause());
         ends.computeIfAbsent(how, k -> new LongAdder()).increment();
         if (t.state() != Action.State.COMPLETED && t.cause() != Action.Cause.CONSUMER_GONE) {
-            LOG.atFine().log("action %s %s attempts=%s last=%s committed=%s elapsedMs=%s leftMs=%s", t.actionId(), how,
-                    t.attempts(), t.lastEnd(), t.responseCommitted(), t.elapsedMs(), t.leftMs());
+            LOG.atFine().log(
+                    "action %s %s attempts=%s last=%s committed=%s elapsedMs=%s leftMs=%s",
+                    t.actionId(), how, t.attempts(), t.lastEnd(), t.responseCommitted(), t.elapsedMs(), t.leftMs());
         }
     }
 
@@ -301,17 +332,22 @@
             }
         }
         long heldMs = deadlineMs;
-        new BoundedBody(request, c.limits().bodyBytes(), body -> {
-            if (body == null) {
-                say(response, callback, Outcome.TOO_LARGE, 0);
-                return;
-            }
-            long nowMs = clock.nowMs();
-            String service = target(m, id);
-            picker.asked(service, nowMs);
-            active.increment();
-            new Flow(this, request, response, callback, m, service, id, body, sinceMs, heldMs).begin();
-        }, x -> callback.failed(x)).run();
+        new BoundedBody(
+                        request,
+                        c.limits().bodyBytes(),
+                        body -> {
+                            if (body == null) {
+                                say(response, callback, Outcome.TOO_LARGE, 0);
+                                return;
+                            }
+                            long nowMs = clock.nowMs();
+                            String service = target(m, id);
+                            picker.asked(service, nowMs);
+                            active.increment();
+                            new Flow(this, request, response, callback, m, service, id, body, sinceMs, heldMs).begin();
+                        },
+                        x -> callback.failed(x))
+                .run();
         return true;
     }
 
@@ -324,7 +360,12 @@
         for (FleetConfig.Target t : m.targets()) {
             sum += t.weight();
         }
-        double at = (com.google.common.hash.Hashing.murmur3_32_fixed().hashUnencodedChars(id).asInt() >>> 1) / (double) (1L << 31) * sum;
+        double at = (com.google.common.hash.Hashing.murmur3_32_fixed()
+                                .hashUnencodedChars(id)
+                                .asInt()
+                        >>> 1)
+                / (double) (1L << 31)
+                * sum;
         for (FleetConfig.Target t : m.targets()) {
             at -= t.weight();
             if (at < 0) {
--- a/src/main/java/ringspindle/edge/Inbox.java
+++ b/src/main/java/ringspindle/edge/Inbox.java
@@ -1,14 +1,16 @@
 package ringspindle.edge;
 
-import java.util.*;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
 
 /** Requests that wait for room, by rank; the rank counts less the longer one waits, so that none starves. */
 final class Inbox {
     /** Ours: one rank is worth so much waiting. */
     private static final int RANK_MS = 250;
 
-    private record Slot(Flow flow, long key, long order) {
-    }
+    private record Slot(Flow flow, long key, long order) {}
 
     private final PriorityQueue<Slot> slots =
             new PriorityQueue<>(Comparator.comparingLong(Slot::key).thenComparingLong(Slot::order));
--- a/src/main/java/ringspindle/edge/WatchedEndPoint.java
+++ b/src/main/java/ringspindle/edge/WatchedEndPoint.java
@@ -1,13 +1,19 @@
 package ringspindle.edge;
 
-import java.io.*;
-import java.nio.*;
-import java.nio.channels.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.server.*;
-import org.eclipse.jetty.util.*;
-import org.eclipse.jetty.util.thread.*;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.server.ConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
 
 /**
  * An endpoint that notices the consumer's close while its request is at work. Jetty's HTTP/1.1 reads nothing in that
@@ -18,7 +24,11 @@
 
     /** Hands out watched endpoints. */
     static final class Connector extends ServerConnector {
-        Connector(Server server, Executor pool, org.eclipse.jetty.util.thread.Scheduler beats, ConnectionFactory... factories) {
+        Connector(
+                Server server,
+                Executor pool,
+                org.eclipse.jetty.util.thread.Scheduler beats,
+                ConnectionFactory... factories) {
             super(server, pool, beats, null, 0, 1, factories);
         }
 
@@ -63,8 +73,12 @@
         }
     };
 
-    WatchedEndPoint(SocketChannel channel, ManagedSelector select, SelectionKey key,
-            org.eclipse.jetty.util.thread.Scheduler beats, Executor pool) {
+    WatchedEndPoint(
+            SocketChannel channel,
+            ManagedSelector select,
+            SelectionKey key,
+            org.eclipse.jetty.util.thread.Scheduler beats,
+            Executor pool) {
         super(channel, select, key, beats);
         this.pool = pool;
     }
--- a/src/main/java/ringspindle/edge/Wires.java
+++ b/src/main/java/ringspindle/edge/Wires.java
@@ -1,15 +1,25 @@
 package ringspindle.edge;
 
-import java.net.*;
-import java.util.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.client.*;
-import org.eclipse.jetty.http.*;
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.util.*;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Origin;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.Promise;
-import org.eclipse.jetty.util.thread.*;
-import ringspindle.wire.*;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import ringspindle.wire.LifeCycleQuietly;
+import ringspindle.wire.NodeId;
+import ringspindle.wire.PlainConnector;
+import ringspindle.wire.Steady;
 
 /** Open connections to engines, owned here one by one: no pool, queue or resending of the client's own. */
 final class Wires {
@@ -18,6 +28,7 @@
     private static final int KEEP_MS = 700;
     /** Ours: idle for less, a wire counts as sure enough for what may run only once. */
     private static final int SURE_MS = 1500;
+
     private static final int TRUST_LEAST_MS = 50;
     /** More than a client may send ({@code Front.REQUEST_HEADERS_MAX}), as a few fields are added. */
     private static final int REQUEST_HEADERS_MAX = Front.REQUEST_HEADERS_MAX + 4096;
@@ -75,8 +86,8 @@
         client.setHttpCookieStore(new HttpCookieStore.Empty());
         client.setUseInputDirectByteBuffers(false);
         client.setUseOutputDirectByteBuffers(false);
-        client.setSocketAddressResolver((host, port, context, promise) ->
-                promise.succeeded(List.of(new InetSocketAddress(host, port))));
+        client.setSocketAddressResolver(
+                (host, port, context, promise) -> promise.succeeded(List.of(new InetSocketAddress(host, port))));
         client.start();
         client.getProtocolHandlers().clear();
         client.getProtocolHandlers().put(new EngineTransport.InterimAnswers());
@@ -120,7 +131,11 @@
                 if (p.open < most) {
                     p.open++;
                     if (p.destination == null) {
-                        p.origin = new Origin("http", address.ip(), address.port(), engine,
+                        p.origin = new Origin(
+                                "http",
+                                address.ip(),
+                                address.port(),
+                                engine,
                                 new Origin.Protocol(List.of("http/1.1"), false));
                         p.destination = client.resolveDestination(p.origin);
                     }
@@ -133,13 +148,13 @@
         } else if (destination == null) {
             ready.failed(true);
         } else {
-            destination.newConnection(Promise.from(
-                    c -> ready.up(new Wire((EngineTransport.EngineConnection) c, engine)), x -> {
-                synchronized (p) {
-                    p.open--;
-                }
-                ready.failed(false);
-            }));
+            destination.newConnection(
+                    Promise.from(c -> ready.up(new Wire((EngineTransport.EngineConnection) c, engine)), x -> {
+                        synchronized (p) {
+                            p.open--;
+                        }
+                        ready.failed(false);
+                    }));
         }
     }
 
@@ -196,7 +211,7 @@
     /** Closes what is idle too long, and all of engines that are no more. */
     void tidy(Set<String> known) {
         long nowMs = clock.nowMs();
-        for (Iterator<Map.Entry<String, Pool>> it = pools.entrySet().iterator(); it.hasNext();) {
+        for (Iterator<Map.Entry<String, Pool>> it = pools.entrySet().iterator(); it.hasNext(); ) {
             Map.Entry<String, Pool> e = it.next();
             Pool p = e.getValue();
             List<Wire> close = new ArrayList<>();
--- a/src/main/java/ringspindle/know/Book.java
+++ b/src/main/java/ringspindle/know/Book.java
@@ -1,8 +1,9 @@
 package ringspindle.know;
 
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.Collection;
+import java.util.List;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.NodeId;
 
 /** What a node knows: facts by kind and key, the newer (life, version) wins. Pure; not thread safe. */
 public interface Book {
@@ -19,6 +20,7 @@
     int SILENT = 9;
     /** The operators' serving rules. */
     int RULES = 10;
+
     int RANGES = 16;
 
     /** Takes what is newer; returns just that. {@code book.merge(news.items())}. */
--- a/src/main/java/ringspindle/know/TableBook.java
+++ b/src/main/java/ringspindle/know/TableBook.java
@@ -1,9 +1,16 @@
 package ringspindle.know;
 
-import it.unimi.dsi.fastutil.longs.*;
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import it.unimi.dsi.fastutil.longs.Long2ObjectRBTreeMap;
+import it.unimi.dsi.fastutil.longs.Long2ObjectSortedMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.NodeId;
 
 /** Facts in one table, in the order in which they came in; each peer has a mark up to which it was told. */
 final class TableBook implements Book {
@@ -30,7 +37,8 @@
         for (Item i : items) {
             String id = id(i.kind(), i.key());
             Row r = rows.get(id);
-            if (r != null && (r.item.life() > i.life() || r.item.life() == i.life() && r.item.version() >= i.version())) {
+            if (r != null
+                    && (r.item.life() > i.life() || r.item.life() == i.life() && r.item.version() >= i.version())) {
                 continue;
             }
             if (r == null) {
--- a/src/main/java/ringspindle/log/JsonLines.java
+++ b/src/main/java/ringspindle/log/JsonLines.java
@@ -1,10 +1,15 @@
 package ringspindle.log;
 
-import jakarta.json.*;
-import jakarta.json.spi.*;
-import java.io.*;
-import java.util.logging.*;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.spi.JsonProvider;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
 
 /** Logs as JSON lines on standard error. */
 public final class JsonLines extends Formatter {
@@ -32,7 +37,9 @@
     /** One line of JSON; {@code {"level":"INFO","from":"Core","text":"view 2"}}. */
     @Override
     public String format(LogRecord r) {
-        JsonObjectBuilder b = JSON.createObjectBuilder().add("at", r.getMillis()).add("level", r.getLevel().getName());
+        JsonObjectBuilder b = JSON.createObjectBuilder()
+                .add("at", r.getMillis())
+                .add("level", r.getLevel().getName());
         String name = r.getLoggerName() == null ? "" : r.getLoggerName();
         b.add("from", name.substring(name.lastIndexOf('.') + 1)).add("text", formatMessage(r));
         if (r.getThrown() != null) {
--- a/src/main/java/ringspindle/meet/Facts.java
+++ b/src/main/java/ringspindle/meet/Facts.java
@@ -1,14 +1,16 @@
 package ringspindle.meet;
 
-import java.util.*;
-import ringspindle.know.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.List;
+import ringspindle.know.Book;
+import ringspindle.wire.Codec;
+import ringspindle.wire.FrameException;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.Lease;
 
 /** Checks facts that come over the wire before any of them is taken. Pure. */
 public final class Facts {
-    private Facts() {
-    }
+    private Facts() {}
 
     /** Throws if the value of any of these cannot be read; {@code Facts.check(news.items()); book.merge(news.items())}. */
     public static void check(List<Item> items) {
--- a/src/main/java/ringspindle/meet/Meet.java
+++ b/src/main/java/ringspindle/meet/Meet.java
@@ -1,8 +1,10 @@
 package ringspindle.meet;
 
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.Collection;
+import java.util.List;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.NodeId;
 
 /**
  * Sessions of one node with others, told from their heartbeats. All times are of this node's steady clock. Pure; not
@@ -14,8 +16,10 @@
 
     /** A peer as last heard. */
     interface Peer {
+        /** The greeting with which the peer opened its connection. */
         Hello hello();
 
+        /** The newest heartbeat of the peer. */
         Heartbeat heartbeat();
 
         /** Both sides heard each other lately, as of the last call that told the time. */
@@ -30,7 +34,10 @@
         /** True for a control node in touch that is in touch with a majority and does not leave. */
         default boolean serves() {
             int flags = heartbeat().flags();
-            return hello().kind() == 0 && linked() && (flags & Heartbeat.QUORATE) != 0 && (flags & Heartbeat.LEAVING) == 0;
+            return hello().kind() == 0
+                    && linked()
+                    && (flags & Heartbeat.QUORATE) != 0
+                    && (flags & Heartbeat.LEAVING) == 0;
         }
     }
 
--- a/src/main/java/ringspindle/meet/MeetTable.java
+++ b/src/main/java/ringspindle/meet/MeetTable.java
@@ -1,8 +1,14 @@
 package ringspindle.meet;
 
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.NodeId;
 
 /**
  * Sessions in a table. Contact with a peer dates from when the newest own heartbeat that the peer echoed was sent: a
@@ -24,12 +30,12 @@
     static final int STALL_MS = 450;
     /** Heartbeats on their way whose sending times are kept, by connection. */
     static final int IN_FLIGHT_MAX = 64;
+
     private static final int HEARD_EVERY = 8;
     private static final int CONTROL_KIND = 0;
     private static final Heartbeat NONE = new Heartbeat(0, 0, 0, 0, 0, 0, List.of());
 
-    private record Sent(long number, long atMs) {
-    }
+    private record Sent(long number, long atMs) {}
 
     private final class Row implements Peer {
         final Hello hello;
--- a/src/main/java/ringspindle/meet/RollPlan.java
+++ b/src/main/java/ringspindle/meet/RollPlan.java
@@ -1,21 +1,25 @@
 package ringspindle.meet;
 
-import java.util.*;
-import ringspindle.chain.*;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import ringspindle.chain.Rollout;
 
 /** The duty of driving a roll-out: from what is known to the next order. Pure; its holder asks it on every beat. */
 public final class RollPlan {
     /** An engine as the holder knows it; weights below 0 if it never said. */
-    public record Member(String id, String region, long weights, boolean leaving, boolean silent) {
-    }
+    public record Member(String id, String region, long weights, boolean leaving, boolean silent) {}
 
     /** An order to the control state; cause is empty but for a pause. */
-    public record Order(String order, String id, Cause cause) {
-    }
+    public record Order(String order, String id, Cause cause) {}
 
     /** Why a roll-out pauses by itself. */
     public enum Cause {
-        NONE, SWAP_OVERDUE, WRONG_CHECKPOINT, ENGINES_SILENT
+        NONE,
+        SWAP_OVERDUE,
+        WRONG_CHECKPOINT,
+        ENGINES_SILENT
     }
 
     private final Map<String, Long> sinceMs = new HashMap<>();
@@ -65,7 +69,9 @@
         if (all && r.turn().isEmpty()) {
             return new Order("done", "", Cause.NONE);
         }
-        return best != null && bestShare >= 0 && r.turn().size() < r.atOnce() ? new Order("turn", best, Cause.NONE) : null;
+        return best != null && bestShare >= 0 && r.turn().size() < r.atOnce()
+                ? new Order("turn", best, Cause.NONE)
+                : null;
     }
 
     /** What stays above the floor if one more engine of that region goes out, as a share; below 0 if it may not. */
--- a/src/main/java/ringspindle/meet/Roster.java
+++ b/src/main/java/ringspindle/meet/Roster.java
@@ -1,9 +1,11 @@
 package ringspindle.meet;
 
-import java.nio.*;
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.NodeId;
 
 /**
  * A data node as a fact: what its session says, and which control node the session stands with. While that control node
@@ -25,7 +27,11 @@
     /** The fact's value; {@code Roster.of(r.value()).equals(r)}. */
     public byte[] value() {
         byte[] h = Codec.encode(hello);
-        return ByteBuffer.allocate(9 + h.length).put((byte) flags).putLong(via.bits()).put(h).array();
+        return ByteBuffer.allocate(9 + h.length)
+                .put((byte) flags)
+                .putLong(via.bits())
+                .put(h)
+                .array();
     }
 
     /** True while the node takes requests; {@code roster.ready()}. */
--- a/src/main/java/ringspindle/ops/Cli.java
+++ b/src/main/java/ringspindle/ops/Cli.java
@@ -1,22 +1,52 @@
 package ringspindle.ops;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.beust.jcommander.*;
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
 import com.beust.jcommander.validators.PositiveInteger;
-import jakarta.json.*;
-import jakarta.json.spi.*;
-import java.io.*;
-import java.nio.file.*;
-import java.util.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.client.*;
-import org.eclipse.jetty.client.transport.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.conf.Checked.*;
-import ringspindle.rule.*;
-import ringspindle.wire.*;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.JsonReader;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import jakarta.json.spi.JsonProvider;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import ringspindle.api.Operation;
+import ringspindle.conf.Checked;
+import ringspindle.conf.Checked.Good;
+import ringspindle.conf.Checked.Refused;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.Problem;
+import ringspindle.rule.Asked;
+import ringspindle.rule.ServingRules;
+import ringspindle.wire.LifeCycleQuietly;
+import ringspindle.wire.NodeId;
+import ringspindle.wire.PlainConnector;
 
 /** The operator's command line over the whole fleet, through any control node. */
 public final class Cli {
@@ -36,27 +66,29 @@
 
     /** What every command takes. */
     static class Common {
-        @Parameter(names = {"--control", "-c"}, description = "control nodes, ip:port, separated by commas (or RINGSPINDLE_CONTROL)")
+        @Parameter(
+                names = {"--control", "-c"},
+                description = "control nodes, ip:port, separated by commas (or RINGSPINDLE_CONTROL)")
         String control = System.getenv("RINGSPINDLE_CONTROL");
 
         @Parameter(names = "--json", description = "JSON instead of a table")
         boolean json;
 
-        @Parameter(names = {"--help", "-h"}, help = true, description = "this text")
+        @Parameter(
+                names = {"--help", "-h"},
+                help = true,
+                description = "this text")
         boolean help;
     }
 
     @Parameters(commandDescription = "nodes, sessions, view and chain, duties with epochs")
-    static final class Status extends Common {
-    }
+    static final class Status extends Common {}
 
     @Parameters(commandDescription = "engines as last heard")
-    static final class Engines extends Common {
-    }
+    static final class Engines extends Common {}
 
     @Parameters(commandDescription = "mappings of the configuration in force")
-    static final class Mappings extends Common {
-    }
+    static final class Mappings extends Common {}
 
     @Parameters(commandDescription = "get | check FILE | put FILE | patch FILE | diff FILE")
     static final class Config extends Common {
@@ -105,7 +137,9 @@
         @Parameter(names = "--base", description = "the revision to build on (default: the one in force)")
         Long base;
 
-        @Parameter(names = "--config", description = "check, explain: a configuration's file, to check routes and models against")
+        @Parameter(
+                names = "--config",
+                description = "check, explain: a configuration's file, to check routes and models against")
         String config;
 
         @Parameter(names = "--regions", description = "check: the regions there are, separated by commas")
@@ -129,7 +163,10 @@
         @Parameter(names = "--prompt", description = "explain: its prompt tokens", validateWith = PositiveInteger.class)
         int prompt;
 
-        @Parameter(names = "--prefix", description = "explain: its Prompt-Prefix", validateWith = PromptPrefixValidator.class)
+        @Parameter(
+                names = "--prefix",
+                description = "explain: its Prompt-Prefix",
+                validateWith = PromptPrefixValidator.class)
         String prefix = "";
 
         @Parameter(names = "--home", description = "explain: it is bound to regions")
@@ -137,12 +174,10 @@
     }
 
     @Parameters(commandDescription = "what became of the requests, by class and revision of the serving rules")
-    static final class Ledger extends Common {
-    }
+    static final class Ledger extends Common {}
 
     /** What came back: an HTTP status, 0 if nobody was reached. */
-    record Reply(int status, String body) {
-    }
+    record Reply(int status, String body) {}
 
     private final PrintStream out;
     private final PrintStream err;
@@ -216,12 +251,35 @@
                 return show(c, fleet.call(Operation.STATUS, "", null, null), this::status);
             }
             if (c instanceof Engines) {
-                return show(c, fleet.call(Operation.ENGINES, "", null, null), o -> table(o.getJsonArray("engines"), "id", "service", "zone",
-                        "address", "state", "weights", "beatAgeMs", "turn"));
+                return show(
+                        c,
+                        fleet.call(Operation.ENGINES, "", null, null),
+                        o -> table(
+                                o.getJsonArray("engines"),
+                                "id",
+                                "service",
+                                "zone",
+                                "address",
+                                "state",
+                                "weights",
+                                "beatAgeMs",
+                                "turn"));
             }
             if (c instanceof Mappings) {
-                return show(c, fleet.call(Operation.CONFIG_GET, "", null, null), o -> table(o.getJsonArray("routes"), "name", "host",
-                        "pathPrefix", "routeKind", "service", "weightedTargets", "deadlineMs", "priority", "homeRegions"));
+                return show(
+                        c,
+                        fleet.call(Operation.CONFIG_GET, "", null, null),
+                        o -> table(
+                                o.getJsonArray("routes"),
+                                "name",
+                                "host",
+                                "pathPrefix",
+                                "routeKind",
+                                "service",
+                                "weightedTargets",
+                                "deadlineMs",
+                                "priority",
+                                "homeRegions"));
             }
             if (c instanceof Config g) {
                 return config(fleet, g);
@@ -326,7 +384,8 @@
             return REFUSED;
         }
         Asked asked = new Asked(r.route, r.host, r.path, r.model, r.prompt, r.home);
-        Explain.lines(((Good<ServingRules>) ServingRules.read(rules)).value(), asked, r.prefix, engines).forEach(out::println);
+        Explain.lines(((Good<ServingRules>) ServingRules.read(rules)).value(), asked, r.prefix, engines)
+                .forEach(out::println);
         return OK;
     }
 
@@ -362,7 +421,11 @@
                 return done(now);
             }
             current = now.status() == 200 ? parse(now.body()) : null;
-            base = base != null ? base : current == null ? Long.valueOf(0) : Long.valueOf(current.getJsonNumber("revision").longValue());
+            base = base != null
+                    ? base
+                    : current == null
+                            ? Long.valueOf(0)
+                            : Long.valueOf(current.getJsonNumber("revision").longValue());
         }
         if (word.equals("diff")) {
             if (!(FleetConfig.json(body) instanceof Good<JsonObject> mine)) {
@@ -411,15 +474,23 @@
         Reply engines = fleet.call(Operation.ENGINES, "", null, null);
         Reply config = fleet.call(Operation.CONFIG_GET, "", null, null);
         List<Explain.Candidate> out = new ArrayList<>();
-        if (engines.status() != 200 || config.status() != 200 || !(FleetConfig.read(config.body().getBytes(UTF_8)) instanceof Good<FleetConfig> c)) {
+        if (engines.status() != 200
+                || config.status() != 200
+                || !(FleetConfig.read(config.body().getBytes(UTF_8)) instanceof Good<FleetConfig> c)) {
             return out;
         }
-        FleetConfig.Mapping route = c.value().mappings().stream().filter(m -> m.name().equals(r.route)).findFirst().orElse(null);
+        FleetConfig.Mapping route = c.value().mappings().stream()
+                .filter(m -> m.name().equals(r.route))
+                .findFirst()
+                .orElse(null);
         for (JsonObject e : parse(engines.body()).getJsonArray("engines").getValuesAs(JsonObject.class)) {
-            boolean serves = route == null || route.targets().stream().anyMatch(t -> t.service().equals(e.getString("service")));
-            boolean home = route == null || route.homes().isEmpty() || route.homes().contains(e.getString("region", ""));
+            boolean serves = route == null
+                    || route.targets().stream().anyMatch(t -> t.service().equals(e.getString("service")));
+            boolean home =
+                    route == null || route.homes().isEmpty() || route.homes().contains(e.getString("region", ""));
             if (serves && home) {
-                out.add(new Explain.Candidate(e.getString("id"), e.getString("zone"), e.getString("region", ""), e.getString("state")));
+                out.add(new Explain.Candidate(
+                        e.getString("id"), e.getString("zone"), e.getString("region", ""), e.getString("state")));
             }
         }
         return out;
@@ -458,8 +529,13 @@
         }
         boolean all = l.all() && unreached.isEmpty();
         if (c.json) {
-            out.println(JSON.createObjectBuilder().add("revision", l.revision()).add("all", all).add("regions", l.regionTable())
-                    .add("unreached", String.join(", ", unreached)).add("idle", String.join(", ", l.idle())).build());
+            out.println(JSON.createObjectBuilder()
+                    .add("revision", l.revision())
+                    .add("all", all)
+                    .add("regions", l.regionTable())
+                    .add("unreached", String.join(", ", unreached))
+                    .add("idle", String.join(", ", l.idle()))
+                    .build());
         } else {
             out.println("rules in force: " + (l.revision() == 0 ? "none" : "revision " + l.revision()));
             table(l.regionTable(), "region", "follow", "other", "unheard", "notInTouch");
@@ -480,10 +556,28 @@
         if (c.json) {
             JsonArrayBuilder b = JSON.createArrayBuilder();
             broken.forEach(b::add);
-            out.println(JSON.createObjectBuilder().add("classes", l.table()).add("broken", b).add("unreached", String.join(", ", unreached)).build());
+            out.println(JSON.createObjectBuilder()
+                    .add("classes", l.table())
+                    .add("broken", b)
+                    .add("unreached", String.join(", ", unreached))
+                    .build());
         } else {
-            table(l.table(), "revision", "class", "admitted", "inProgress", "unknown", "completed", "clientGone", "overdue", "nodeEnds", "givenUp",
-                    "sent", "notRun", "mayHaveRun", "resumed");
+            table(
+                    l.table(),
+                    "revision",
+                    "class",
+                    "admitted",
+                    "inProgress",
+                    "unknown",
+                    "completed",
+                    "clientGone",
+                    "overdue",
+                    "nodeEnds",
+                    "givenUp",
+                    "sent",
+                    "notRun",
+                    "mayHaveRun",
+                    "resumed");
             unreached.forEach(n -> out.println("not reached, so actions counted there are missing: " + n));
             broken.forEach(b -> err.println("broken law: " + b));
             out.println(broken.isEmpty() ? "all laws hold in what was heard" : broken.size() + " laws broken");
@@ -511,7 +605,9 @@
             Reply now = fleet.call(Operation.CONFIG_GET, "", null, null);
             if (now.status() == 200) {
                 current = parse(now.body());
-                base = base == null ? Long.valueOf(current.getJsonNumber("revision").longValue()) : base;
+                base = base == null
+                        ? Long.valueOf(current.getJsonNumber("revision").longValue())
+                        : base;
             } else if (now.status() == 404) {
                 base = 0L;
             } else {
@@ -563,8 +659,18 @@
     private int rollout(Fleet fleet, Rollout r) throws Exception {
         String word = r.words.isEmpty() ? "show" : r.words.get(0);
         if (word.equals("show") && r.words.size() <= 1) {
-            return show(r, fleet.call(Operation.ROLLOUTS, "", null, null), o -> table(o.getJsonArray("rollouts"), "service", "state",
-                    "target", "from", "turn", "swapped", "cause"));
+            return show(
+                    r,
+                    fleet.call(Operation.ROLLOUTS, "", null, null),
+                    o -> table(
+                            o.getJsonArray("rollouts"),
+                            "service",
+                            "state",
+                            "target",
+                            "from",
+                            "turn",
+                            "swapped",
+                            "cause"));
         }
         if (r.words.size() != 2 || !List.of("start", "resume", "abort", "back").contains(word)) {
             throw badWords("rollout show | start SERVICE --target N | resume SERVICE | abort SERVICE | back SERVICE");
@@ -574,9 +680,13 @@
             if (r.target == null) {
                 throw badWords("rollout start SERVICE --target N");
             }
-            b.add("target", r.target).add("atOnce", r.atOnce).add("floor", r.floor).add("patienceS", r.patienceS);
+            b.add("target", r.target)
+                    .add("atOnce", r.atOnce)
+                    .add("floor", r.floor)
+                    .add("patienceS", r.patienceS);
         }
-        return done(fleet.call(Operation.ROLLOUT, r.words.get(1), null, b.build().toString().getBytes(UTF_8)));
+        return done(fleet.call(
+                Operation.ROLLOUT, r.words.get(1), null, b.build().toString().getBytes(UTF_8)));
     }
 
     private interface Shown {
@@ -676,7 +786,9 @@
             for (int i = 0; i < ROUNDS; i++) {
                 String node = nodes.get(i % nodes.size());
                 try {
-                    Request r = http.newRequest("http://" + node + o.path(arg)).method(o.method()).timeout(4, TimeUnit.SECONDS);
+                    Request r = http.newRequest("http://" + node + o.path(arg))
+                            .method(o.method())
+                            .timeout(4, TimeUnit.SECONDS);
                     if (base != null) {
                         r.headers(h -> h.put("If-Match", Long.toString(base)));
                     }
@@ -698,7 +810,10 @@
         /** Asks one node, once. */
         Reply once(String node, Operation o) throws InterruptedException {
             try {
-                ContentResponse c = http.newRequest("http://" + node + o.path("")).method(o.method()).timeout(3, TimeUnit.SECONDS).send();
+                ContentResponse c = http.newRequest("http://" + node + o.path(""))
+                        .method(o.method())
+                        .timeout(3, TimeUnit.SECONDS)
+                        .send();
                 return new Reply(c.getStatus(), c.getContentAsString());
             } catch (TimeoutException | ExecutionException x) {
                 return new Reply(0, "");
--- a/src/main/java/ringspindle/ops/CommandLine.java
+++ b/src/main/java/ringspindle/ops/CommandLine.java
@@ -17,7 +17,10 @@
 
     /** A command line without commands; {@code new CommandLine(globalOptions)}. */
     public CommandLine(Object globalOptions) {
-        parser = JCommander.newBuilder().programName(PROGRAM).addObject(globalOptions).build();
+        parser = JCommander.newBuilder()
+                .programName(PROGRAM)
+                .addObject(globalOptions)
+                .build();
         parser.setExpandAtSign(false);
         parser.createDescriptions();
     }
