--- a/src/main/java/ringspindle/ops/Explain.java
+++ b/src/main/java/ringspindle/ops/Explain.java
@@ -1,18 +1,23 @@
 package ringspindle.ops;
 
-import java.util.*;
-import ringspindle.pick.*;
-import ringspindle.rule.*;
-import ringspindle.sum.*;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import ringspindle.pick.Rendezvous;
+import ringspindle.rule.Affinity;
+import ringspindle.rule.Asked;
+import ringspindle.rule.Rule;
+import ringspindle.rule.ServingRules;
+import ringspindle.rule.Step;
+import ringspindle.sum.Sum;
 
 /** Which rule a request falls under, who holds it, and where else it may go. Pure. */
 final class Explain {
     /** An engine that may be asked. */
-    record Candidate(String id, String zone, String region, String state) {
-    }
+    record Candidate(String id, String zone, String region, String state) {}
 
-    private Explain() {
-    }
+    private Explain() {}
 
     /** One line each; {@code Explain.lines(rules, asked, "5c1e07a2:800,91bd3f06:410", engines)}. */
     static List<String> lines(ServingRules rules, Asked asked, String prefix, List<Candidate> engines) {
@@ -23,10 +28,15 @@
         out.add("class      rank " + (r.rank() < 0 ? "as the route says" : r.rank()) + ", share kept " + r.share()
                 + ", left to others " + String.format(Locale.ROOT, "%.2f", rules.kept(r)) + ", waits "
                 + (r.waitMs() < 0 ? "as without rules" : r.waitMs() + " ms"));
-        Affinity.Key key = r.affinity() == null ? Affinity.plain(prefix) : r.affinity().key(prefix);
-        out.add("affinity   " + (r.affinity() == null ? "as without rules" : r.affinity().by().name().toLowerCase(Locale.ROOT)) + ", "
-                + (key.key() == 0 ? "nothing is shared, so no engine holds it" : "key " + Long.toHexString(key.key()) + ", "
-                + key.sharedTokens() + " tokens shared"));
+        Affinity.Key key =
+                r.affinity() == null ? Affinity.plain(prefix) : r.affinity().key(prefix);
+        out.add("affinity   "
+                + (r.affinity() == null
+                        ? "as without rules"
+                        : r.affinity().by().name().toLowerCase(Locale.ROOT)) + ", "
+                + (key.key() == 0
+                        ? "nothing is shared, so no engine holds it"
+                        : "key " + Long.toHexString(key.key()) + ", " + key.sharedTokens() + " tokens shared"));
         if (key.key() != 0) {
             List<Candidate> ranked = new ArrayList<>(engines);
             ranked.sort(Comparator.comparingLong(e -> Rendezvous.rank(Sum.key(e.id()), key.key())));
@@ -46,8 +56,10 @@
         }
         StringBuilder b = new StringBuilder();
         for (Step s : steps) {
-            b.append(b.length() == 0 ? "" : ", then ").append(s.waitMs() > 0 ? "after " + s.waitMs() + " ms " : "")
-                    .append(s.to().name().toLowerCase(Locale.ROOT)).append(s.regions().isEmpty() ? "" : " " + String.join(" or ", s.regions()));
+            b.append(b.length() == 0 ? "" : ", then ")
+                    .append(s.waitMs() > 0 ? "after " + s.waitMs() + " ms " : "")
+                    .append(s.to().name().toLowerCase(Locale.ROOT))
+                    .append(s.regions().isEmpty() ? "" : " " + String.join(" or ", s.regions()));
         }
         return b + ", then refused with Retry-After";
     }
--- a/src/main/java/ringspindle/ops/FleetLedger.java
+++ b/src/main/java/ringspindle/ops/FleetLedger.java
@@ -1,23 +1,43 @@
 package ringspindle.ops;
 
-import jakarta.json.*;
-import java.util.*;
+import jakarta.json.Json;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonArrayBuilder;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.JsonString;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 
 /** What several control nodes say of data nodes, put together: each node and life once, by its newest report. Pure. */
 final class FleetLedger {
-    private static final String[] COUNTS = {"admitted", "inProgress", "completed", "clientGone", "overdue", "nodeEnds", "givenUp", "sent",
-            "notRun", "mayHaveRun", "resumed", "runTwice"};
-
-    private record Node(String address, String name, String region, long life, boolean inTouch) {
-    }
+    private static final String[] COUNTS = {
+        "admitted",
+        "inProgress",
+        "completed",
+        "clientGone",
+        "overdue",
+        "nodeEnds",
+        "givenUp",
+        "sent",
+        "notRun",
+        "mayHaveRun",
+        "resumed",
+        "runTwice"
+    };
+
+    private record Node(String address, String name, String region, long life, boolean inTouch) {}
 
     /** One region's nodes and what they follow. */
-    record Region(String name, int follow, List<String> other, List<String> unheard, List<String> notInTouch) {
-    }
+    record Region(String name, int follow, List<String> other, List<String> unheard, List<String> notInTouch) {}
 
     /** A class under a revision, summed over all nodes. */
-    record Line(long revision, String cls, Map<String, Long> counts) {
-    }
+    record Line(long revision, String cls, Map<String, Long> counts) {}
 
     private long revision;
     private String digest = "";
@@ -34,13 +54,23 @@
             o.getJsonArray("idle").getValuesAs(JsonString.class).forEach(n -> idle.add(n.getString()));
         }
         for (JsonObject n : o.getJsonArray("nodes").getValuesAs(JsonObject.class)) {
-            Node x = new Node(n.getString("node"), n.getString("name"), n.getString("region"), n.getJsonNumber("life").longValue(),
+            Node x = new Node(
+                    n.getString("node"),
+                    n.getString("name"),
+                    n.getString("region"),
+                    n.getJsonNumber("life").longValue(),
                     n.getBoolean("inTouch"));
-            nodes.merge(x.address(), x, (a, b) -> a.life() != b.life() ? a.life() > b.life() ? a : b : a.inTouch() ? a : b);
+            nodes.merge(
+                    x.address(), x, (a, b) -> a.life() != b.life() ? a.life() > b.life() ? a : b : a.inTouch() ? a : b);
         }
         for (JsonObject l : o.getJsonArray("ledgers").getValuesAs(JsonObject.class)) {
-            lives.merge(l.getString("node") + " " + l.getJsonNumber("life"), l,
-                    (a, b) -> a.getJsonNumber("seq").longValue() >= b.getJsonNumber("seq").longValue() ? a : b);
+            lives.merge(
+                    l.getString("node") + " " + l.getJsonNumber("life"),
+                    l,
+                    (a, b) -> a.getJsonNumber("seq").longValue()
+                                    >= b.getJsonNumber("seq").longValue()
+                            ? a
+                            : b);
         }
         return this;
     }
@@ -61,13 +91,15 @@
     List<Region> regions() {
         Map<String, Region> out = new TreeMap<>();
         for (Node n : nodes.values()) {
-            Region r = out.computeIfAbsent(n.region(), k -> new Region(k, 0, new ArrayList<>(), new ArrayList<>(), new ArrayList<>()));
+            Region r = out.computeIfAbsent(
+                    n.region(), k -> new Region(k, 0, new ArrayList<>(), new ArrayList<>(), new ArrayList<>()));
             JsonObject l = newest(n);
             if (!n.inTouch()) {
                 r.notInTouch().add(n.name());
             } else if (l == null) {
                 r.unheard().add(n.name());
-            } else if (l.getJsonNumber("revision").longValue() == revision && (revision == 0 || l.getString("digest").equals(digest))) {
+            } else if (l.getJsonNumber("revision").longValue() == revision
+                    && (revision == 0 || l.getString("digest").equals(digest))) {
                 out.put(n.region(), new Region(r.name(), r.follow() + 1, r.other(), r.unheard(), r.notInTouch()));
             } else {
                 r.other().add(n.name() + " at " + l.get("revision"));
@@ -78,7 +110,8 @@
 
     /** True if every node that is in touch was heard and follows the committed rules. */
     boolean all() {
-        return regions().stream().allMatch(r -> r.other().isEmpty() && r.unheard().isEmpty());
+        return regions().stream()
+                .allMatch(r -> r.other().isEmpty() && r.unheard().isEmpty());
     }
 
     /** Counts of every life; what was in progress in a life that is over, or out of touch, is unknown and not in progress. */
@@ -86,10 +119,13 @@
         Map<String, Line> out = new TreeMap<>();
         lives.values().forEach(l -> {
             Node n = nodes.get(l.getString("node"));
-            boolean current = n != null && n.inTouch() && n.life() == l.getJsonNumber("life").longValue();
+            boolean current = n != null
+                    && n.inTouch()
+                    && n.life() == l.getJsonNumber("life").longValue();
             for (JsonObject r : l.getJsonArray("rows").getValuesAs(JsonObject.class)) {
                 long rev = r.getJsonNumber("revision").longValue();
-                Line line = out.computeIfAbsent(String.format("%020d %s", rev, r.getString("class")),
+                Line line = out.computeIfAbsent(
+                        String.format("%020d %s", rev, r.getString("class")),
                         k -> new Line(rev, r.getString("class"), new LinkedHashMap<>()));
                 for (String c : COUNTS) {
                     long v = r.getJsonNumber(c).longValue();
@@ -103,11 +139,13 @@
     /** Every law that some node's ledger breaks, and the laws of the whole. */
     List<String> broken() {
         List<String> out = new ArrayList<>();
-        lives.values().forEach(l -> l.getJsonArray("broken").getValuesAs(JsonString.class)
+        lives.values().forEach(l -> l.getJsonArray("broken")
+                .getValuesAs(JsonString.class)
                 .forEach(b -> out.add(b.getString() + " at " + l.getString("node") + " life " + l.get("life"))));
         for (Line l : lines()) {
             long sum = 0;
-            for (String c : List.of("inProgress", "unknown", "completed", "clientGone", "overdue", "nodeEnds", "givenUp")) {
+            for (String c :
+                    List.of("inProgress", "unknown", "completed", "clientGone", "overdue", "nodeEnds", "givenUp")) {
                 sum += l.counts().getOrDefault(c, 0L);
             }
             if (sum != l.counts().getOrDefault("admitted", 0L)) {
@@ -120,9 +158,22 @@
     JsonArray table() {
         JsonArrayBuilder out = Json.createArrayBuilder();
         for (Line l : lines()) {
-            JsonObjectBuilder b = Json.createObjectBuilder().add("revision", l.revision()).add("class", l.cls());
-            for (String c : List.of("admitted", "inProgress", "unknown", "completed", "clientGone", "overdue", "nodeEnds", "givenUp", "sent",
-                    "notRun", "mayHaveRun", "resumed", "runTwice")) {
+            JsonObjectBuilder b =
+                    Json.createObjectBuilder().add("revision", l.revision()).add("class", l.cls());
+            for (String c : List.of(
+                    "admitted",
+                    "inProgress",
+                    "unknown",
+                    "completed",
+                    "clientGone",
+                    "overdue",
+                    "nodeEnds",
+                    "givenUp",
+                    "sent",
+                    "notRun",
+                    "mayHaveRun",
+                    "resumed",
+                    "runTwice")) {
                 b.add(c, l.counts().getOrDefault(c, 0L));
             }
             out.add(b);
@@ -133,8 +184,11 @@
     JsonArray regionTable() {
         JsonArrayBuilder out = Json.createArrayBuilder();
         for (Region r : regions()) {
-            out.add(Json.createObjectBuilder().add("region", r.name()).add("follow", r.follow())
-                    .add("other", String.join(", ", r.other())).add("unheard", String.join(", ", r.unheard()))
+            out.add(Json.createObjectBuilder()
+                    .add("region", r.name())
+                    .add("follow", r.follow())
+                    .add("other", String.join(", ", r.other()))
+                    .add("unheard", String.join(", ", r.unheard()))
                     .add("notInTouch", String.join(", ", r.notInTouch())));
         }
         return out.build();
--- a/src/main/java/ringspindle/pick/Picker.java
+++ b/src/main/java/ringspindle/pick/Picker.java
@@ -1,13 +1,17 @@
 package ringspindle.pick;
 
-import java.util.*;
-import ringspindle.act.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.rule.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.List;
+import java.util.Set;
+import ringspindle.act.Action;
+import ringspindle.api.Outcome;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.NodeConfig;
+import ringspindle.rule.Step;
+import ringspindle.sum.Sum;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Lease;
+import ringspindle.wire.Msg.Load;
+import ringspindle.wire.NodeId;
 
 /** Chooses engines: who may be asked, who is near, who has the prompt's head, who has room. Thread safe. */
 public interface Picker {
@@ -15,11 +19,28 @@
     long STALE_MS = -2;
 
     /** What is to be placed. affinity 0 means that nothing is shared; weights below 0 that any will do. */
-    record Ask(String service, Set<String> homes, long affinity, int sharedTokens, int tokens, int outTokens,
-            Set<String> tried, long weights, long luck, Steer steer) {
+    record Ask(
+            String service,
+            Set<String> homes,
+            long affinity,
+            int sharedTokens,
+            int tokens,
+            int outTokens,
+            Set<String> tried,
+            long weights,
+            long luck,
+            Steer steer) {
         /** Without serving rules. */
-        public Ask(String service, Set<String> homes, long affinity, int sharedTokens, int tokens, int outTokens,
-                Set<String> tried, long weights, long luck) {
+        public Ask(
+                String service,
+                Set<String> homes,
+                long affinity,
+                int sharedTokens,
+                int tokens,
+                int outTokens,
+                Set<String> tried,
+                long weights,
+                long luck) {
             this(service, homes, affinity, sharedTokens, tokens, outTokens, tried, weights, luck, null);
         }
     }
@@ -31,24 +52,21 @@
      * @param uneven how many times the mean load the holder may have
      * @param waitedMs how long the request has waited for a place
      */
-    record Steer(double kept, double uneven, List<Step> busy, List<Step> gone, long waitedMs) {
-    }
+    record Steer(double kept, double uneven, List<Step> busy, List<Step> gone, long waitedMs) {}
 
     /** An engine, or why there is none. */
-    sealed interface Choice {
-    }
+    sealed interface Choice {}
 
-    record Chosen(String id, NodeId address, String zone, int maxWires) implements Choice {
-    }
+    /** The engine that was chosen. */
+    record Chosen(String id, NodeId address, String zone, int maxWires) implements Choice {}
 
     /** None now; waiting may help. */
-    record NoneNow(Outcome outcome, long comeBackMs) implements Choice {
-    }
+    record NoneNow(Outcome outcome, long comeBackMs) implements Choice {}
 
     /** Engines that are to be asked for their status now. */
-    record Probe(String id, NodeId address, String healthPath) {
-    }
+    record Probe(String id, NodeId address, String healthPath) {}
 
+    /** Takes over a configuration. */
     void config(FleetConfig c);
 
     /** This node's own settings changed. */
@@ -60,11 +78,13 @@
     /** An engine said that it leaves, or is gone. */
     void leaving(String id, boolean gone, long nowMs);
 
+    /** A zone was evacuated, or its evacuation was taken back. */
     void evacuated(String zone, boolean on, long nowMs);
 
     /** Control nodes have not heard an engine's heartbeat for a while, or hear it again. */
     void silent(String id, boolean on, long nowMs);
 
+    /** Takes a lease from the control plane: how many nodes share the retry budget. */
     void lease(Lease l, long nowMs);
 
     /** What all nodes of the region saw, summed; {@code picker.load(load, nowMs)} every now and then, or never. */
--- a/src/main/java/ringspindle/pick/Rendezvous.java
+++ b/src/main/java/ringspindle/pick/Rendezvous.java
@@ -2,8 +2,7 @@
 
 /** Which engine holds what: the lowest rank, the same on every node. */
 public final class Rendezvous {
-    private Rendezvous() {
-    }
+    private Rendezvous() {}
 
     /** The rank of an engine for what is shared; {@code Rendezvous.rank(Sum.key("i-1"), key)}. */
     public static long rank(long engine, long affinity) {
--- a/src/main/java/ringspindle/pick/TablePicker.java
+++ b/src/main/java/ringspindle/pick/TablePicker.java
@@ -1,15 +1,31 @@
 package ringspindle.pick;
 
-import it.unimi.dsi.fastutil.longs.*;
-import it.unimi.dsi.fastutil.objects.*;
-import java.util.*;
-import ringspindle.act.*;
-import ringspindle.api.*;
-import ringspindle.conf.*;
-import ringspindle.rule.*;
-import ringspindle.sum.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import it.unimi.dsi.fastutil.longs.Long2ObjectMap;
+import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import ringspindle.act.Action;
+import ringspindle.api.Outcome;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.NodeConfig;
+import ringspindle.rule.Step;
+import ringspindle.sum.Kind;
+import ringspindle.sum.Sum;
+import ringspindle.sum.Tally;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.EngineLoad;
+import ringspindle.wire.Msg.Lease;
+import ringspindle.wire.Msg.Load;
+import ringspindle.wire.Msg.RegionLoad;
+import ringspindle.wire.NodeId;
 
 /** Engines in a table, judged at each choice. */
 final class TablePicker implements Picker {
@@ -21,6 +37,7 @@
     private static final double[] WAY_MS = {0.5, 3, 30};
     /** Ours: of what a cold engine bears, how much is given out in turns, and how long a turn is open. */
     private static final double COLD_SHARE = 0.6;
+
     private static final int COLD_OPEN_MS = 500;
     private static final int SILENT_MS = 900;
     private static final int PROBE_MS = 400;
@@ -37,6 +54,7 @@
     private static final double OTHERS = 0.25;
     /** Ours: an engine that fails more than this of its requests, and more than others do, gets little. */
     private static final double ILL = 0.2;
+
     private static final int ILL_LEAST = 3;
     private static final int POOR_MS = 1500;
     private static final int POOR_MAX_MS = 8000;
@@ -352,7 +370,9 @@
 
     /** How many nodes share a budget, as far as is known; without a lease, more than were ever seen. */
     private int sharers(long nowMs) {
-        return nowMs < leaseUntilMs ? Math.max(MIN_NODES, Math.max(lease.nodes(), mostNodes)) : Math.max(24, mostNodes * 2);
+        return nowMs < leaseUntilMs
+                ? Math.max(MIN_NODES, Math.max(lease.nodes(), mostNodes))
+                : Math.max(24, mostNodes * 2);
     }
 
     @Override
@@ -368,7 +388,8 @@
         Set<String> inTurn = turns.getOrDefault(ask.service(), Set.of());
         for (Row r : rows.values()) {
             if (!r.said.service().equals(ask.service())
-                    || !ask.homes().isEmpty() && !ask.homes().contains(r.region) || ask.tried().contains(r.id)) {
+                    || !ask.homes().isEmpty() && !ask.homes().contains(r.region)
+                    || ask.tried().contains(r.id)) {
                 continue;
             }
             if (ask.weights() >= 0 && r.said.weights() >= 0 && r.said.weights() != ask.weights()) {
@@ -390,7 +411,8 @@
         sparePoor(fit, ask.luck(), nowMs);
         if (permitted != null) {
             Row steered = steered(ask, service, fit, permitted, anyFresh, nowMs);
-            return steered == null ? new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, any ? 600 : 900)
+            return steered == null
+                    ? new NoneNow(any ? Outcome.NO_ROOM : Outcome.NO_ENGINE, any ? 600 : 900)
                     : chosen(steered, ask, service, nowMs);
         }
         Row home = null;
@@ -433,7 +455,9 @@
     private double cost(Row r, Row home, Ask ask, long nowMs) {
         double read = ask.tokens() + (r == home || home == null ? 0 : ask.sharedTokens());
         int others = r.runningNow(nowMs) - r.running;
-        double cost = way(r) + read * tokenMs + (r.running + OTHERS * others) * SLOT_MS
+        double cost = way(r)
+                + read * tokenMs
+                + (r.running + OTHERS * others) * SLOT_MS
                 + (r.tokens + OTHERS * (r.tokensNow(nowMs) - r.tokens)) * tokenMs * 0.3
                 + (mix(ask.luck() ^ r.hash) >>> 54) * 0.002;
         return r.coldUntilMs > nowMs ? cost + 30 : cost;
@@ -443,14 +467,17 @@
     private Chosen chosen(Row best, Ask ask, FleetConfig.Service service, long nowMs) {
         if (best.coldUntilMs > nowMs) {
             best.coldTokens -= 1;
-            long turn = service == null || service.warmupPerS() <= 0 ? -1
+            long turn = service == null || service.warmupPerS() <= 0
+                    ? -1
                     : coldSlot(best, service.warmupPerS(), sharers(nowMs), nowMs);
             best.coldTurn = turn >= 0 ? turn : best.coldTurn;
         }
         best.running++;
         best.tokens += weight(ask);
         best.window.began(kind(ask), (long) weight(ask), nowMs);
-        int wires = service == null ? 16 : Math.max(1, (int) (service.maxConnections() * 0.9 / Math.max(MIN_NODES, mostNodes)));
+        int wires = service == null
+                ? 16
+                : Math.max(1, (int) (service.maxConnections() * 0.9 / Math.max(MIN_NODES, mostNodes)));
         return new Chosen(best.id, best.address, best.said.zone(), wires);
     }
 
@@ -458,7 +485,8 @@
      * A choice under a serving rule: the holder, else the rule's places in their order, each once its wait is over. Only
      * engines that may be asked anyway are looked at.
      */
-    private Row steered(Ask ask, FleetConfig.Service service, List<Row> fit, List<Row> permitted, boolean anyFresh, long nowMs) {
+    private Row steered(
+            Ask ask, FleetConfig.Service service, List<Row> fit, List<Row> permitted, boolean anyFresh, long nowMs) {
         Steer steer = ask.steer();
         double mean = 0;
         for (Row r : fit) {
@@ -473,13 +501,17 @@
         List<Row> open = new ArrayList<>(fit.size());
         for (Row r : fit) {
             boolean cold = r.coldUntilMs > nowMs;
-            int places = steer.kept() <= 0 ? Integer.MAX_VALUE : Math.max(1, (int) (r.said.capacity() * (1 - steer.kept())));
+            int places =
+                    steer.kept() <= 0 ? Integer.MAX_VALUE : Math.max(1, (int) (r.said.capacity() * (1 - steer.kept())));
             if (!(anyFresh && absent(r)) && !(cold && !coldRoom(r, service, nowMs)) && r.runningNow(nowMs) < places) {
                 open.add(r);
             }
         }
-        boolean there = holder != null && fit.contains(holder) && !(anyFresh && absent(holder)) && holder.coldUntilMs <= nowMs;
-        if (there && open.contains(holder) && holder.tokensNow(nowMs) + ask.tokens() <= steer.uneven() * mean + UNEVEN_TOKENS) {
+        boolean there =
+                holder != null && fit.contains(holder) && !(anyFresh && absent(holder)) && holder.coldUntilMs <= nowMs;
+        if (there
+                && open.contains(holder)
+                && holder.tokensNow(nowMs) + ask.tokens() <= steer.uneven() * mean + UNEVEN_TOKENS) {
             return holder;
         }
         List<Step> steps = there ? steer.busy() : steer.gone();
@@ -512,12 +544,13 @@
         }
         List<Row> out = new ArrayList<>();
         for (Row r : open) {
-            boolean in = switch (step.to()) {
-                case ZONE -> r.said.zone().equals(node.zone());
-                case REGION -> r.region.equals(node.region());
-                case REGIONS -> step.regions().contains(r.region);
-                default -> true;
-            };
+            boolean in =
+                    switch (step.to()) {
+                        case ZONE -> r.said.zone().equals(node.zone());
+                        case REGION -> r.region.equals(node.region());
+                        case REGIONS -> step.regions().contains(r.region);
+                        default -> true;
+                    };
             if (in) {
                 out.add(r);
             }
@@ -597,7 +630,9 @@
 
     /** Silence while something waits makes an engine suspect. */
     private void judge(Row r, long nowMs) {
-        if (!r.suspect && r.running > 0 && r.waitingSinceMs >= 0
+        if (!r.suspect
+                && r.running > 0
+                && r.waitingSinceMs >= 0
                 && nowMs - r.waitingSinceMs > SILENT_MS + r.tokens * tokenMs * 2) {
             suspect(r, nowMs);
         }
--- a/src/main/java/ringspindle/pick/Window.java
+++ b/src/main/java/ringspindle/pick/Window.java
@@ -1,8 +1,9 @@
 package ringspindle.pick;
 
-import java.util.*;
-import ringspindle.act.*;
-import ringspindle.sum.*;
+import java.util.Arrays;
+import ringspindle.act.Action;
+import ringspindle.sum.Kind;
+import ringspindle.sum.Tally;
 
 /** What this node saw of one engine lately, by kind of request: four buckets of steady time, used in turn. */
 final class Window {
@@ -70,7 +71,12 @@
                 sum[i] += counts[at + i];
             }
         }
-        return new Tally(sum[ANSWERED], sum[NOT_RUN], sum[FAILED], running[k.ordinal()], tokens[k.ordinal()],
+        return new Tally(
+                sum[ANSWERED],
+                sum[NOT_RUN],
+                sum[FAILED],
+                running[k.ordinal()],
+                tokens[k.ordinal()],
                 Arrays.copyOfRange(sum, FIRSTS, WIDTH));
     }
 
--- a/src/main/java/ringspindle/rule/Affinity.java
+++ b/src/main/java/ringspindle/rule/Affinity.java
@@ -21,8 +21,7 @@
     private static final int SHARED_LEAST = 1000;
 
     /** What is shared, as a number that is the same on every node, and how many tokens it spans; key 0 for none. */
-    public record Key(long key, int sharedTokens) {
-    }
+    public record Key(long key, int sharedTokens) {}
 
     /** As without rules: all parts but the last, if they span a thousand tokens; {@code Affinity.plain("a1:800,b2:40")}. */
     public static Key plain(String prefix) {
@@ -37,12 +36,15 @@
                 Key shared = of(all, Integer.MAX_VALUE, Integer.MAX_VALUE, 0);
                 String last = all[all.length - 1];
                 int colon = last.indexOf(':');
-                return colon <= 0 ? new Key(0, 0) : new Key(spread(last.substring(0, colon).hashCode()), shared.sharedTokens());
+                return colon <= 0
+                        ? new Key(0, 0)
+                        : new Key(spread(last.substring(0, colon).hashCode()), shared.sharedTokens());
             }
             case PROMPT:
                 return of(all, parts, tokens, 1);
             default:
-                return new Key(0, of(all, Integer.MAX_VALUE, Integer.MAX_VALUE, 0).sharedTokens());
+                return new Key(
+                        0, of(all, Integer.MAX_VALUE, Integer.MAX_VALUE, 0).sharedTokens());
         }
     }
 
--- a/src/main/java/ringspindle/rule/Ledger.java
+++ b/src/main/java/ringspindle/rule/Ledger.java
@@ -1,8 +1,15 @@
 package ringspindle.rule;
 
-import java.util.*;
-import ringspindle.act.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import ringspindle.act.Action;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.Msg.LedgerRow;
 
 /**
  * A data node's own record of its actions, by revision of the rules and class: what was admitted, what is in progress, how
@@ -102,8 +109,21 @@
     public synchronized LedgerReport report(long life, long seq, long revision, long digest) {
         List<LedgerRow> out = new ArrayList<>();
         for (Row r : rows.values()) {
-            out.add(new LedgerRow(r.revision, r.admitted, r.inProgress, r.ended[0], r.ended[1], r.ended[2], r.ended[3], r.ended[4],
-                    r.sent, r.notRun, r.mayHaveRun, r.resumed, r.runTwice, r.cls));
+            out.add(new LedgerRow(
+                    r.revision,
+                    r.admitted,
+                    r.inProgress,
+                    r.ended[0],
+                    r.ended[1],
+                    r.ended[2],
+                    r.ended[3],
+                    r.ended[4],
+                    r.sent,
+                    r.notRun,
+                    r.mayHaveRun,
+                    r.resumed,
+                    r.runTwice,
+                    r.cls));
         }
         return new LedgerReport(life, seq, revision, digest, endedTwice, out);
     }
@@ -115,7 +135,8 @@
             out.add(Broken.ENDED_TWICE);
         }
         for (LedgerRow r : l.rows()) {
-            if (r.admitted() != r.inProgress() + r.completed() + r.clientGone() + r.overdue() + r.nodeEnds() + r.givenUp()) {
+            if (r.admitted()
+                    != r.inProgress() + r.completed() + r.clientGone() + r.overdue() + r.nodeEnds() + r.givenUp()) {
                 out.add(Broken.SUM);
             }
             if (r.runTwice() > 0) {
--- a/src/main/java/ringspindle/rule/Match.java
+++ b/src/main/java/ringspindle/rule/Match.java
@@ -14,15 +14,23 @@
 
     /** {@code rule.match().fits(asked)}. */
     public boolean fits(Asked a) {
-        return (route.isEmpty() || route.equals(a.route())) && (host.isEmpty() || host.equalsIgnoreCase(a.host()))
-                && a.path().startsWith(path) && (model.isEmpty() || model.equals(a.model()))
-                && a.promptTokens() >= promptFrom && a.promptTokens() <= promptTo && (home == null || home == a.homeBound());
+        return (route.isEmpty() || route.equals(a.route()))
+                && (host.isEmpty() || host.equalsIgnoreCase(a.host()))
+                && a.path().startsWith(path)
+                && (model.isEmpty() || model.equals(a.model()))
+                && a.promptTokens() >= promptFrom
+                && a.promptTokens() <= promptTo
+                && (home == null || home == a.homeBound());
     }
 
     /** True if whatever fits the other fits this one as well; {@code Match.ALL.covers(any)}. */
     public boolean covers(Match o) {
-        return (route.isEmpty() || route.equals(o.route)) && (host.isEmpty() || host.equalsIgnoreCase(o.host))
-                && o.path.startsWith(path) && (model.isEmpty() || model.equals(o.model)) && promptFrom <= o.promptFrom
-                && promptTo >= o.promptTo && (home == null || home.equals(o.home));
+        return (route.isEmpty() || route.equals(o.route))
+                && (host.isEmpty() || host.equalsIgnoreCase(o.host))
+                && o.path.startsWith(path)
+                && (model.isEmpty() || model.equals(o.model))
+                && promptFrom <= o.promptFrom
+                && promptTo >= o.promptTo
+                && (home == null || home.equals(o.home));
     }
 }
--- a/src/main/java/ringspindle/rule/Rule.java
+++ b/src/main/java/ringspindle/rule/Rule.java
@@ -1,6 +1,6 @@
 package ringspindle.rule;
 
-import java.util.*;
+import java.util.List;
 
 /**
  * One serving rule; its name is the class its requests are counted under.
@@ -12,6 +12,12 @@
  * @param busy where to go when the holder has no place; empty as without rules
  * @param gone where to go when the holder is draining, ill, evacuated or cold; empty as without rules
  */
-public record Rule(String name, Match match, int rank, double share, int waitMs, Affinity affinity, List<Step> busy,
-        List<Step> gone) {
-}
+public record Rule(
+        String name,
+        Match match,
+        int rank,
+        double share,
+        int waitMs,
+        Affinity affinity,
+        List<Step> busy,
+        List<Step> gone) {}
--- a/src/main/java/ringspindle/rule/ServingRules.java
+++ b/src/main/java/ringspindle/rule/ServingRules.java
@@ -1,17 +1,30 @@
 package ringspindle.rule;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import com.google.common.hash.*;
-import jakarta.json.*;
-import java.util.*;
-import ringspindle.conf.*;
-import ringspindle.conf.Checked.*;
+import com.google.common.hash.Hashing;
+import jakarta.json.JsonArray;
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import ringspindle.conf.Checked;
+import ringspindle.conf.Checked.Good;
+import ringspindle.conf.Checked.Refused;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.Problem;
 
 /** The operators' serving rules: an ordered list, the first that fits wins, a default closes it. */
 public final class ServingRules {
     /** A document may be so long. */
     public static final int BYTES_MAX = 64 << 10;
+
     private static final int WAIT_MAX_MS = 30_000;
     private static final int RULES_MAX = 200;
     /** The class of requests that no rule is for. */
@@ -58,12 +71,18 @@
             String at = i < rules.size() ? "rules[" + i + "]" : "default";
             FleetConfig.Mapping route = null;
             if (config != null) {
-                route = config.mappings().stream().filter(m -> m.name().equals(rule.match().route())).findFirst().orElse(null);
+                route = config.mappings().stream()
+                        .filter(m -> m.name().equals(rule.match().route()))
+                        .findFirst()
+                        .orElse(null);
                 if (route == null && !rule.match().route().isEmpty()) {
-                    out.add(new Problem.UnknownName(at + ".match.route", rule.match().route()));
+                    out.add(new Problem.UnknownName(
+                            at + ".match.route", rule.match().route()));
                 }
-                if (!rule.match().model().isEmpty() && !models(config).contains(rule.match().model())) {
-                    out.add(new Problem.UnknownName(at + ".match.model", rule.match().model()));
+                if (!rule.match().model().isEmpty()
+                        && !models(config).contains(rule.match().model())) {
+                    out.add(new Problem.UnknownName(
+                            at + ".match.model", rule.match().model()));
                 }
             }
             check(out, at + ".busy", rule.busy(), route, regions);
@@ -72,12 +91,15 @@
         return out;
     }
 
-    private static void check(List<Problem> out, String at, List<Step> steps, FleetConfig.Mapping route, Set<String> regions) {
+    private static void check(
+            List<Problem> out, String at, List<Step> steps, FleetConfig.Mapping route, Set<String> regions) {
         for (int i = 0; i < steps.size(); i++) {
             for (String region : steps.get(i).regions()) {
                 if (!regions.isEmpty() && !regions.contains(region)) {
                     out.add(new Problem.UnknownName(at + "[" + i + "].names", region));
-                } else if (route != null && !route.homes().isEmpty() && !route.homes().contains(region)) {
+                } else if (route != null
+                        && !route.homes().isEmpty()
+                        && !route.homes().contains(region)) {
                     out.add(new Problem.OutsideHomes(at + "[" + i + "].names", region));
                 }
             }
@@ -101,7 +123,11 @@
     public List<String> idle(FleetConfig config) {
         Set<String> routes = new HashSet<>();
         config.mappings().forEach(m -> routes.add(m.name()));
-        return rules.stream().filter(r -> !r.match().route().isEmpty() && !routes.contains(r.match().route())).map(Rule::name).toList();
+        return rules.stream()
+                .filter(r -> !r.match().route().isEmpty()
+                        && !routes.contains(r.match().route()))
+                .map(Rule::name)
+                .toList();
     }
 
     /** The rule for a request; {@code rules.of(asked).name()}. */
@@ -180,7 +206,8 @@
             for (int j = 0; j < rules.size(); j++) {
                 for (int i = 0; i < j; i++) {
                     if (rules.get(i).match().covers(rules.get(j).match())) {
-                        problems.add(new Problem.Unreachable("rules[" + j + "]", rules.get(i).name()));
+                        problems.add(new Problem.Unreachable(
+                                "rules[" + j + "]", rules.get(i).name()));
                         break;
                     }
                 }
@@ -190,7 +217,8 @@
             Rule otherwise = rule(d, "default", PLAIN, Match.ALL);
             ServingRules out = new ServingRules(o, revision, List.copyOf(rules), otherwise);
             if (out.shares > 1 + 1e-9) {
-                problems.add(new Problem.OutOfRange("shares of all classes", String.format(Locale.ROOT, "%.3f", out.shares), "at most 1 together"));
+                problems.add(new Problem.OutOfRange(
+                        "shares of all classes", String.format(Locale.ROOT, "%.3f", out.shares), "at most 1 together"));
             }
             return out;
         }
@@ -214,7 +242,14 @@
                 }
                 home = h == JsonValue.TRUE;
             }
-            return new Match(text(m, here, "route"), text(m, here, "host"), text(m, here, "path"), text(m, here, "model"), from, to, home);
+            return new Match(
+                    text(m, here, "route"),
+                    text(m, here, "host"),
+                    text(m, here, "path"),
+                    text(m, here, "model"),
+                    from,
+                    to,
+                    home);
         }
 
         private Rule rule(JsonObject r, String at, String name, Match match) {
@@ -236,8 +271,11 @@
                     case "none" -> by = Affinity.By.NONE;
                     default -> problems.add(new Problem.OutOfRange(here + ".by", wanted, "prompt, session or none"));
                 }
-                affinity = new Affinity(by, (int) number(a, here, "parts", 1, 64, 64),
-                        (int) number(a, here, "tokens", 1, 100_000_000, Integer.MAX_VALUE), fraction(a, here, "uneven", 1, 100, 1.5));
+                affinity = new Affinity(
+                        by,
+                        (int) number(a, here, "parts", 1, 64, 64),
+                        (int) number(a, here, "tokens", 1, 100_000_000, Integer.MAX_VALUE),
+                        fraction(a, here, "uneven", 1, 100, 1.5));
             }
             List<Step> busy = steps(r, at, "busy", waitMs);
             List<Step> gone = steps(r, at, "gone", waitMs);
@@ -263,7 +301,9 @@
                     case "region" -> to = Step.To.REGION;
                     case "regions" -> to = Step.To.REGIONS;
                     case "any" -> to = Step.To.ANY;
-                    default -> problems.add(new Problem.OutOfRange(here + ".to", wanted, "next, zone, region, regions or any"));
+                    default ->
+                        problems.add(
+                                new Problem.OutOfRange(here + ".to", wanted, "next, zone, region, regions or any"));
                 }
                 List<String> names = new ArrayList<>();
                 for (JsonValue v : array(s, here, "names")) {
@@ -274,12 +314,15 @@
                     }
                 }
                 if ((to == Step.To.REGIONS) == names.isEmpty()) {
-                    problems.add(new Problem.OutOfRange(here + ".names", names.toString(), "names where to is regions, none elsewhere"));
+                    problems.add(new Problem.OutOfRange(
+                            here + ".names", names.toString(), "names where to is regions, none elsewhere"));
                 }
                 int waitMs = (int) number(s, here, "waitMs", 0, WAIT_MAX_MS, 0);
                 sumMs += waitMs;
                 if (sumMs > 0 && sumMs > mostMs) {
-                    problems.add(new Problem.OutOfRange(here + ".waitMs", Long.toString(sumMs) + " with those before",
+                    problems.add(new Problem.OutOfRange(
+                            here + ".waitMs",
+                            Long.toString(sumMs) + " with those before",
                             "at most the class's waitMs, " + Math.max(0, mostMs)));
                 }
                 out.add(new Step(to, List.copyOf(names), waitMs));
@@ -336,11 +379,15 @@
             if (v == null) {
                 return otherwise;
             }
-            if (v instanceof JsonNumber n && n.isIntegral() && n.bigDecimalValue().abs().compareTo(new java.math.BigDecimal(Long.MAX_VALUE)) < 0
-                    && n.longValue() >= least && n.longValue() <= most) {
+            if (v instanceof JsonNumber n
+                    && n.isIntegral()
+                    && n.bigDecimalValue().abs().compareTo(new java.math.BigDecimal(Long.MAX_VALUE)) < 0
+                    && n.longValue() >= least
+                    && n.longValue() <= most) {
                 return n.longValue();
             }
-            problems.add(new Problem.OutOfRange(at + "." + key, v.toString(), "a whole number from " + least + " to " + most));
+            problems.add(new Problem.OutOfRange(
+                    at + "." + key, v.toString(), "a whole number from " + least + " to " + most));
             return otherwise;
         }
 
@@ -352,7 +399,8 @@
             if (v instanceof JsonNumber n && n.doubleValue() >= least && n.doubleValue() <= most) {
                 return n.doubleValue();
             }
-            problems.add(new Problem.OutOfRange(at + "." + key, v.toString(), "a number from " + least + " to " + most));
+            problems.add(
+                    new Problem.OutOfRange(at + "." + key, v.toString(), "a number from " + least + " to " + most));
             return otherwise;
         }
     }
--- a/src/main/java/ringspindle/rule/Step.java
+++ b/src/main/java/ringspindle/rule/Step.java
@@ -1,6 +1,6 @@
 package ringspindle.rule;
 
-import java.util.*;
+import java.util.List;
 
 /**
  * A place to go to when the holder is busy or gone.
@@ -13,6 +13,9 @@
     public enum To {
         /** The engine that would hold it if the holder were not there. */
         NEXT,
-        ZONE, REGION, REGIONS, ANY
+        ZONE,
+        REGION,
+        REGIONS,
+        ANY
     }
 }
--- a/src/main/java/ringspindle/sum/Collector.java
+++ b/src/main/java/ringspindle/sum/Collector.java
@@ -1,16 +1,24 @@
 package ringspindle.sum;
 
-import java.util.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import ringspindle.wire.Msg.HeartbeatRow;
+import ringspindle.wire.Msg.Report;
+import ringspindle.wire.Msg.SourceRow;
+import ringspindle.wire.Msg.TallyRow;
+import ringspindle.wire.NodeId;
 
 /**
  * The newest report of each source, and their sum, computed anew each time: a resend, a reorder or a second way in adds
  * nothing. Reports expire on steady time. Pure; not thread safe.
  */
 public final class Collector {
-    private record Held(long life, long seq, Sum sum, long atMs) {
-    }
+    private record Held(long life, long seq, Sum sum, long atMs) {}
 
     /** Ours: how long it is remembered what an expired source said last, so that nothing older counts again. */
     private static final int MEMORY_MS = 600_000;
@@ -67,7 +75,7 @@
     /** The sum of the newest reports that have not expired. */
     public Sum sum(long nowMs) {
         List<Sum> count = new ArrayList<>();
-        for (Iterator<Held> it = newest.values().iterator(); it.hasNext();) {
+        for (Iterator<Held> it = newest.values().iterator(); it.hasNext(); ) {
             Held h = it.next();
             if (nowMs - h.atMs() <= ttlMs) {
                 count.add(h.sum());
--- a/src/main/java/ringspindle/sum/Presence.java
+++ b/src/main/java/ringspindle/sum/Presence.java
@@ -1,8 +1,13 @@
 package ringspindle.sum;
 
-import it.unimi.dsi.fastutil.longs.*;
-import java.util.*;
-import ringspindle.wire.Msg.*;
+import it.unimi.dsi.fastutil.longs.Long2ObjectMap;
+import it.unimi.dsi.fastutil.longs.Long2ObjectRBTreeMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.HeartbeatRow;
 
 /**
  * Engines' own heartbeats as one control node knows them: those it heard itself, and how long ago its region's other
@@ -33,8 +38,7 @@
     }
 
     /** An engine that fell silent or is heard again, with the last heartbeat's number that this rests on. */
-    public record Change(String id, boolean silent, long seq) {
-    }
+    public record Change(String id, boolean silent, long seq) {}
 
     private final int silentMs;
     private final int beatMs;
@@ -75,10 +79,16 @@
     private static boolean differs(Row r, Engine e, long nowMs) {
         Engine o = r.said;
         long leftMs = Math.max(0, o.coldMs() - (nowMs - r.saidMs));
-        return o.capacity() != e.capacity() || o.draining() != e.draining() || o.weights() != e.weights()
-                || o.remainingMs() != e.remainingMs() || !o.service().equals(e.service()) || !o.address().equals(e.address())
-                || !o.zone().equals(e.zone()) || !o.revision().equals(e.revision())
-                || Math.abs(e.coldMs() - leftMs) > COLD_SLACK_MS || o.coldMs() > 0 && e.coldMs() == 0;
+        return o.capacity() != e.capacity()
+                || o.draining() != e.draining()
+                || o.weights() != e.weights()
+                || o.remainingMs() != e.remainingMs()
+                || !o.service().equals(e.service())
+                || !o.address().equals(e.address())
+                || !o.zone().equals(e.zone())
+                || !o.revision().equals(e.revision())
+                || Math.abs(e.coldMs() - leftMs) > COLD_SLACK_MS
+                || o.coldMs() > 0 && e.coldMs() == 0;
     }
 
     /** Another node passed on what the engine said; what was said here last still counts if it is newer. */
--- a/src/main/java/ringspindle/sum/Sum.java
+++ b/src/main/java/ringspindle/sum/Sum.java
@@ -1,11 +1,19 @@
 package ringspindle.sum;
 
-import com.google.common.hash.*;
-import it.unimi.dsi.fastutil.longs.*;
-import java.util.*;
-import ringspindle.wire.Msg.*;
-
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.hash.Hashing;
+import it.unimi.dsi.fastutil.longs.Long2IntRBTreeMap;
+import it.unimi.dsi.fastutil.longs.Long2IntSortedMap;
+import it.unimi.dsi.fastutil.longs.Long2ObjectRBTreeMap;
+import it.unimi.dsi.fastutil.longs.Long2ObjectSortedMap;
+import it.unimi.dsi.fastutil.longs.LongSortedSet;
+import java.util.ArrayList;
+import java.util.List;
+import ringspindle.wire.Msg.HeartbeatRow;
+import ringspindle.wire.Msg.Report;
+import ringspindle.wire.Msg.SourceRow;
+import ringspindle.wire.Msg.TallyRow;
 
 /**
  * Tallies by engine and kind, and when each engine's own heartbeat was last heard. Sums can be added in any order and
@@ -14,6 +22,7 @@
 public final class Sum {
     /** Nothing seen. */
     public static final Sum NONE = new Sum(new Long2ObjectRBTreeMap<>(), new Long2IntRBTreeMap());
+
     private static final int U16 = 65534;
     private static final long U32 = 4294967294L;
     /** Ours: a report names at most so many engines, far more than a node talks to in its window. */
@@ -36,8 +45,12 @@
     public static Sum of(Report r) {
         Sum out = new Sum(new Long2ObjectRBTreeMap<>(), new Long2IntRBTreeMap());
         for (TallyRow t : r.tallies()) {
-            out.add(t.engine(), t.kind(), new Tally(t.answered(), t.notRun(), t.failed(), t.running(), t.tokens(),
-                    new int[] {t.b0(), t.b1(), t.b2(), t.b3(), t.b4(), t.b5()}));
+            out.add(
+                    t.engine(),
+                    t.kind(),
+                    new Tally(t.answered(), t.notRun(), t.failed(), t.running(), t.tokens(), new int[] {
+                        t.b0(), t.b1(), t.b2(), t.b3(), t.b4(), t.b5()
+                    }));
         }
         for (HeartbeatRow h : r.heartbeats()) {
             out.agoMs.merge(h.engine(), h.agoMs(), Math::min);
@@ -123,8 +136,20 @@
                 Tally t = byKind[i];
                 if (t != null && !t.empty()) {
                     int[] f = t.firsts();
-                    rows.add(new TallyRow(engine, i, u16(t.answered()), u16(t.notRun()), u16(t.failed()), u16(t.running()),
-                            Math.min(U32, t.tokens()), u16(f[0]), u16(f[1]), u16(f[2]), u16(f[3]), u16(f[4]), u16(f[5])));
+                    rows.add(new TallyRow(
+                            engine,
+                            i,
+                            u16(t.answered()),
+                            u16(t.notRun()),
+                            u16(t.failed()),
+                            u16(t.running()),
+                            Math.min(U32, t.tokens()),
+                            u16(f[0]),
+                            u16(f[1]),
+                            u16(f[2]),
+                            u16(f[3]),
+                            u16(f[4]),
+                            u16(f[5])));
                 }
             }
         });
--- a/src/main/java/ringspindle/sum/Tally.java
+++ b/src/main/java/ringspindle/sum/Tally.java
@@ -1,6 +1,7 @@
 package ringspindle.sum;
 
-import java.util.*;
+import java.util.Arrays;
+import java.util.Objects;
 
 /**
  * What was seen of one engine and kind of request within a window: attempts by outcome, what runs now, and how long
@@ -20,7 +21,8 @@
         for (int i = 0; i < f.length; i++) {
             f[i] += o.firsts[i];
         }
-        return new Tally(answered + o.answered, notRun + o.notRun, failed + o.failed, running + o.running, tokens + o.tokens, f);
+        return new Tally(
+                answered + o.answered, notRun + o.notRun, failed + o.failed, running + o.running, tokens + o.tokens, f);
     }
 
     /** The bucket of a time; {@code Tally.bucket(120)} is 1. */
@@ -39,8 +41,13 @@
 
     @Override
     public boolean equals(Object o) {
-        return o instanceof Tally t && answered == t.answered && notRun == t.notRun && failed == t.failed
-                && running == t.running && tokens == t.tokens && Arrays.equals(firsts, t.firsts);
+        return o instanceof Tally t
+                && answered == t.answered
+                && notRun == t.notRun
+                && failed == t.failed
+                && running == t.running
+                && tokens == t.tokens
+                && Arrays.equals(firsts, t.firsts);
     }
 
     @Override
--- a/src/main/java/ringspindle/sum/Totals.java
+++ b/src/main/java/ringspindle/sum/Totals.java
@@ -1,16 +1,19 @@
 package ringspindle.sum;
 
-import java.util.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import ringspindle.wire.Msg.EngineLoad;
+import ringspindle.wire.Msg.RegionLoad;
 
 /** From sums to what goes back: engines with their totals, regions by service. Pure. */
 public final class Totals {
     /** An engine as the collector knows it. */
-    public record Member(long key, String service, String region, int capacity) {
-    }
+    public record Member(long key, String service, String region, int capacity) {}
 
-    private Totals() {
-    }
+    private Totals() {}
 
     /** Every engine of which anything was seen; {@code Totals.engines(sum)}. */
     public static List<EngineLoad> engines(Sum s) {
@@ -18,8 +21,12 @@
         for (long key : s.engines()) {
             Tally t = s.all(key);
             if (!t.empty()) {
-                out.add(new EngineLoad(key, Math.min(65534, t.answered()), Math.min(65534, t.failed()),
-                        Math.min(65534, t.running()), Math.min(4294967294L, t.tokens())));
+                out.add(new EngineLoad(
+                        key,
+                        Math.min(65534, t.answered()),
+                        Math.min(65534, t.failed()),
+                        Math.min(65534, t.running()),
+                        Math.min(4294967294L, t.tokens())));
             }
         }
         return out;
--- a/src/main/java/ringspindle/wire/Codec.java
+++ b/src/main/java/ringspindle/wire/Codec.java
@@ -1,12 +1,106 @@
 package ringspindle.wire;
 
-import static java.nio.charset.StandardCharsets.*;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
-import java.util.*;
-import org.agrona.*;
-import org.agrona.concurrent.*;
-import ringspindle.sbe.*;
-import ringspindle.wire.Msg.*;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.agrona.DirectBuffer;
+import org.agrona.ExpandableArrayBuffer;
+import org.agrona.MutableDirectBuffer;
+import org.agrona.concurrent.UnsafeBuffer;
+import ringspindle.sbe.AcceptDecoder;
+import ringspindle.sbe.AcceptEncoder;
+import ringspindle.sbe.AcceptedDecoder;
+import ringspindle.sbe.AcceptedEncoder;
+import ringspindle.sbe.CallDecoder;
+import ringspindle.sbe.CallEncoder;
+import ringspindle.sbe.ConfirmDecoder;
+import ringspindle.sbe.ConfirmEncoder;
+import ringspindle.sbe.ConfirmedDecoder;
+import ringspindle.sbe.ConfirmedEncoder;
+import ringspindle.sbe.DecidedDecoder;
+import ringspindle.sbe.DecidedEncoder;
+import ringspindle.sbe.DigestDecoder;
+import ringspindle.sbe.DigestEncoder;
+import ringspindle.sbe.EngineDecoder;
+import ringspindle.sbe.EngineEncoder;
+import ringspindle.sbe.EntryDecoder;
+import ringspindle.sbe.EntryEncoder;
+import ringspindle.sbe.HeartbeatDecoder;
+import ringspindle.sbe.HeartbeatEncoder;
+import ringspindle.sbe.HelloDecoder;
+import ringspindle.sbe.HelloEncoder;
+import ringspindle.sbe.InstallDecoder;
+import ringspindle.sbe.InstallEncoder;
+import ringspindle.sbe.LeaseDecoder;
+import ringspindle.sbe.LeaseEncoder;
+import ringspindle.sbe.LedgerReportDecoder;
+import ringspindle.sbe.LedgerReportEncoder;
+import ringspindle.sbe.LoadDecoder;
+import ringspindle.sbe.LoadEncoder;
+import ringspindle.sbe.MessageHeaderDecoder;
+import ringspindle.sbe.MessageHeaderEncoder;
+import ringspindle.sbe.NewsDecoder;
+import ringspindle.sbe.NewsEncoder;
+import ringspindle.sbe.OpDecoder;
+import ringspindle.sbe.OpEncoder;
+import ringspindle.sbe.PledgeDecoder;
+import ringspindle.sbe.PledgeEncoder;
+import ringspindle.sbe.PrepareDecoder;
+import ringspindle.sbe.PrepareEncoder;
+import ringspindle.sbe.RelearnDecoder;
+import ringspindle.sbe.RelearnEncoder;
+import ringspindle.sbe.RelearnedDecoder;
+import ringspindle.sbe.RelearnedEncoder;
+import ringspindle.sbe.ReplyDecoder;
+import ringspindle.sbe.ReplyEncoder;
+import ringspindle.sbe.ReportDecoder;
+import ringspindle.sbe.ReportEncoder;
+import ringspindle.sbe.StateDecoder;
+import ringspindle.sbe.StateEncoder;
+import ringspindle.sbe.SyncedDecoder;
+import ringspindle.sbe.SyncedEncoder;
+import ringspindle.sbe.ViewDecoder;
+import ringspindle.sbe.ViewEncoder;
+import ringspindle.sbe.VoteDecoder;
+import ringspindle.sbe.VoteEncoder;
+import ringspindle.wire.Msg.Accept;
+import ringspindle.wire.Msg.Accepted;
+import ringspindle.wire.Msg.Call;
+import ringspindle.wire.Msg.Confirm;
+import ringspindle.wire.Msg.Confirmed;
+import ringspindle.wire.Msg.Decided;
+import ringspindle.wire.Msg.Digest;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.EngineLoad;
+import ringspindle.wire.Msg.Entry;
+import ringspindle.wire.Msg.Heartbeat;
+import ringspindle.wire.Msg.HeartbeatRow;
+import ringspindle.wire.Msg.Hello;
+import ringspindle.wire.Msg.Install;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.Lease;
+import ringspindle.wire.Msg.LedgerReport;
+import ringspindle.wire.Msg.LedgerRow;
+import ringspindle.wire.Msg.Load;
+import ringspindle.wire.Msg.Mark;
+import ringspindle.wire.Msg.News;
+import ringspindle.wire.Msg.Op;
+import ringspindle.wire.Msg.Pledge;
+import ringspindle.wire.Msg.Position;
+import ringspindle.wire.Msg.Prepare;
+import ringspindle.wire.Msg.RegionLoad;
+import ringspindle.wire.Msg.Relearn;
+import ringspindle.wire.Msg.Relearned;
+import ringspindle.wire.Msg.Reply;
+import ringspindle.wire.Msg.Report;
+import ringspindle.wire.Msg.SourceRow;
+import ringspindle.wire.Msg.State;
+import ringspindle.wire.Msg.Synced;
+import ringspindle.wire.Msg.TallyRow;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.Msg.Vote;
 
 /** Messages to SBE bytes and back. */
 public final class Codec {
@@ -43,115 +137,336 @@
             Map.entry(LedgerReportDecoder.TEMPLATE_ID, LedgerReportDecoder.BLOCK_LENGTH),
             Map.entry(LoadDecoder.TEMPLATE_ID, LoadDecoder.BLOCK_LENGTH));
 
-    private Codec() {
-    }
+    private static final int NOT_OF_THIS_KIND = -1;
+
+    private Codec() {}
 
     /** Encodes; {@code Codec.decode(Codec.encode(m)).equals(m)} for messages without arrays. */
     public static byte[] encode(Msg m) {
         MutableDirectBuffer b = new ExpandableArrayBuffer(512);
         MessageHeaderEncoder h = new MessageHeaderEncoder();
-        int end;
+        int end = encodeSession(m, b, h);
+        if (end == NOT_OF_THIS_KIND) {
+            end = encodeAgreement(m, b, h);
+        }
+        if (end == NOT_OF_THIS_KIND) {
+            end = encodeReplication(m, b, h);
+        }
+        if (end == NOT_OF_THIS_KIND) {
+            throw new IllegalArgumentException("unknown message " + m.getClass());
+        }
+        byte[] out = new byte[end];
+        b.getBytes(0, out);
+        return out;
+    }
+
+    /** Messages of sessions, of facts and of what is reported. */
+    private static int encodeSession(Msg m, MutableDirectBuffer b, MessageHeaderEncoder h) {
         if (m instanceof Hello x) {
-            HelloEncoder e = new HelloEncoder().wrapAndApplyHeader(b, 0, h).node(x.node().bits()).life(x.life())
-                    .kind((short) x.kind()).front(x.front());
+            HelloEncoder e = new HelloEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .node(x.node().bits())
+                    .life(x.life())
+                    .kind((short) x.kind())
+                    .front(x.front());
             put(x.name(), e::putName);
             put(x.zone(), e::putZone);
             put(x.region(), e::putRegion);
-            end = e.limit();
-        } else if (m instanceof Heartbeat x) {
-            HeartbeatEncoder e = new HeartbeatEncoder().wrapAndApplyHeader(b, 0, h).n(x.n()).echo(x.echo())
-                    .flags((short) x.flags()).epoch(x.epoch()).seq(x.seq()).digest(x.digest());
+            return e.limit();
+        }
+        if (m instanceof Heartbeat x) {
+            HeartbeatEncoder e = new HeartbeatEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .n(x.n())
+                    .echo(x.echo())
+                    .flags((short) x.flags())
+                    .epoch(x.epoch())
+                    .seq(x.seq())
+                    .digest(x.digest());
             HeartbeatEncoder.HeardEncoder g = e.heardCount(x.heard().size());
             x.heard().forEach(n -> g.next().node(n.bits()));
-            end = e.limit();
-        } else if (m instanceof View x) {
-            ViewEncoder e = new ViewEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch())
-                    .baseLineage(x.base().lineage()).baseSeq(x.base().seq());
+            return e.limit();
+        }
+        if (m instanceof News x) {
+            NewsEncoder e = new NewsEncoder().wrapAndApplyHeader(b, 0, h).full(bit(x.full()));
+            NewsEncoder.ItemsEncoder g = e.itemsCount(x.items().size());
+            for (Item i : x.items()) {
+                NewsEncoder.ItemsEncoder n =
+                        g.next().kind((short) i.kind()).life(i.life()).version(i.version());
+                put(i.key(), n::putKey);
+                put(i.value(), n::putValue);
+            }
+            return e.limit();
+        }
+        if (m instanceof Digest x) {
+            DigestEncoder e = new DigestEncoder().wrapAndApplyHeader(b, 0, h);
+            DigestEncoder.RangesEncoder g = e.rangesCount(x.ranges().length);
+            for (long r : x.ranges()) {
+                g.next().hash(r);
+            }
+            return e.limit();
+        }
+        if (m instanceof Lease x) {
+            return new LeaseEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .nodes(x.nodes())
+                    .ttlMs(x.ttlMs())
+                    .limit();
+        }
+        if (m instanceof Engine x) {
+            EngineEncoder e = new EngineEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .capacity(x.capacity())
+                    .coldMs(x.coldMs())
+                    .draining(bit(x.draining()))
+                    .remainingMs(x.remainingMs())
+                    .weights(x.weights());
+            put(x.service(), e::putService);
+            put(x.address(), e::putAddress);
+            put(x.zone(), e::putZone);
+            put(x.revision(), e::putRevision);
+            return e.limit();
+        }
+        if (m instanceof Report x) {
+            ReportEncoder e = new ReportEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .life(x.life())
+                    .seq(x.seq());
+            ReportEncoder.TalliesEncoder t = e.talliesCount(x.tallies().size());
+            x.tallies().forEach(r -> t.next()
+                    .engine(r.engine())
+                    .kind((short) r.kind())
+                    .answered(r.answered())
+                    .notRun(r.notRun())
+                    .failed(r.failed())
+                    .running(r.running())
+                    .tokens(r.tokens())
+                    .b0(r.b0())
+                    .b1(r.b1())
+                    .b2(r.b2())
+                    .b3(r.b3())
+                    .b4(r.b4())
+                    .b5(r.b5()));
+            ReportEncoder.HeartbeatsEncoder g = e.heartbeatsCount(x.heartbeats().size());
+            x.heartbeats().forEach(r -> g.next().engine(r.engine()).agoMs(r.agoMs()));
+            ReportEncoder.SourcesEncoder o = e.sourcesCount(x.sources().size());
+            x.sources()
+                    .forEach(r ->
+                            o.next().node(r.node().bits()).sourceLife(r.life()).sourceSeq(r.seq()));
+            return e.limit();
+        }
+        if (m instanceof LedgerReport x) {
+            LedgerReportEncoder e = new LedgerReportEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .life(x.life())
+                    .seq(x.seq())
+                    .revision(x.revision())
+                    .digest(x.digest())
+                    .endedTwice(x.endedTwice());
+            LedgerReportEncoder.RowsEncoder g = e.rowsCount(x.rows().size());
+            for (LedgerRow r : x.rows()) {
+                g.next()
+                        .revision(r.revision())
+                        .admitted(r.admitted())
+                        .inProgress((int) r.inProgress())
+                        .completed(r.completed())
+                        .clientGone(r.clientGone())
+                        .overdue(r.overdue())
+                        .nodeEnds((int) r.nodeEnds())
+                        .givenUp(r.givenUp())
+                        .sent(r.sent())
+                        .notRun(r.notRun())
+                        .mayHaveRun(r.mayHaveRun())
+                        .resumed(r.resumed())
+                        .runTwice((int) r.runTwice());
+                put(r.cls(), g::putCls);
+            }
+            return e.limit();
+        }
+        if (m instanceof Load x) {
+            LoadEncoder e =
+                    new LoadEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq());
+            LoadEncoder.EnginesEncoder t = e.enginesCount(x.engines().size());
+            x.engines().forEach(r -> t.next()
+                    .engine(r.engine())
+                    .answered(r.answered())
+                    .failed(r.failed())
+                    .running(r.running())
+                    .tokens(r.tokens()));
+            LoadEncoder.RegionsEncoder g = e.regionsCount(x.regions().size());
+            for (RegionLoad r : x.regions()) {
+                g.next()
+                        .engines(r.engines())
+                        .room(r.room())
+                        .running(r.running())
+                        .answered(r.answered())
+                        .failed(r.failed());
+                put(r.region(), g::putRegion);
+                put(r.service(), g::putService);
+            }
+            return e.limit();
+        }
+        return NOT_OF_THIS_KIND;
+    }
+
+    /** Messages of the agreement on views. */
+    private static int encodeAgreement(Msg m, MutableDirectBuffer b, MessageHeaderEncoder h) {
+        if (m instanceof View x) {
+            ViewEncoder e = new ViewEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .baseLineage(x.base().lineage())
+                    .baseSeq(x.base().seq());
             ViewEncoder.VotersEncoder v = e.votersCount(x.voters().size());
             x.voters().forEach(n -> v.next().node(n.bits()));
             ViewEncoder.ChainEncoder c = e.chainCount(x.chain().size());
             x.chain().forEach(n -> c.next().node(n.bits()));
-            end = e.limit();
-        } else if (m instanceof Prepare x) {
-            PrepareEncoder e = new PrepareEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot());
+            return e.limit();
+        }
+        if (m instanceof Prepare x) {
+            PrepareEncoder e = new PrepareEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .ballot(x.ballot());
             put(x.view(), e::putView);
-            end = e.limit();
-        } else if (m instanceof Pledge x) {
-            PledgeEncoder e = new PledgeEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot())
-                    .granted(bit(x.granted())).promised(x.promised()).acceptedBallot(x.acceptedBallot())
-                    .lineage(x.lineage()).seq(x.seq());
+            return e.limit();
+        }
+        if (m instanceof Pledge x) {
+            PledgeEncoder e = new PledgeEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .ballot(x.ballot())
+                    .granted(bit(x.granted()))
+                    .promised(x.promised())
+                    .acceptedBallot(x.acceptedBallot())
+                    .lineage(x.lineage())
+                    .seq(x.seq());
             put(x.accepted(), e::putAccepted);
             put(x.view(), e::putView);
-            end = e.limit();
-        } else if (m instanceof Accept x) {
-            AcceptEncoder e = new AcceptEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot());
+            return e.limit();
+        }
+        if (m instanceof Accept x) {
+            AcceptEncoder e = new AcceptEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .ballot(x.ballot());
             put(x.view(), e::putView);
-            end = e.limit();
-        } else if (m instanceof Accepted x) {
-            end = new AcceptedEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).ballot(x.ballot())
-                    .granted(bit(x.granted())).promised(x.promised()).limit();
-        } else if (m instanceof Decided x) {
+            return e.limit();
+        }
+        if (m instanceof Accepted x) {
+            return new AcceptedEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .ballot(x.ballot())
+                    .granted(bit(x.granted()))
+                    .promised(x.promised())
+                    .limit();
+        }
+        if (m instanceof Decided x) {
             DecidedEncoder e = new DecidedEncoder().wrapAndApplyHeader(b, 0, h);
             put(x.view(), e::putView);
-            end = e.limit();
-        } else if (m instanceof Install x) {
-            InstallEncoder e = new InstallEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).seq(x.seq());
-            put(x.image(), e::putImage);
-            end = e.limit();
-        } else if (m instanceof Entry x) {
-            EntryEncoder e = new EntryEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).seq(x.seq());
-            put(x.op(), e::putOp);
-            end = e.limit();
-        } else if (m instanceof Synced x) {
-            end = new SyncedEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).seq(x.seq()).limit();
-        } else if (m instanceof Confirm x) {
-            end = new ConfirmEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).id(x.id()).limit();
-        } else if (m instanceof Confirmed x) {
-            end = new ConfirmedEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).id(x.id()).ok(bit(x.ok())).limit();
-        } else if (m instanceof Relearn x) {
-            end = new RelearnEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).limit();
-        } else if (m instanceof Relearned x) {
-            RelearnedEncoder e = new RelearnedEncoder().wrapAndApplyHeader(b, 0, h).id(x.id())
-                    .promisedEpoch(x.promisedEpoch()).promised(x.promised()).acceptedBallot(x.acceptedBallot());
+            return e.limit();
+        }
+        if (m instanceof Relearn x) {
+            return new RelearnEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).limit();
+        }
+        if (m instanceof Relearned x) {
+            RelearnedEncoder e = new RelearnedEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .id(x.id())
+                    .promisedEpoch(x.promisedEpoch())
+                    .promised(x.promised())
+                    .acceptedBallot(x.acceptedBallot());
+            put(x.accepted(), e::putAccepted);
+            put(x.view(), e::putView);
+            return e.limit();
+        }
+        if (m instanceof Vote x) {
+            VoteEncoder e = new VoteEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .promisedEpoch(x.promisedEpoch())
+                    .promised(x.promised())
+                    .acceptedBallot(x.acceptedBallot());
             put(x.accepted(), e::putAccepted);
             put(x.view(), e::putView);
-            end = e.limit();
-        } else if (m instanceof Call x) {
-            CallEncoder e = new CallEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).kind((short) x.kind()).base(x.base());
+            return e.limit();
+        }
+        return NOT_OF_THIS_KIND;
+    }
+
+    /** Messages of the chain, and of orders on their way. */
+    private static int encodeReplication(Msg m, MutableDirectBuffer b, MessageHeaderEncoder h) {
+        if (m instanceof Install x) {
+            InstallEncoder e = new InstallEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .seq(x.seq());
+            put(x.image(), e::putImage);
+            return e.limit();
+        }
+        if (m instanceof Entry x) {
+            EntryEncoder e = new EntryEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .seq(x.seq());
+            put(x.op(), e::putOp);
+            return e.limit();
+        }
+        if (m instanceof Synced x) {
+            return new SyncedEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .seq(x.seq())
+                    .limit();
+        }
+        if (m instanceof Confirm x) {
+            return new ConfirmEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .id(x.id())
+                    .limit();
+        }
+        if (m instanceof Confirmed x) {
+            return new ConfirmedEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .epoch(x.epoch())
+                    .id(x.id())
+                    .ok(bit(x.ok()))
+                    .limit();
+        }
+        if (m instanceof Call x) {
+            CallEncoder e = new CallEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .id(x.id())
+                    .kind((short) x.kind())
+                    .base(x.base());
             put(x.arg(), e::putArg);
             put(x.body(), e::putBody);
-            end = e.limit();
-        } else if (m instanceof Reply x) {
-            ReplyEncoder e = new ReplyEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).outcome((short) x.outcome());
+            return e.limit();
+        }
+        if (m instanceof Reply x) {
+            ReplyEncoder e =
+                    new ReplyEncoder().wrapAndApplyHeader(b, 0, h).id(x.id()).outcome((short) x.outcome());
             put(x.body(), e::putBody);
-            end = e.limit();
-        } else if (m instanceof News x) {
-            NewsEncoder e = new NewsEncoder().wrapAndApplyHeader(b, 0, h).full(bit(x.full()));
-            NewsEncoder.ItemsEncoder g = e.itemsCount(x.items().size());
-            for (Item i : x.items()) {
-                NewsEncoder.ItemsEncoder n = g.next().kind((short) i.kind()).life(i.life()).version(i.version());
-                put(i.key(), n::putKey);
-                put(i.value(), n::putValue);
-            }
-            end = e.limit();
-        } else if (m instanceof Digest x) {
-            DigestEncoder e = new DigestEncoder().wrapAndApplyHeader(b, 0, h);
-            DigestEncoder.RangesEncoder g = e.rangesCount(x.ranges().length);
-            for (long r : x.ranges()) {
-                g.next().hash(r);
-            }
-            end = e.limit();
-        } else if (m instanceof Lease x) {
-            end = new LeaseEncoder().wrapAndApplyHeader(b, 0, h).epoch(x.epoch()).nodes(x.nodes()).ttlMs(x.ttlMs())
-                    .limit();
-        } else if (m instanceof Op x) {
-            OpEncoder e = new OpEncoder().wrapAndApplyHeader(b, 0, h).kind((short) x.kind()).base(x.base())
-                    .revision(x.revision()).digest(x.digest());
+            return e.limit();
+        }
+        if (m instanceof Op x) {
+            OpEncoder e = new OpEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .kind((short) x.kind())
+                    .base(x.base())
+                    .revision(x.revision())
+                    .digest(x.digest());
             put(x.arg(), e::putArg);
             put(x.body(), e::putBody);
-            end = e.limit();
-        } else if (m instanceof State x) {
-            StateEncoder e = new StateEncoder().wrapAndApplyHeader(b, 0, h).lineage(x.lineage()).seq(x.seq())
+            return e.limit();
+        }
+        if (m instanceof State x) {
+            StateEncoder e = new StateEncoder()
+                    .wrapAndApplyHeader(b, 0, h)
+                    .lineage(x.lineage())
+                    .seq(x.seq())
                     .revision(x.revision());
             StateEncoder.PastEncoder p = e.pastCount(x.past().size());
             x.past().forEach(v -> p.next().revision(v[0]).digest(v[1]));
@@ -162,61 +477,9 @@
                 put(i.value(), n::putValue);
             }
             put(x.config(), e::putConfig);
-            end = e.limit();
-        } else if (m instanceof Vote x) {
-            VoteEncoder e = new VoteEncoder().wrapAndApplyHeader(b, 0, h).promisedEpoch(x.promisedEpoch())
-                    .promised(x.promised()).acceptedBallot(x.acceptedBallot());
-            put(x.accepted(), e::putAccepted);
-            put(x.view(), e::putView);
-            end = e.limit();
-        } else if (m instanceof Report x) {
-            ReportEncoder e = new ReportEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq());
-            ReportEncoder.TalliesEncoder t = e.talliesCount(x.tallies().size());
-            x.tallies().forEach(r -> t.next().engine(r.engine()).kind((short) r.kind()).answered(r.answered())
-                    .notRun(r.notRun()).failed(r.failed()).running(r.running()).tokens(r.tokens()).b0(r.b0()).b1(r.b1())
-                    .b2(r.b2()).b3(r.b3()).b4(r.b4()).b5(r.b5()));
-            ReportEncoder.HeartbeatsEncoder g = e.heartbeatsCount(x.heartbeats().size());
-            x.heartbeats().forEach(r -> g.next().engine(r.engine()).agoMs(r.agoMs()));
-            ReportEncoder.SourcesEncoder o = e.sourcesCount(x.sources().size());
-            x.sources().forEach(r -> o.next().node(r.node().bits()).sourceLife(r.life()).sourceSeq(r.seq()));
-            end = e.limit();
-        } else if (m instanceof LedgerReport x) {
-            LedgerReportEncoder e = new LedgerReportEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq())
-                    .revision(x.revision()).digest(x.digest()).endedTwice(x.endedTwice());
-            LedgerReportEncoder.RowsEncoder g = e.rowsCount(x.rows().size());
-            for (LedgerRow r : x.rows()) {
-                g.next().revision(r.revision()).admitted(r.admitted()).inProgress((int) r.inProgress()).completed(r.completed())
-                        .clientGone(r.clientGone()).overdue(r.overdue()).nodeEnds((int) r.nodeEnds()).givenUp(r.givenUp())
-                        .sent(r.sent()).notRun(r.notRun()).mayHaveRun(r.mayHaveRun()).resumed(r.resumed()).runTwice((int) r.runTwice());
-                put(r.cls(), g::putCls);
-            }
-            end = e.limit();
-        } else if (m instanceof Load x) {
-            LoadEncoder e = new LoadEncoder().wrapAndApplyHeader(b, 0, h).life(x.life()).seq(x.seq());
-            LoadEncoder.EnginesEncoder t = e.enginesCount(x.engines().size());
-            x.engines().forEach(r -> t.next().engine(r.engine()).answered(r.answered()).failed(r.failed())
-                    .running(r.running()).tokens(r.tokens()));
-            LoadEncoder.RegionsEncoder g = e.regionsCount(x.regions().size());
-            for (RegionLoad r : x.regions()) {
-                g.next().engines(r.engines()).room(r.room()).running(r.running()).answered(r.answered()).failed(r.failed());
-                put(r.region(), g::putRegion);
-                put(r.service(), g::putService);
-            }
-            end = e.limit();
-        } else if (m instanceof Engine x) {
-            EngineEncoder e = new EngineEncoder().wrapAndApplyHeader(b, 0, h).capacity(x.capacity()).coldMs(x.coldMs())
-                    .draining(bit(x.draining())).remainingMs(x.remainingMs()).weights(x.weights());
-            put(x.service(), e::putService);
-            put(x.address(), e::putAddress);
-            put(x.zone(), e::putZone);
-            put(x.revision(), e::putRevision);
-            end = e.limit();
-        } else {
-            throw new IllegalArgumentException("unknown message " + m.getClass());
+            return e.limit();
         }
-        byte[] out = new byte[end];
-        b.getBytes(0, out);
-        return out;
+        return NOT_OF_THIS_KIND;
     }
 
     /** The fixed part of a view as the first version of the schema wrote it: its epoch alone. */
@@ -242,7 +505,8 @@
         if (length == null) {
             throw new FrameException(FrameException.Reason.UNKNOWN_TEMPLATE, "template " + h.templateId());
         }
-        boolean viewWithoutBase = h.templateId() == ViewDecoder.TEMPLATE_ID && h.version() < ViewDecoder.baseLineageSinceVersion();
+        boolean viewWithoutBase =
+                h.templateId() == ViewDecoder.TEMPLATE_ID && h.version() < ViewDecoder.baseLineageSinceVersion();
         if (h.blockLength() != (viewWithoutBase ? VIEW_WITHOUT_BASE_LENGTH : length)) {
             throw new FrameException(FrameException.Reason.FOREIGN_VERSION, "fixed part of " + h.blockLength());
         }
@@ -255,8 +519,14 @@
         switch (h.templateId()) {
             case HelloDecoder.TEMPLATE_ID: {
                 HelloDecoder d = new HelloDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Hello(new NodeId(d.node()), d.life(), d.kind(), d.front(), text(d.nameLength(), d::getName),
-                        text(d.zoneLength(), d::getZone), text(d.regionLength(), d::getRegion));
+                return new Hello(
+                        new NodeId(d.node()),
+                        d.life(),
+                        d.kind(),
+                        d.front(),
+                        text(d.nameLength(), d::getName),
+                        text(d.zoneLength(), d::getZone),
+                        text(d.regionLength(), d::getRegion));
             }
             case HeartbeatDecoder.TEMPLATE_ID: {
                 HeartbeatDecoder d = new HeartbeatDecoder().wrapAndApplyHeader(b, 0, h);
@@ -269,7 +539,9 @@
             case ViewDecoder.TEMPLATE_ID: {
                 ViewDecoder d = new ViewDecoder().wrapAndApplyHeader(b, 0, h);
                 long lineage = d.baseLineage();
-                Position base = lineage == ViewDecoder.baseLineageNullValue() ? Position.NONE : new Position(lineage, d.baseSeq());
+                Position base = lineage == ViewDecoder.baseLineageNullValue()
+                        ? Position.NONE
+                        : new Position(lineage, d.baseSeq());
                 List<NodeId> voters = new ArrayList<>();
                 for (ViewDecoder.VotersDecoder g : d.voters()) {
                     voters.add(new NodeId(g.node()));
@@ -286,8 +558,16 @@
             }
             case PledgeDecoder.TEMPLATE_ID: {
                 PledgeDecoder d = new PledgeDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Pledge(d.epoch(), d.ballot(), d.granted() == 1, d.promised(), d.acceptedBallot(), d.lineage(),
-                        d.seq(), view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
+                return new Pledge(
+                        d.epoch(),
+                        d.ballot(),
+                        d.granted() == 1,
+                        d.promised(),
+                        d.acceptedBallot(),
+                        d.lineage(),
+                        d.seq(),
+                        view(d.acceptedLength(), d::getAccepted),
+                        view(d.viewLength(), d::getView));
             }
             case AcceptDecoder.TEMPLATE_ID: {
                 AcceptDecoder d = new AcceptDecoder().wrapAndApplyHeader(b, 0, h);
@@ -322,16 +602,22 @@
                 return new Confirmed(d.epoch(), d.id(), d.ok() == 1);
             }
             case RelearnDecoder.TEMPLATE_ID:
-                return new Relearn(new RelearnDecoder().wrapAndApplyHeader(b, 0, h).id());
+                return new Relearn(
+                        new RelearnDecoder().wrapAndApplyHeader(b, 0, h).id());
             case RelearnedDecoder.TEMPLATE_ID: {
                 RelearnedDecoder d = new RelearnedDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Relearned(d.id(), d.promisedEpoch(), d.promised(), d.acceptedBallot(),
-                        view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
+                return new Relearned(
+                        d.id(),
+                        d.promisedEpoch(),
+                        d.promised(),
+                        d.acceptedBallot(),
+                        view(d.acceptedLength(), d::getAccepted),
+                        view(d.viewLength(), d::getView));
             }
             case CallDecoder.TEMPLATE_ID: {
                 CallDecoder d = new CallDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Call(d.id(), d.kind(), d.base(), text(d.argLength(), d::getArg),
-                        raw(d.bodyLength(), d::getBody));
+                return new Call(
+                        d.id(), d.kind(), d.base(), text(d.argLength(), d::getArg), raw(d.bodyLength(), d::getBody));
             }
             case ReplyDecoder.TEMPLATE_ID: {
                 ReplyDecoder d = new ReplyDecoder().wrapAndApplyHeader(b, 0, h);
@@ -345,8 +631,8 @@
                     int kind = g.kind();
                     long life = g.life();
                     long version = g.version();
-                    items.add(new Item(kind, text(g.keyLength(), g::getKey), life, version,
-                            raw(g.valueLength(), g::getValue)));
+                    items.add(new Item(
+                            kind, text(g.keyLength(), g::getKey), life, version, raw(g.valueLength(), g::getValue)));
                 }
                 return new News(full, items);
             }
@@ -365,7 +651,12 @@
             }
             case OpDecoder.TEMPLATE_ID: {
                 OpDecoder d = new OpDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Op(d.kind(), d.base(), d.revision(), d.digest(), text(d.argLength(), d::getArg),
+                return new Op(
+                        d.kind(),
+                        d.base(),
+                        d.revision(),
+                        d.digest(),
+                        text(d.argLength(), d::getArg),
                         raw(d.bodyLength(), d::getBody));
             }
             case StateDecoder.TEMPLATE_ID: {
@@ -378,27 +669,51 @@
                 for (StateDecoder.MarksDecoder g : d.marks()) {
                     int kind = g.kind();
                     long version = g.version();
-                    marks.add(new Mark(kind, text(g.keyLength(), g::getKey), version, text(g.valueLength(), g::getValue)));
+                    marks.add(new Mark(
+                            kind, text(g.keyLength(), g::getKey), version, text(g.valueLength(), g::getValue)));
                 }
                 return new State(d.lineage(), d.seq(), d.revision(), past, marks, raw(d.configLength(), d::getConfig));
             }
             case VoteDecoder.TEMPLATE_ID: {
                 VoteDecoder d = new VoteDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Vote(d.promisedEpoch(), d.promised(), d.acceptedBallot(),
-                        view(d.acceptedLength(), d::getAccepted), view(d.viewLength(), d::getView));
+                return new Vote(
+                        d.promisedEpoch(),
+                        d.promised(),
+                        d.acceptedBallot(),
+                        view(d.acceptedLength(), d::getAccepted),
+                        view(d.viewLength(), d::getView));
             }
             case EngineDecoder.TEMPLATE_ID: {
                 EngineDecoder d = new EngineDecoder().wrapAndApplyHeader(b, 0, h);
-                return new Engine(d.capacity(), d.coldMs(), d.draining() == 1, d.remainingMs(), d.weights(),
-                        text(d.serviceLength(), d::getService), text(d.addressLength(), d::getAddress),
-                        text(d.zoneLength(), d::getZone), text(d.revisionLength(), d::getRevision));
+                return new Engine(
+                        d.capacity(),
+                        d.coldMs(),
+                        d.draining() == 1,
+                        d.remainingMs(),
+                        d.weights(),
+                        text(d.serviceLength(), d::getService),
+                        text(d.addressLength(), d::getAddress),
+                        text(d.zoneLength(), d::getZone),
+                        text(d.revisionLength(), d::getRevision));
             }
             case ReportDecoder.TEMPLATE_ID: {
                 ReportDecoder d = new ReportDecoder().wrapAndApplyHeader(b, 0, h);
                 List<TallyRow> tallies = new ArrayList<>();
                 for (ReportDecoder.TalliesDecoder g : d.tallies()) {
-                    tallies.add(new TallyRow(g.engine(), g.kind(), g.answered(), g.notRun(), g.failed(), g.running(),
-                            g.tokens(), g.b0(), g.b1(), g.b2(), g.b3(), g.b4(), g.b5()));
+                    tallies.add(new TallyRow(
+                            g.engine(),
+                            g.kind(),
+                            g.answered(),
+                            g.notRun(),
+                            g.failed(),
+                            g.running(),
+                            g.tokens(),
+                            g.b0(),
+                            g.b1(),
+                            g.b2(),
+                            g.b3(),
+                            g.b4(),
+                            g.b5()));
                 }
                 List<HeartbeatRow> heartbeats = new ArrayList<>();
                 for (ReportDecoder.HeartbeatsDecoder g : d.heartbeats()) {
@@ -414,8 +729,20 @@
                 LedgerReportDecoder d = new LedgerReportDecoder().wrapAndApplyHeader(b, 0, h);
                 List<LedgerRow> rows = new ArrayList<>();
                 for (LedgerReportDecoder.RowsDecoder g : d.rows()) {
-                    rows.add(new LedgerRow(g.revision(), g.admitted(), g.inProgress(), g.completed(), g.clientGone(), g.overdue(),
-                            g.nodeEnds(), g.givenUp(), g.sent(), g.notRun(), g.mayHaveRun(), g.resumed(), g.runTwice(),
+                    rows.add(new LedgerRow(
+                            g.revision(),
+                            g.admitted(),
+                            g.inProgress(),
+                            g.completed(),
+                            g.clientGone(),
+                            g.overdue(),
+                            g.nodeEnds(),
+                            g.givenUp(),
+                            g.sent(),
+                            g.notRun(),
+                            g.mayHaveRun(),
+                            g.resumed(),
+                            g.runTwice(),
                             text(g.clsLength(), g::getCls)));
                 }
                 return new LedgerReport(d.life(), d.seq(), d.revision(), d.digest(), d.endedTwice(), rows);
@@ -433,8 +760,14 @@
                     int running = g.running();
                     int answered = g.answered();
                     int failed = g.failed();
-                    regions.add(new RegionLoad(text(g.regionLength(), g::getRegion), text(g.serviceLength(), g::getService), n,
-                            room, running, answered, failed));
+                    regions.add(new RegionLoad(
+                            text(g.regionLength(), g::getRegion),
+                            text(g.serviceLength(), g::getService),
+                            n,
+                            room,
+                            running,
+                            answered,
+                            failed));
                 }
                 return new Load(d.life(), d.seq(), engines, regions);
             }
--- a/src/main/java/ringspindle/wire/FrameException.java
+++ b/src/main/java/ringspindle/wire/FrameException.java
@@ -24,15 +24,18 @@
 
     private final Reason reason;
 
+    /** {@code new FrameException(Reason.NO_HELLO, "a heartbeat came first")}. */
     public FrameException(Reason reason, String text) {
         this(reason, text, null);
     }
 
+    /** The same with what it follows from, null if there is nothing. */
     public FrameException(Reason reason, String text, Throwable cause) {
         super(reason + ": " + text, cause);
         this.reason = reason;
     }
 
+    /** Why the bytes were refused; they changed nothing. */
     public Reason reason() {
         return reason;
     }
--- a/src/main/java/ringspindle/wire/JettyMesh.java
+++ b/src/main/java/ringspindle/wire/JettyMesh.java
@@ -1,17 +1,32 @@
 package ringspindle.wire;
 
-import com.google.common.flogger.*;
-import java.net.*;
-import java.nio.*;
-import java.time.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
-import org.eclipse.jetty.io.*;
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.io.ByteBufferPool;
+import org.eclipse.jetty.io.ClientConnectionFactory;
+import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.Connection;
-import org.eclipse.jetty.server.*;
-import org.eclipse.jetty.util.*;
-import org.eclipse.jetty.util.thread.*;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.Transport;
+import org.eclipse.jetty.server.AbstractConnectionFactory;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
 
 /** Frames (length, SBE) over Jetty's endpoints. */
 final class JettyMesh implements Mesh {
@@ -21,6 +36,7 @@
     private static final int HELLO_MAX = 4096;
     /** Refused frames are counted, and one of them is logged in so many seconds. */
     private static final int LOG_EVERY_S = 10;
+
     private static final int BACKLOG_MAX = 32 << 20;
 
     private final Msg.Hello self;
@@ -74,8 +90,9 @@
         }
         Map<String, Object> context = new HashMap<>();
         context.put(Transport.class.getName(), Transport.TCP_IP);
-        context.put(ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory) (ep, ctx) -> new FrameWire(ep, peer));
-        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, Promise.from(x -> { }, x -> {
+        context.put(
+                ClientConnectionFactory.CONTEXT_KEY, (ClientConnectionFactory) (ep, ctx) -> new FrameWire(ep, peer));
+        context.put(ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY, Promise.from(x -> {}, x -> {
             dialling.remove(peer);
             LOG.atFine().withCause(x).log("cannot dial %s", peer);
         }));
@@ -144,7 +161,10 @@
 
         void send(Msg m) {
             byte[] body = Codec.encode(m);
-            ByteBuffer frame = ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).flip();
+            ByteBuffer frame = ByteBuffer.allocate(4 + body.length)
+                    .putInt(body.length)
+                    .put(body)
+                    .flip();
             boolean start;
             synchronized (out) {
                 backlog += frame.remaining();
@@ -200,7 +220,8 @@
                 }
             } catch (FrameException x) {
                 refused.get(x.reason()).increment();
-                LOG.atWarning().atMostEvery(LOG_EVERY_S, TimeUnit.SECONDS).log("connection of %s at %s is closed: %s, %s so far",
+                LOG.atWarning().atMostEvery(LOG_EVERY_S, TimeUnit.SECONDS).log(
+                        "connection of %s at %s is closed: %s, %s so far",
                         peer, getEndPoint().getRemoteSocketAddress(), x.getMessage(), refused(x.reason()));
                 close();
             } catch (Throwable x) {
@@ -234,18 +255,24 @@
         private void heard(Msg m) {
             if (peer == null) {
                 if (!(m instanceof Msg.Hello h)) {
-                    throw new FrameException(FrameException.Reason.NO_HELLO, m.getClass().getSimpleName());
+                    throw new FrameException(
+                            FrameException.Reason.NO_HELLO, m.getClass().getSimpleName());
                 }
                 FrameWire old;
                 synchronized (wires) {
                     peerLife = h.life();
                     old = wires.get(h.node());
                     if (old != null && old != this && old.peerLife > peerLife) {
-                        // a late connection of a process that is gone; should it be the clock that went back, the one that
+                        // a late connection of a process that is gone; should it be the clock that went back, the one
+                        // that
                         // stands ends with its process or by its silence, and the next to dial gets through
                         throw new FrameException(FrameException.Reason.EARLIER_LIFE, h.name() + " of life " + peerLife);
                     }
-                    if (old != null && old != this && old.peerLife == peerLife && old.byLower(h.node()) && !byLower(h.node())) {
+                    if (old != null
+                            && old != this
+                            && old.peerLife == peerLife
+                            && old.byLower(h.node())
+                            && !byLower(h.node())) {
                         // both dialled at once: both keep the wire of the lower address
                         close();
                         return;
--- a/src/main/java/ringspindle/wire/LifeCycleQuietly.java
+++ b/src/main/java/ringspindle/wire/LifeCycleQuietly.java
@@ -1,11 +1,10 @@
 package ringspindle.wire;
 
-import org.eclipse.jetty.util.component.*;
+import org.eclipse.jetty.util.component.LifeCycle;
 
 /** Stops parts at the end of a process, where a failure to stop changes nothing. */
 public final class LifeCycleQuietly {
-    private LifeCycleQuietly() {
-    }
+    private LifeCycleQuietly() {}
 
     /** {@code LifeCycleQuietly.stop(server)}; null is fine. */
     public static void stop(LifeCycle part) {
--- a/src/main/java/ringspindle/wire/Means.java
+++ b/src/main/java/ringspindle/wire/Means.java
@@ -1,9 +1,9 @@
 package ringspindle.wire;
 
-import java.security.*;
-import java.util.concurrent.*;
-import java.util.function.*;
-import org.eclipse.jetty.util.thread.*;
+import java.security.SecureRandom;
+import java.util.concurrent.Executor;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
 
 /**
  * What an owner of state machines works with: a clock, the number of its life, chance, threads, and a mesh that speaks for
@@ -14,7 +14,11 @@
 
     /** Sockets, the steady clock and the given threads; {@code Means.real(Threads.start("dp", 20, 8))}. */
     public static Means real(Threads threads) {
-        return new Means(Steady.system(), System.currentTimeMillis(), new SecureRandom()::nextLong, threads.pool(),
+        return new Means(
+                Steady.system(),
+                System.currentTimeMillis(),
+                new SecureRandom()::nextLong,
+                threads.pool(),
                 hello -> Mesh.create(hello, threads.pool(), threads.timers()));
     }
 }
--- a/src/main/java/ringspindle/wire/Mesh.java
+++ b/src/main/java/ringspindle/wire/Mesh.java
@@ -1,7 +1,7 @@
 package ringspindle.wire;
 
-import java.util.concurrent.*;
-import org.eclipse.jetty.util.thread.*;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /** Wires to other nodes of the system. */
 public interface Mesh extends AutoCloseable {
--- a/src/main/java/ringspindle/wire/Msg.java
+++ b/src/main/java/ringspindle/wire/Msg.java
@@ -1,15 +1,16 @@
 package ringspindle.wire;
 
-import java.util.*;
+import java.util.List;
 
 /** What nodes say to each other; the layout is in {@code wire.xml}. */
 public sealed interface Msg {
     /** First on every wire. kind 0 is a control node, 1 a data node. */
-    record Hello(NodeId node, long life, int kind, long front, String name, String zone, String region) implements Msg {
-    }
+    record Hello(NodeId node, long life, int kind, long front, String name, String zone, String region)
+            implements Msg {}
 
     /** Beat between two nodes; echo is the last n heard from the other side. */
-    record Heartbeat(long n, long echo, int flags, long epoch, long seq, long digest, List<NodeId> heard) implements Msg {
+    record Heartbeat(long n, long echo, int flags, long epoch, long seq, long digest, List<NodeId> heard)
+            implements Msg {
         /** The node takes requests. */
         public static final int READY = 1;
         /** The node is leaving. */
@@ -58,47 +59,57 @@
         }
     }
 
-    record Prepare(long epoch, long ballot, View view) implements Msg {
-    }
-
-    record Pledge(long epoch, long ballot, boolean granted, long promised, long acceptedBallot, long lineage, long seq,
-            View accepted, View view) implements Msg {
+    /** Consensus on a view, phase one: asks a voter to promise a ballot. */
+    record Prepare(long epoch, long ballot, View view) implements Msg {}
+
+    /** Answer to {@link Prepare}: the promise, or the higher ballot promised before, with what was accepted. */
+    record Pledge(
+            long epoch,
+            long ballot,
+            boolean granted,
+            long promised,
+            long acceptedBallot,
+            long lineage,
+            long seq,
+            View accepted,
+            View view)
+            implements Msg {
         /** How far the voter's copy has come; {@code pledge.position().compareTo(view.base()) >= 0}. */
         public Position position() {
             return new Position(lineage, seq);
         }
     }
 
-    record Accept(long epoch, long ballot, View view) implements Msg {
-    }
+    /** Consensus on a view, phase two: asks a voter to accept the view under a ballot. */
+    record Accept(long epoch, long ballot, View view) implements Msg {}
 
-    record Accepted(long epoch, long ballot, boolean granted, long promised) implements Msg {
-    }
+    /** Answer to {@link Accept}. */
+    record Accepted(long epoch, long ballot, boolean granted, long promised) implements Msg {}
 
-    record Decided(View view) implements Msg {
-    }
+    /** The view that a majority accepted. */
+    record Decided(View view) implements Msg {}
 
-    record Install(long epoch, long seq, byte[] image) implements Msg {
-    }
+    /** A snapshot of the control state, for a replica that lacks entries. */
+    record Install(long epoch, long seq, byte[] image) implements Msg {}
 
-    record Entry(long epoch, long seq, byte[] op) implements Msg {
-    }
+    /** One replicated operation, passed down the chain. */
+    record Entry(long epoch, long seq, byte[] op) implements Msg {}
 
-    record Synced(long epoch, long seq) implements Msg {
-    }
+    /** Acknowledges all entries up to the sequence number. */
+    record Synced(long epoch, long seq) implements Msg {}
 
-    record Confirm(long epoch, long id) implements Msg {
-    }
+    /** Asks a voter whether the view of this epoch is still in force. */
+    record Confirm(long epoch, long id) implements Msg {}
 
-    record Confirmed(long epoch, long id, boolean ok) implements Msg {
-    }
+    /** Answer to {@link Confirm}. */
+    record Confirmed(long epoch, long id, boolean ok) implements Msg {}
 
-    record Relearn(long id) implements Msg {
-    }
+    /** Asks a voter for its consensus state, by a node that joins or lost its disk. */
+    record Relearn(long id) implements Msg {}
 
+    /** Answer to {@link Relearn}. */
     record Relearned(long id, long promisedEpoch, long promised, long acceptedBallot, View accepted, View view)
-            implements Msg {
-    }
+            implements Msg {}
 
     /**
      * An order or reading that some node took from a caller.
@@ -113,77 +124,100 @@
         }
     }
 
-    record Reply(long id, int outcome, byte[] body) implements Msg {
-    }
+    /** Answer to {@link Call}. */
+    record Reply(long id, int outcome, byte[] body) implements Msg {}
 
     /** One fact of the book; the newer (life, version) wins. */
-    record Item(int kind, String key, long life, long version, byte[] value) {
-    }
+    record Item(int kind, String key, long life, long version, byte[] value) {}
 
-    record News(boolean full, List<Item> items) implements Msg {
-    }
+    /** Items of the replicated key-value state that the receiver may lack. */
+    record News(boolean full, List<Item> items) implements Msg {}
 
-    record Digest(long[] ranges) implements Msg {
-    }
+    /** Digests by range, from which the receiver finds the items that differ. */
+    record Digest(long[] ranges) implements Msg {}
 
-    record Lease(long epoch, int nodes, int ttlMs) implements Msg {
-    }
+    /** A lease granted to a data node for a limited time, with the number of nodes. */
+    record Lease(long epoch, int nodes, int ttlMs) implements Msg {}
 
-    record Op(int kind, long base, long revision, long digest, String arg, byte[] body) implements Msg {
-    }
+    /** The content of a replicated operation. */
+    record Op(int kind, long base, long revision, long digest, String arg, byte[] body) implements Msg {}
 
     /** A mark of the control state: an evacuated zone, an engine that leaves, a roll-out. */
-    record Mark(int kind, String key, long version, String value) {
-    }
+    record Mark(int kind, String key, long version, String value) {}
 
+    /** The whole control state, as in a snapshot. */
     record State(long lineage, long seq, long revision, List<long[]> past, List<Mark> marks, byte[] config)
-            implements Msg {
-    }
+            implements Msg {}
 
-    record Vote(long promisedEpoch, long promised, long acceptedBallot, View accepted, View view) implements Msg {
-    }
+    /** A voter's durable consensus state. */
+    record Vote(long promisedEpoch, long promised, long acceptedBallot, View accepted, View view) implements Msg {}
 
     /** What an engine last said of itself. weights is the revision of its model, -1 unknown. */
-    record Engine(int capacity, int coldMs, boolean draining, int remainingMs, long weights, String service,
-            String address, String zone, String revision) implements Msg {
-    }
+    record Engine(
+            int capacity,
+            int coldMs,
+            boolean draining,
+            int remainingMs,
+            long weights,
+            String service,
+            String address,
+            String zone,
+            String revision)
+            implements Msg {}
 
     /** One source's tallies by engine and kind of request; {@code sum.Tally} gives them their meaning. */
-    record TallyRow(long engine, int kind, int answered, int notRun, int failed, int running, long tokens, int b0, int b1,
-            int b2, int b3, int b4, int b5) {
-    }
+    record TallyRow(
+            long engine,
+            int kind,
+            int answered,
+            int notRun,
+            int failed,
+            int running,
+            long tokens,
+            int b0,
+            int b1,
+            int b2,
+            int b3,
+            int b4,
+            int b5) {}
 
     /** When an engine's own heartbeat was last heard. */
-    record HeartbeatRow(long engine, int agoMs) {
-    }
+    record HeartbeatRow(long engine, int agoMs) {}
 
     /** A source whose report is part of a sum, and which one. */
-    record SourceRow(NodeId node, long life, long seq) {
-    }
+    record SourceRow(NodeId node, long life, long seq) {}
 
     /** A source's newest view of engines, or a collector's sum; (life, seq) orders what one sender says. */
     record Report(long life, long seq, List<TallyRow> tallies, List<HeartbeatRow> heartbeats, List<SourceRow> sources)
-            implements Msg {
-    }
+            implements Msg {}
 
     /** Actions of one class under one revision of the rules, as the node that held them counted. */
-    record LedgerRow(long revision, long admitted, long inProgress, long completed, long clientGone, long overdue, long nodeEnds,
-            long givenUp, long sent, long notRun, long mayHaveRun, long resumed, long runTwice, String cls) {
-    }
+    record LedgerRow(
+            long revision,
+            long admitted,
+            long inProgress,
+            long completed,
+            long clientGone,
+            long overdue,
+            long nodeEnds,
+            long givenUp,
+            long sent,
+            long notRun,
+            long mayHaveRun,
+            long resumed,
+            long runTwice,
+            String cls) {}
 
     /** A data node's ledger, and the rules in force there. */
-    record LedgerReport(long life, long seq, long revision, long digest, long endedTwice, List<LedgerRow> rows) implements Msg {
-    }
+    record LedgerReport(long life, long seq, long revision, long digest, long endedTwice, List<LedgerRow> rows)
+            implements Msg {}
 
     /** An engine of the region, summed over nodes. */
-    record EngineLoad(long engine, int answered, int failed, int running, long tokens) {
-    }
+    record EngineLoad(long engine, int answered, int failed, int running, long tokens) {}
 
     /** A service in one region, summed over engines. */
-    record RegionLoad(String region, String service, int engines, int room, int running, int answered, int failed) {
-    }
+    record RegionLoad(String region, String service, int engines, int room, int running, int answered, int failed) {}
 
     /** Sums on their way back: engines to data nodes of the region, regions to everyone. */
-    record Load(long life, long seq, List<EngineLoad> engines, List<RegionLoad> regions) implements Msg {
-    }
+    record Load(long life, long seq, List<EngineLoad> engines, List<RegionLoad> regions) implements Msg {}
 }
--- a/src/main/java/ringspindle/wire/PlainConnector.java
+++ b/src/main/java/ringspindle/wire/PlainConnector.java
@@ -1,7 +1,7 @@
 package ringspindle.wire;
 
-import org.eclipse.jetty.io.*;
-import org.eclipse.jetty.util.ssl.*;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.ssl.SslContextFactory;
 
 /** A dialler without TLS: the machine's trust store is not read, which would cost a start much time. */
 public final class PlainConnector extends ClientConnector {
--- a/src/main/java/ringspindle/wire/Threads.java
+++ b/src/main/java/ringspindle/wire/Threads.java
@@ -1,6 +1,7 @@
 package ringspindle.wire;
 
-import org.eclipse.jetty.util.thread.*;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
 /** The threads of a program: one pool, one for timers. */
 public record Threads(QueuedThreadPool pool, org.eclipse.jetty.util.thread.Scheduler timers) {
--- a/src/main/java/ringspindle/wire/Ticker.java
+++ b/src/main/java/ringspindle/wire/Ticker.java
@@ -1,8 +1,7 @@
 package ringspindle.wire;
 
-import com.google.common.flogger.*;
-import java.util.concurrent.*;
-import org.eclipse.jetty.util.thread.*;
+import com.google.common.flogger.FluentLogger;
+import java.util.concurrent.TimeUnit;
 
 /** Calls an owner at a steady pace; a call that fails is logged and does not end it. */
 public final class Ticker implements Runnable {
--- a/src/test/java/ringspindle/act/RaceSteps.java
+++ b/src/test/java/ringspindle/act/RaceSteps.java
@@ -1,13 +1,30 @@
 package ringspindle.act;
 
-import static org.junit.jupiter.api.Assertions.*;
-
-import io.cucumber.java.en.*;
-import java.util.*;
-import java.util.concurrent.*;
-import java.util.concurrent.atomic.*;
-import ringspindle.act.Action.*;
-
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assertions.fail;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import ringspindle.act.Action.Cause;
+import ringspindle.act.Action.End;
+import ringspindle.act.Action.Policy;
+import ringspindle.act.Action.State;
+import ringspindle.act.Action.Terminal;
+import ringspindle.act.Action.Verdict;
+
+/** Steps of the scenarios in which completion, cancellation and deadlines race. */
 public class RaceSteps {
     private final List<Terminal> terminals = new ArrayList<>();
     private final AtomicInteger cleanups = new AtomicInteger();
--- a/src/test/java/ringspindle/chain/ModelTamper.java
+++ b/src/test/java/ringspindle/chain/ModelTamper.java
@@ -77,5 +77,4 @@
     public List<Msg> durable() {
         return inner.durable();
     }
-
 }
