--- a/src/test/java/ringspindle/cp/EngineFileTest.java
+++ b/src/test/java/ringspindle/cp/EngineFileTest.java
@@ -1,13 +1,18 @@
 package ringspindle.cp;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
-import java.nio.file.*;
-import java.util.*;
-import org.junit.jupiter.api.*;
-import org.junit.jupiter.api.io.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import ringspindle.wire.Codec;
+import ringspindle.wire.Msg.Engine;
+import ringspindle.wire.Msg.Item;
+import ringspindle.wire.Msg.Relearn;
 
 /** The hint of engines comes back after a restart, and a broken one counts as none. */
 class EngineFileTest {
--- a/src/test/java/ringspindle/cp/HandoverTest.java
+++ b/src/test/java/ringspindle/cp/HandoverTest.java
@@ -1,12 +1,13 @@
 package ringspindle.cp;
 
-import static org.junit.jupiter.api.Assertions.*;
-
-import java.util.*;
-import org.junit.jupiter.api.*;
-import ringspindle.cp.Handover.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import ringspindle.cp.Handover.Holder;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /** A node ends once a majority of the others follow the view without it and hold what it holds. */
 class HandoverTest {
--- a/src/test/java/ringspindle/cp/MajorityProofTest.java
+++ b/src/test/java/ringspindle/cp/MajorityProofTest.java
@@ -1,12 +1,16 @@
 package ringspindle.cp;
 
-import static org.junit.jupiter.api.Assertions.*;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.*;
-import org.junit.jupiter.api.*;
-import ringspindle.cp.MajorityProof.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import ringspindle.cp.MajorityProof.Contact;
+import ringspindle.wire.Msg.View;
+import ringspindle.wire.NodeId;
 
 /** A majority is proven as of a time, and not beyond it. */
 class MajorityProofTest {
--- a/src/test/java/ringspindle/dp/HollowData.java
+++ b/src/test/java/ringspindle/dp/HollowData.java
@@ -1,12 +1,14 @@
 package ringspindle.dp;
 
-import java.util.*;
-import ringspindle.conf.*;
-import ringspindle.edge.*;
-import ringspindle.pick.*;
-import ringspindle.rule.*;
-import ringspindle.wire.*;
-import ringspindle.wire.Msg.*;
+import java.util.Map;
+import ringspindle.conf.FleetConfig;
+import ringspindle.conf.NodeConfig;
+import ringspindle.edge.Edge;
+import ringspindle.pick.Picker;
+import ringspindle.rule.Ledger;
+import ringspindle.rule.ServingRules;
+import ringspindle.wire.Means;
+import ringspindle.wire.Msg.LedgerReport;
 
 /** A real data node's knowledge and choices without its clients' side: ticked from outside. */
 public final class HollowData implements Edge {
@@ -17,20 +19,24 @@
     private long rules;
     private long digest;
 
+    /** Starts a data node without a listener. */
     public HollowData(NodeConfig config, Means means) throws Exception {
         picker = Picker.create(config);
         data = new Data(config, this, picker, means);
         data.start();
     }
 
+    /** Milliseconds between two ticks. */
     public static int tickMs() {
         return Data.TICK_MS;
     }
 
+    /** Does the periodic work. */
     public void tick() {
         data.tick();
     }
 
+    /** The node's choice of engines. */
     public Picker picker() {
         return picker;
     }
