--- a/src/test/java/ringspindle/chain/ChainSim.java
+++ b/src/test/java/ringspindle/chain/ChainSim.java
@@ -238,6 +238,16 @@
         at(1000, this::join);
     }
 
+    /** A new node comes, while the given one stands still, and gets all that was sent to it when it wakes. */
+    void freezeAndJoin(int index, long forMs) {
+        nodes.get(index).frozenUntilMs = nowMs + forMs;
+        at(1000, this::join);
+    }
+
+    void loseForGood(NodeId id) {
+        removeForGood(byId.get(id));
+    }
+
     void loseDisk(int index, long forMs) {
         crash(nodes.get(index), true, forMs);
     }
@@ -249,8 +259,11 @@
         }
     }
 
-    int size() {
-        return nodes.size();
+    /** Notes it as a problem if another number of nodes votes now. */
+    void checkVoters(int expected) {
+        if (voters() != expected) {
+            history.wrong.add(voters() + " vote at " + nowMs + ", expected " + expected);
+        }
     }
 
     long acknowledgedAfter(long atMs) {
--- a/src/test/java/ringspindle/chain/ChainSimTest.java
+++ b/src/test/java/ringspindle/chain/ChainSimTest.java
@@ -95,6 +95,22 @@
         }
     }
 
+    /** A node that wakes after its seat was given away acts in no old view; it joins again, whatever it was before. */
+    @ParameterizedTest
+    @CsvSource({"3,1", "6,2"})
+    void nodeThatWakesAfterItsSeatWasGivenAwayJoinsAgain(int size, int lost) {
+        for (long seed = 1; seed <= size; seed++) {
+            ChainSim sim = new ChainSim(seed, size, 3, lost);
+            int frozen = (int) (seed % size);
+            sim.script(9_000, () -> sim.freezeAndJoin(frozen, 8_000));
+            sim.script(15_000, () -> sim.checkVoters(size));
+            ChainSim.History h = sim.run(0, 24_000);
+            assertEquals(List.of(), h.problems(), () -> sim.name() + sim.standing());
+            assertTrue(sim.acknowledgedAfter(15_000) > 0, sim::name);
+            assertEquals(sim.running(), sim.votersOfNewest().stream().sorted().toList(), sim::name);
+        }
+    }
+
     /** A head that is told to end hands its place over first: orders go on being taken, and the view has let it go. */
     @Test
     void leavingHeadHandsOver() {
@@ -119,6 +135,19 @@
         assertTrue(h.acked.size() > 10, "acknowledged " + h.acked.size());
     }
 
+    /** With all seats taken a node that only learns takes the one of a voter that is gone. */
+    @Test
+    void learnerTakesTheSeatOfALostVoter() {
+        ChainSim sim = new ChainSim(5, Membership.VOTERS_MAX + 1, 3, 2);
+        sim.script(20_000, () -> {
+            sim.checkVoters(Membership.VOTERS_MAX);
+            sim.loseForGood(sim.votersOfNewest().get(1));
+        });
+        ChainSim.History h = sim.run(0, 26_000);
+        assertEquals(List.of(), h.problems(), () -> sim.name() + sim.standing());
+        assertEquals(sim.running(), sim.votersOfNewest().stream().sorted().toList(), sim::standing);
+    }
+
     @Test
     void quietCoreTakesEveryOrder() {
         ChainSim.History h = new ChainSim(7, 3).run(0, 20_000);
