A node that has just started holds orders for a moment again, as it cannot hold old ones

Cause: without a proven majority a control node answers 503 at once, which it has to after a cut or a pause.

Change: a node that never paused and has not met a majority yet passes calls to its chain for 3 s, which holds them until it is in touch, or gives them up as unclear after 0.95 s (2.5 s for a configuration).

--- a/src/main/java/ringspindle/cp/Control.java
+++ b/src/main/java/ringspindle/cp/Control.java
@@ -160,12 +160,15 @@
 
     // ---- calls from outside
 
-    /** Passes a call to the chain; without a majority that is proven to be in touch the answer is UNCLEAR at once. */
+    /**
+     * Passes a call to the chain, which holds it for a moment while this node is just starting; otherwise the answer is
+     * UNCLEAR at once unless a majority is proven to be in touch.
+     */
     void call(int kind, long base, String arg, byte[] body, Calls.Answered then) {
         long fromMs = clock.nowMs();
         synchronized (chainLock) {
             long nowMs = clock.nowMs();
-            if (proof.inTouch(nowMs)) {
+            if (proof.inTouch(nowMs) || proof.starting(nowMs)) {
                 long id = calls.open(kind, fromMs, then);
                 carryOut(chain.call(new Call(id, kind, base, arg, body), nowMs));
                 return;
--- a/src/main/java/ringspindle/cp/MajorityProof.java
+++ b/src/main/java/ringspindle/cp/MajorityProof.java
@@ -34,7 +34,12 @@
 
     private static final Proof NOTHING = new Proof(Meet.NEVER_MS, Meet.NEVER_MS, Meet.NEVER_MS, Meet.NEVER_MS);
 
+    /** For so long after its start a node that has met nobody yet is taken for one that is about to. */
+    static final int STARTING_MS = 3000;
+
     private volatile Proof proof = NOTHING;
+    private volatile long firstTickMs = Meet.NEVER_MS;
+    private volatile boolean paused;
     private long resumedMs = Meet.NEVER_MS;
 
     /**
@@ -44,8 +49,12 @@
      */
     void renew(long nowMs, NodeId me, View view, Function<NodeId, Contact> contacts) {
         Proof was = proof;
+        if (firstTickMs == Meet.NEVER_MS) {
+            firstTickMs = nowMs;
+        }
         if (was != NOTHING && nowMs - was.tickMs() >= PAUSE_MS) {
             resumedMs = nowMs;
+            paused = true;
             was = NOTHING;
         }
         long contactMs = Math.max(was.contactMs(), majorityMs(nowMs, me, view, contacts, c -> true));
@@ -75,6 +84,19 @@
         return nowMs - provenMs < VALID_MS && nowMs - p.tickMs() < PAUSE_MS;
     }
 
+    /**
+     * True right after the start of this node, before it has met a majority: what comes in now is no older than this life, so
+     * an order may be held for the moment until it can be passed on. Never after a pause.
+     */
+    boolean starting(long nowMs) {
+        Proof p = proof;
+        return !paused
+                && firstTickMs != Meet.NEVER_MS
+                && p.contactMs() == Meet.NEVER_MS
+                && nowMs - firstTickMs < STARTING_MS
+                && nowMs - p.tickMs() < PAUSE_MS;
+    }
+
     /** True while a majority is proven to be in touch: calls may be passed on. */
     boolean inTouch(long nowMs) {
         Proof p = proof;
--- a/src/test/java/ringspindle/cp/MajorityProofTest.java
+++ b/src/test/java/ringspindle/cp/MajorityProofTest.java
@@ -59,6 +59,39 @@
         assertFalse(proof.upToDate(2400));
     }
 
+    @Test
+    void nodeIsStartingUntilItHasMetAMajorityOrItsTimeIsUp() {
+        assertFalse(proof.starting(0), "not before it runs");
+        tick(0);
+        assertTrue(proof.starting(0) && !proof.inTouch(0));
+        for (long nowMs = 100; nowMs < MajorityProof.STARTING_MS; nowMs += 100) {
+            tick(nowMs);
+            assertTrue(proof.starting(nowMs));
+        }
+        tick(MajorityProof.STARTING_MS);
+        assertFalse(proof.starting(MajorityProof.STARTING_MS), "cut off from the start on");
+    }
+
+    @Test
+    void nodeThatHasMetAMajorityIsNotStartingAgain() {
+        contact(B, 90);
+        contact(C, 90);
+        tick(100);
+        assertTrue(proof.inTouch(100) && !proof.starting(100));
+        for (long nowMs = 200; nowMs < 2000; nowMs += 100) {
+            tick(nowMs);
+        }
+        assertFalse(proof.inTouch(1900) || proof.starting(1900), "cut off: nothing is held");
+    }
+
+    @Test
+    void afterAPauseNoNodeIsStarting() {
+        tick(0);
+        assertFalse(proof.starting(1000), "it may stand still since");
+        tick(1500);
+        assertFalse(proof.starting(1500), "what came in meanwhile is of callers that have gone elsewhere");
+    }
+
     @Test
     void afterAPauseOnlyWhatWasSentSinceCounts() {
         contact(B, 900);
