Two pieces of state that could be derived are gone: a vote supplier and a flag of a pause

Replication was given the acceptor and kept a supplier of its vote beside it; MajorityProof kept a flag for what its time of the last pause says. Behaviour is meant to be the same.

--- a/src/main/java/ringspindle/chain/Replication.java
+++ b/src/main/java/ringspindle/chain/Replication.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayDeque;
 import java.util.List;
-import java.util.function.Supplier;
 import ringspindle.wire.Codec;
 import ringspindle.wire.Msg.Entry;
 import ringspindle.wire.Msg.Install;
@@ -10,7 +9,6 @@
 import ringspindle.wire.Msg.Position;
 import ringspindle.wire.Msg.State;
 import ringspindle.wire.Msg.Synced;
-import ringspindle.wire.Msg.Vote;
 import ringspindle.wire.NodeId;
 
 /**
@@ -39,7 +37,6 @@
 
     private final Replica replica;
     private final Acceptor acceptor;
-    private final Supplier<Vote> vote;
     private final Listener listener;
     private final ArrayDeque<Pending> pending = new ArrayDeque<>();
     private State last = new State(NOTHING, 0, 0, List.of(), List.of(), NONE);
@@ -57,7 +54,6 @@
     Replication(Replica replica, Acceptor acceptor, Listener listener) {
         this.replica = replica;
         this.acceptor = acceptor;
-        this.vote = acceptor::vote;
         this.listener = listener;
     }
 
@@ -124,7 +120,7 @@
         uncommittedSinceMs = replica.nowMs();
         State first = last;
         long epoch = replica.epoch();
-        replica.store(List.of(vote.get(), first), true, () -> {
+        replica.store(List.of(acceptor.vote(), first), true, () -> {
             if (active() && replica.epoch() == epoch && replica.isHead()) {
                 onStored(first);
             }
@@ -134,7 +130,7 @@
     /** Starts anew with nothing, and with a vote that was relearned. */
     void reset() {
         load(new State(NOTHING, 0, 0, List.of(), List.of(), NONE));
-        replica.store(List.of(vote.get(), last), true, () -> {});
+        replica.store(List.of(acceptor.vote(), last), true, () -> {});
     }
 
     /** A new view is in force. Its head turns the copy it holds into the first of the view; others wait for a snapshot. */
@@ -149,9 +145,9 @@
         if (leads) {
             last = inThisView(last);
             State first = last;
-            replica.store(List.of(vote.get(), first), true, () -> onStored(first));
+            replica.store(List.of(acceptor.vote(), first), true, () -> onStored(first));
         } else {
-            replica.store(List.of(vote.get()), false, () -> {});
+            replica.store(List.of(acceptor.vote()), false, () -> {});
         }
     }
 
@@ -275,7 +271,7 @@
         sentDown = NOTHING;
         synced = NOTHING;
         State installed = last;
-        replica.store(List.of(vote.get(), installed), true, () -> onStored(installed));
+        replica.store(List.of(acceptor.vote(), installed), true, () -> onStored(installed));
     }
 
     void onEntry(NodeId from, Entry entry) {
--- a/src/main/java/ringspindle/cp/MajorityProof.java
+++ b/src/main/java/ringspindle/cp/MajorityProof.java
@@ -39,8 +39,7 @@
 
     private volatile Proof proof = NOTHING;
     private volatile long firstTickMs = Meet.NEVER_MS;
-    private volatile boolean paused;
-    private long resumedMs = Meet.NEVER_MS;
+    private volatile long resumedMs = Meet.NEVER_MS;
 
     /**
      * A tick of the owner; contacts of voters that are not known are null.
@@ -54,7 +53,6 @@
         }
         if (was != NOTHING && nowMs - was.tickMs() >= PAUSE_MS) {
             resumedMs = nowMs;
-            paused = true;
             was = NOTHING;
         }
         long contactMs = Math.max(was.contactMs(), majorityMs(nowMs, me, view, contacts, c -> true));
@@ -90,7 +88,7 @@
      */
     boolean starting(long nowMs) {
         Proof p = proof;
-        return !paused
+        return resumedMs == Meet.NEVER_MS
                 && firstTickMs != Meet.NEVER_MS
                 && p.contactMs() == Meet.NEVER_MS
                 && nowMs - firstTickMs < STARTING_MS
