Test: disks lost while all other nodes lose their power, at every step of a write

Nothing acknowledged is lost, and orders are taken again. With all six disks gone the check fails, as it should. No change of the program was needed.

--- a/src/test/java/ringspindle/replication/ChainSimulation.java
+++ b/src/test/java/ringspindle/replication/ChainSimulation.java
@@ -37,6 +37,11 @@
         cluster.in(atMs, step);
     }
 
+    /** Something to be done, once, in the moment in which the first configuration after that time is acknowledged. */
+    void scriptOnAcknowledgement(long afterMs, Runnable step) {
+        cluster.in(afterMs, () -> operators.onNextAcknowledgement(step));
+    }
+
     /** Runs that many faults over that time, then waits until all is calm and reads back. */
     SimulationHistory run(int faultCount, long forMs) {
         cluster.startTicking();
@@ -84,6 +89,10 @@
         cluster.crash(cluster.nodes.get(index), true, forMs);
     }
 
+    void losePower(int index, long forMs) {
+        cluster.crash(cluster.nodes.get(index), false, forMs);
+    }
+
     /** As a closing fault does it: some lose their disks, all others their power. */
     void loseDisksAndPower(Set<Integer> indexes) {
         for (int i = 0; i < cluster.nodes.size(); i++) {
--- /dev/null
+++ b/src/test/java/ringspindle/replication/ClosingFaultTest.java
@@ -0,0 +1,109 @@
+package ringspindle.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * As many disks are lost as the deployment bears, and in the same moment every other node loses its power: each set of disks
+ * that may be lost, right at an acknowledgement and at steps of writes under way. What was acknowledged is read back, and
+ * orders are taken again.
+ */
+class ClosingFaultTest {
+    private static final int NODES = 6;
+    private static final int SEEDS = 3;
+    private static final int LOST = 2;
+    private static final long STRIKE_MS = 9_000;
+    private static final long END_MS = 15_000;
+    /** Time from the return of all nodes within which orders are taken again, as a deployment of this size asks. */
+    private static final long RECOVERY_MS = 5_000;
+
+    private static List<Set<Integer>> pairs() {
+        List<Set<Integer>> pairs = new ArrayList<>();
+        for (int first = 0; first < NODES; first++) {
+            for (int second = first + 1; second < NODES; second++) {
+                pairs.add(Set.of(first, second));
+            }
+        }
+        return pairs;
+    }
+
+    private static ChainSimulation simulation(long seed) {
+        return new ChainSimulation(seed, NODES, SEEDS, LOST);
+    }
+
+    private static void assertNothingLost(ChainSimulation simulation, Set<Integer> wiped, String when) {
+        SimulationHistory history = simulation.run(0, END_MS);
+        String what = simulation.name() + ", disks of " + wiped + " lost " + when;
+        assertEquals(List.of(), history.problems(), () -> what + simulation.standing());
+        assertTrue(history.readBack > 0, () -> what + simulation.standing());
+        assertTrue(
+                simulation.acknowledgedAfter(STRIKE_MS + RECOVERY_MS) > 0,
+                () -> what + ": nothing is acknowledged afterwards" + simulation.standing());
+    }
+
+    @Test
+    void disksLostAtAnAcknowledgementWhileAllOthersLosePower() {
+        long seed = 1;
+        for (Set<Integer> wiped : pairs()) {
+            ChainSimulation simulation = simulation(seed++);
+            simulation.scriptOnAcknowledgement(STRIKE_MS, () -> simulation.loseDisksAndPower(wiped));
+            assertNothingLost(simulation, wiped, "at an acknowledgement");
+        }
+    }
+
+    /** Two operators send all the while, so that each instant is another step of a write along the chain. */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 200, 300})
+    void disksLostAtAnyStepOfAWriteWhileAllOthersLosePower(long firstSeed) {
+        long step = 0;
+        for (Set<Integer> wiped : pairs()) {
+            long atMs = STRIKE_MS + step++ * 17;
+            ChainSimulation simulation = simulation(firstSeed + step);
+            simulation.script(atMs, () -> simulation.loseDisksAndPower(wiped));
+            assertNothingLost(simulation, wiped, "at " + atMs);
+        }
+    }
+
+    /** A member is dark while the chain is mended without it; the fault strikes at an acknowledgement of the mended chain. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4, 5})
+    void disksLostRightAfterTheChainWasMended(int dark) {
+        long seed = 500 + 20L * dark;
+        for (Set<Integer> wiped : pairs()) {
+            ChainSimulation simulation = simulation(seed++);
+            simulation.script(STRIKE_MS - 700, () -> simulation.losePower(dark, 400));
+            simulation.scriptOnAcknowledgement(STRIKE_MS - 400, () -> simulation.loseDisksAndPower(wiped));
+            assertNothingLost(simulation, wiped, "after " + dark + " was dark");
+        }
+    }
+
+    /** Everything loses its power twice within the time that a return takes, with the same disks lost the second time. */
+    @Test
+    void powerLostAgainDuringTheReturn() {
+        long seed = 900;
+        for (Set<Integer> wiped : pairs()) {
+            ChainSimulation simulation = simulation(seed++);
+            long secondMs = STRIKE_MS + 400 + seed % 7 * 150;
+            simulation.scriptOnAcknowledgement(STRIKE_MS, () -> simulation.loseDisksAndPower(Set.of()));
+            simulation.script(secondMs, () -> simulation.loseDisksAndPower(wiped));
+            assertNothingLost(simulation, wiped, "during the return");
+        }
+    }
+
+    /** The check is able to fail: with every disk gone nothing can be read back. */
+    @Test
+    void lossOfAllDisksIsNoticed() {
+        ChainSimulation simulation = simulation(7);
+        simulation.scriptOnAcknowledgement(STRIKE_MS, () -> simulation.loseDisksAndPower(Set.of(0, 1, 2, 3, 4, 5)));
+        SimulationHistory history = simulation.run(0, END_MS);
+        assertFalse(history.problems().isEmpty());
+    }
+}
--- a/src/test/java/ringspindle/replication/SimulatedOperators.java
+++ b/src/test/java/ringspindle/replication/SimulatedOperators.java
@@ -39,6 +39,8 @@
 
     private long knownRevision;
     private boolean active = true;
+    /** Runs once when the next configuration is acknowledged, null if nothing is to. */
+    private Runnable onAcknowledged;
 
     SimulatedOperators(SimulatedCluster cluster, SimulationHistory history) {
         this.cluster = cluster;
@@ -67,6 +69,11 @@
         return active;
     }
 
+    /** Has that run, once, in the moment in which the next configuration is acknowledged. */
+    void onNextAcknowledgement(Runnable then) {
+        onAcknowledged = then;
+    }
+
     // ---- configurations
 
     private void configure() {
@@ -109,6 +116,10 @@
     private void configured(Order order, SimulatedNode via) {
         history.acked.add(new SimulationHistory.Acked(order.base(), order.revision(), cluster.nowMs()));
         history.sent.put(order.revision(), order.body());
+        if (onAcknowledged != null) {
+            cluster.in(0, onAcknowledged);
+            onAcknowledged = null;
+        }
         View view = via.machine == null ? null : via.machine.view();
         boolean tooFew = view != null && view.voters().size() < 2 * cluster.lost() + 1;
         if (cluster.lost() > 1 && tooFew) {
