Data nodes hold their sessions in their own region; a cut-off region leads clients to the homes

Cause: with two zones a region, the second control node nearest by address is abroad: of the bytes between regions a part are facts and heartbeats of sessions that need not cross. And a region that is cut off can only refuse what has to run elsewhere, while its directory leads clients to its own data nodes. Change: control nodes name their peers to a data node nearest first; it dials those, and gives up a session abroad once enough nearer ones serve. A control node without a majority names data nodes in the homes of the host, as last told within 15 s, if its region is no home. A session that moved to another control node is not told as gone. The ring of data nodes is computed anew only when facts changed.

--- a/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
@@ -27,6 +27,8 @@
     private static final int CHANGED_HOLDS_MS = 3000;
     /** It holds for so long after the control node that told it was last in touch. */
     private static final int TELLER_LOST_HOLDS_MS = 2000;
+    /** While this node is cut off, what it knows of nodes in other regions holds for so long after it was last told. */
+    private static final int CUT_OFF_HOLDS_MS = 15_000;
 
     private static final int ADDRESSES_MAX = 64;
     /** A data node that was lost counts among those that share the budgets for so long. */
@@ -61,11 +63,26 @@
         return facts.store().get(FactKind.NODE, peer.hello().node().toString());
     }
 
-    /** The session of a data node is gone. */
+    /** The session of a data node is gone. If it has one with another control node in touch, that one speaks of it. */
     void closed(SessionTable.Peer peer) {
+        if (isToldElsewhere(peer)) {
+            return;
+        }
         facts.merge(List.of(fact(peer, NodeFlags.NONE, peer.heartbeat().n() * 2 + 1)));
     }
 
+    private boolean isToldElsewhere(SessionTable.Peer peer) {
+        Fact known = known(peer);
+        if (known == null) {
+            return false;
+        }
+        DataNodeFact told = DataNodeFact.of(known.value());
+        return !told.via().equals(me)
+                && !told.flags().isEmpty()
+                && told.hello().life() == peer.hello().life()
+                && sessions.linked(me, told.via());
+    }
+
     private Fact fact(SessionTable.Peer peer, NodeFlags flags, long version) {
         Hello hello = peer.hello();
         return new Fact(
@@ -87,12 +104,21 @@
 
     /**
      * Addresses of data nodes for a client: those of its zone that take requests, else of its region, else of the regions
-     * that may serve all requests of the host it asks for, else all.
+     * that may serve all requests of the host it asks for, else all. If this node is cut off from the majority, its region
+     * probably is: a client whose requests have to be served in other regions is then sent to these, as nodes here could
+     * only refuse them.
      *
-     * @param homeRegions asked for only where the client's region has none; empty if the host's routes name none
-     * @param inTouch without a majority only those count that this node itself is in touch with: what others told may be old
+     * @param homeRegions asked for only where it matters; empty if the host's routes name none
+     * @param inTouch without a majority only those count near the client that this node itself is in touch with: what others
+     *     told may be old
      */
     List<String> addresses(String region, String zone, Supplier<Set<String>> homeRegions, boolean inTouch, long nowMs) {
+        if (!inTouch) {
+            List<String> atHome = addressesAtHome(region, homeRegions.get(), nowMs);
+            if (!atHome.isEmpty()) {
+                return atHome;
+            }
+        }
         List<Hello> ready = new ArrayList<>();
         for (Fact fact : facts.store().all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
@@ -111,6 +137,25 @@
         return nearest.isEmpty() ? addressesWhere(ready, node -> true) : nearest;
     }
 
+    /** Nodes in the homes as last told; none if the client's region is one of the homes, or there are no homes. */
+    private List<String> addressesAtHome(String region, Set<String> homes, long nowMs) {
+        if (homes.isEmpty() || homes.contains(region)) {
+            return List.of();
+        }
+        List<Hello> ready = new ArrayList<>();
+        for (Fact fact : facts.store().all(FactKind.NODE)) {
+            DataNodeFact node = DataNodeFact.of(fact.value());
+            if (node.ready() && lastToldWithin(CUT_OFF_HOLDS_MS, node, nowMs)) {
+                ready.add(node.hello());
+            }
+        }
+        return addressesWhere(ready, node -> homes.contains(node.region()));
+    }
+
+    private boolean lastToldWithin(int periodMs, DataNodeFact dataNode, long nowMs) {
+        return nowMs - lastLinkedMs.getOrDefault(dataNode.via(), SessionTable.NEVER_MS) < periodMs;
+    }
+
     private static List<String> addressesWhere(List<Hello> nodes, Predicate<Hello> wanted) {
         return nodes.stream()
                 .filter(wanted)
@@ -143,8 +188,7 @@
         if (teller.equals(me)) {
             return linkedHere(dataNode);
         }
-        return sessions.linked(me, teller)
-                || nowMs - lastLinkedMs.getOrDefault(teller, SessionTable.NEVER_MS) < TELLER_LOST_HOLDS_MS;
+        return sessions.linked(me, teller) || lastToldWithin(TELLER_LOST_HOLDS_MS, dataNode, nowMs);
     }
 
     private boolean changedWithin(int periodMs, Fact fact, long nowMs) {
--- a/src/main/java/ringspindle/controlplane/FleetQueries.java
+++ b/src/main/java/ringspindle/controlplane/FleetQueries.java
@@ -37,8 +37,7 @@
     }
 
     /**
-     * Addresses of data nodes for a client, nearest first. Without a majority only those that this node itself is in touch
-     * with: what others said of them may be old.
+     * Addresses of data nodes for a client, nearest first; while this node is cut off see {@link DataNodeDirectory#addresses}.
      *
      * @param host the host that the client asks for
      */
--- a/src/main/java/ringspindle/dataplane/DataNodeTasks.java
+++ b/src/main/java/ringspindle/dataplane/DataNodeTasks.java
@@ -63,6 +63,7 @@
             }
             if (tick % DIAL_TICKS == 0) {
                 dialer.dial(nowMs);
+                dialer.surplus().ifPresent(abroad -> pool.execute(() -> mesh.drop(abroad)));
             }
             tellPeers(tick);
         }
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -97,7 +97,7 @@
             // a new connection: the sooner both know that they hear each other, the better
             heartbeats.send(from);
         }
-        dialer.addControlNodes(heartbeat.heard());
+        dialer.learnControlNodes(heartbeat.heard());
         SessionTable.Peer peer = gossip.sessions().peer(from);
         boolean differs = heartbeat.digest() != gossip.facts().digest();
         if (peer != null && differs && peer.received() % DIGEST_HEARTBEATS == 0) {
--- a/src/main/java/ringspindle/dataplane/PeerDialer.java
+++ b/src/main/java/ringspindle/dataplane/PeerDialer.java
@@ -1,7 +1,11 @@
 package ringspindle.dataplane;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Supplier;
@@ -15,17 +19,20 @@
 import ringspindle.transport.Mesh;
 
 /**
- * Keeps sessions with two control nodes that hear all news, and gossip with two other data nodes. Owns the control nodes
+ * Keeps sessions with two control nodes that hear all news, in this node's region if there are enough, and gossip with two
+ * other data nodes. Owns the control nodes
  * that are known and when a peer was last dialled; guarded by the lock of {@link GossipState}.
  */
 final class PeerDialer {
     private static final int CONTROL_SESSIONS = 2;
+    /** A nearer control node is dialled in place of one abroad at most this often. */
+    private static final int REPLACE_PERIOD_MS = 5000;
     /** A control node is not dialled again before so long. */
     private static final int CONTROL_REDIAL_MS = 250;
     /** A data node is dialled again only after more than this. */
     private static final int DATA_REDIAL_MS = 1000;
-    /** Control nodes dialled before come after all others, the one dialled longest ago first. */
-    private static final long DIALLED_RANK_PER_MS = 1_000_000L;
+
+    private static final long NOT_COMPUTED = -1;
     /** An identity holds the address above the port. */
     private static final int PORT_BITS = 16;
 
@@ -34,6 +41,14 @@
     private final Mesh mesh;
     private final GossipState gossip;
     private final Set<NodeId> controlNodes = new TreeSet<>();
+    /** Control nodes as a control node named them last, the nearest to this node first. */
+    private List<NodeId> nearestFirst = List.of();
+
+    private long replacedMs = SessionTable.NEVER_MS;
+    /** The next data node on the ring, null if there is none, as of {@link #ringOfChanges}. */
+    private NodeId nextDataNode;
+
+    private long ringOfChanges = NOT_COMPUTED;
     private final Map<NodeId, Long> dialledMs = new HashMap<>();
 
     PeerDialer(NodeId me, Supplier<NodeConfig> config, Mesh mesh, GossipState gossip) {
@@ -48,6 +63,14 @@
         nodes.forEach(controlNodes::add);
     }
 
+    /** Control nodes that a control node is in touch with, the nearest to this node first; an empty list says nothing. */
+    void learnControlNodes(List<NodeId> nodes) {
+        addControlNodes(nodes);
+        if (!nodes.isEmpty()) {
+            nearestFirst = nodes;
+        }
+    }
+
     /** The seeds of the settings are control nodes. */
     void addSeeds(NodeConfig settings) {
         settings.seeds().forEach(seed -> controlNodes.add(seed.at(settings.innerPort())));
@@ -55,44 +78,87 @@
 
     /** Dials one peer of each kind at most. */
     void dial(long nowMs) {
-        if (servingControlNodes() < CONTROL_SESSIONS) {
+        List<SessionTable.Peer> serving = servingControlNodes();
+        if (serving.size() < CONTROL_SESSIONS) {
             dialControlNode(nowMs);
+        } else if (serving.size() == CONTROL_SESSIONS && nowMs - replacedMs > REPLACE_PERIOD_MS) {
+            replacedMs = nowMs;
+            dialNearer(serving, nowMs);
         }
         dialDataNode(nowMs);
     }
 
-    private int servingControlNodes() {
-        int serving = 0;
+    private List<SessionTable.Peer> servingControlNodes() {
+        List<SessionTable.Peer> serving = new ArrayList<>();
         for (SessionTable.Peer peer : gossip.sessions().peers()) {
-            serving += peer.serves() ? 1 : 0;
+            if (peer.serves()) {
+                serving.add(peer);
+            }
         }
         return serving;
     }
 
-    /** The nearest first: the address decides, so that nodes of a zone prefer the same machines. */
-    private void dialControlNode(long nowMs) {
-        NodeId best = null;
-        long bestRank = Long.MAX_VALUE;
-        for (NodeId node : controlNodes) {
-            Long lastMs = dialledMs.get(node);
-            if (mesh.connected(node) || (lastMs != null && nowMs - lastMs < CONTROL_REDIAL_MS)) {
-                continue;
-            }
-            long distance = Math.abs((node.bits() >>> PORT_BITS) - (me.bits() >>> PORT_BITS));
-            long rank = lastMs == null ? distance : distance + lastMs * DIALLED_RANK_PER_MS;
-            if (rank < bestRank) {
-                bestRank = rank;
-                best = node;
-            }
+    /** Dials one of the nearest control nodes if there is no session with it and one with a control node abroad. */
+    private void dialNearer(List<SessionTable.Peer> serving, long nowMs) {
+        if (serving.stream().noneMatch(this::isAbroad)) {
+            return;
         }
-        if (best != null) {
-            dial(best, nowMs);
+        nearestFirst.stream()
+                .limit(CONTROL_SESSIONS)
+                .filter(node -> !mesh.connected(node))
+                .findFirst()
+                .ifPresent(node -> dial(node, nowMs));
+    }
+
+    private boolean isAbroad(SessionTable.Peer peer) {
+        return !peer.hello().region().equals(config.get().region());
+    }
+
+    /** A control node abroad whose session is not needed any more, as enough nearer ones serve. */
+    Optional<NodeId> surplus() {
+        List<SessionTable.Peer> serving = servingControlNodes();
+        if (serving.size() <= CONTROL_SESSIONS) {
+            return Optional.empty();
         }
+        return serving.stream()
+                .filter(this::isAbroad)
+                .map(peer -> peer.hello().node())
+                .findFirst();
+    }
+
+    /** One not dialled before, the nearest of them; else the one dialled longest ago. */
+    private void dialControlNode(long nowMs) {
+        controlNodes.stream()
+                .filter(node -> !mesh.connected(node) && mayDialAgain(node, nowMs))
+                .min(Comparator.comparingLong((NodeId node) -> dialledMs.getOrDefault(node, SessionTable.NEVER_MS))
+                        .thenComparingInt(this::nearness)
+                        .thenComparingLong(this::distance))
+                .ifPresent(node -> dial(node, nowMs));
+    }
+
+    private boolean mayDialAgain(NodeId node, long nowMs) {
+        return nowMs - dialledMs.getOrDefault(node, SessionTable.NEVER_MS) >= CONTROL_REDIAL_MS;
+    }
+
+    /** Its place among those that a control node named, behind all of them if it was not named. */
+    private int nearness(NodeId node) {
+        int place = nearestFirst.indexOf(node);
+        return place < 0 ? Integer.MAX_VALUE : place;
+    }
+
+    /** While nothing else is known the address decides, so that nodes of a zone prefer the same machines. */
+    private long distance(NodeId node) {
+        return Math.abs((node.bits() >>> PORT_BITS) - (me.bits() >>> PORT_BITS));
     }
 
     /** The next data node on the ring of this region; the one before dials here. */
     private void dialDataNode(long nowMs) {
-        NodeId next = nextOnRing();
+        long changes = gossip.facts().changes();
+        if (changes != ringOfChanges) {
+            nextDataNode = nextOnRing();
+            ringOfChanges = changes;
+        }
+        NodeId next = nextDataNode;
         if (next != null && !mesh.connected(next) && nowMs - dialledMs.getOrDefault(next, 0L) > DATA_REDIAL_MS) {
             dial(next, nowMs);
         }
--- a/src/main/java/ringspindle/gossip/FactStore.java
+++ b/src/main/java/ringspindle/gossip/FactStore.java
@@ -18,6 +18,9 @@
     /** Takes the facts that are newer than those held, and returns just these; {@code store.merge(news.items())}. */
     List<Fact> merge(List<Fact> facts);
 
+    /** Changes whenever a fact is taken or forgotten: what was computed from the facts holds as long as this is the same. */
+    long changes();
+
     /** The fact, null if there is none; {@code store.get(FactKind.CONFIG, "")}. */
     Fact get(FactKind kind, String key);
 
--- a/src/main/java/ringspindle/gossip/VersionedFactStore.java
+++ b/src/main/java/ringspindle/gossip/VersionedFactStore.java
@@ -61,6 +61,7 @@
     private final Map<NodeId, PeerState> peers = new HashMap<>();
     private final long[] ranges = new long[RANGES];
     private long lastStamp;
+    private long forgotten;
 
     /** Digests are made of this text: it is the same in every node. */
     private static String id(int kindCode, String key) {
@@ -133,6 +134,12 @@
         return mixed ^ mixed >>> 31;
     }
 
+    @Override
+    public long changes() {
+        // both only rise
+        return lastStamp + forgotten;
+    }
+
     @Override
     public Fact get(FactKind kind, String key) {
         Entry entry = entries.get(id(kind, key));
@@ -155,6 +162,7 @@
         String id = id(kind, key);
         Entry entry = entries.remove(id);
         if (entry != null) {
+            forgotten++;
             remove(id, entry);
         }
     }
--- a/src/main/java/ringspindle/membership/HeartbeatSessionTable.java
+++ b/src/main/java/ringspindle/membership/HeartbeatSessionTable.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -180,21 +181,26 @@
         Session session = sessions.get(to);
         long number = ++lastSent;
         if (session == null) {
-            return new Heartbeat(number, 0, flags, epoch, seq, digest, linkedControlNodes());
+            return new Heartbeat(number, 0, flags, epoch, seq, digest, linkedControlNodes(session));
         }
         session.contact.sent(number, nowMs);
-        List<NodeId> names = session.namesDue() ? linkedControlNodes() : List.of();
+        List<NodeId> names = session.namesDue() ? linkedControlNodes(session) : List.of();
         return new Heartbeat(number, session.newest.n(), flags, epoch, seq, digest, names);
     }
 
-    private List<NodeId> linkedControlNodes() {
-        List<NodeId> linked = new ArrayList<>();
-        sessions.forEach((node, session) -> {
+    /** Control nodes in touch, in order of their addresses; for a data node those near it come first. */
+    private List<NodeId> linkedControlNodes(Session to) {
+        List<Hello> linked = new ArrayList<>();
+        for (Session session : sessions.values()) {
             if (session.isControl() && session.linked()) {
-                linked.add(node);
+                linked.add(session.hello);
             }
-        });
-        return linked;
+        }
+        if (to != null && !to.isControl()) {
+            // the sort is stable, so that those equally near stay in order
+            linked.sort(Comparator.comparing(node -> Proximity.of(node, to.hello.zone(), to.hello.region())));
+        }
+        return linked.stream().map(Hello::node).toList();
     }
 
     @Override
--- a/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
+++ b/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
@@ -102,6 +102,64 @@
         assertEquals(List.of(), addresses("b", NO_HOMES));
     }
 
+    private List<String> addressesWhileCutOff(String region, Set<String> homes) {
+        return directory.addresses(region, "z" + region, () -> homes, false, nowMs);
+    }
+
+    /** A data node of region b with a session here, and one of region a that the other control node tells of. */
+    private void dataNodesHereAndAbroad() {
+        NodeId near = NodeId.of("10.1.0.2:7000");
+        Hello hello = new Hello(near, 1, NodeKind.DATA, NodeId.of(address(2)).bits(), "d", "zb", "b");
+        sessions.opened(new Hello(OTHER, 1, NodeKind.CONTROL, 0, "o", "za", "a"), nowMs);
+        sessions.opened(hello, nowMs);
+        dataNode(1, "a", true, OTHER);
+        dataNode(2, "b", true, ME);
+        hearFromOther(1);
+        hearFromNear(near, 1);
+    }
+
+    private void hearFromNear(NodeId near, long number) {
+        Heartbeat sent = sessions.nextHeartbeat(near, NodeFlags.NONE, 0, 0, 0, nowMs);
+        sessions.received(near, new Heartbeat(number, sent.n(), NodeFlags.READY, 0, 0, 0, List.of()), nowMs);
+    }
+
+    @Test
+    void clientOfACutOffRegionIsSentToTheHomesOfWhatItAsksFor() {
+        dataNodesHereAndAbroad();
+        assertEquals(List.of(address(2)), addresses("b", Set.of("a")), "while in touch the region's own nodes");
+        assertEquals(List.of(address(1)), addressesWhileCutOff("b", Set.of("a")));
+        assertEquals(List.of(address(2)), addressesWhileCutOff("b", Set.of("a", "b")), "its own region is a home");
+        assertEquals(List.of(address(2)), addressesWhileCutOff("b", NO_HOMES));
+    }
+
+    @Test
+    void whatIsKnownOfOtherRegionsIsTrustedForAWhileOnly() {
+        dataNodesHereAndAbroad();
+        nowMs += 14_000;
+        hearFromNear(NodeId.of("10.1.0.2:7000"), 2);
+        assertEquals(List.of(address(1)), addressesWhileCutOff("b", Set.of("a")));
+        nowMs += 2_000;
+        hearFromNear(NodeId.of("10.1.0.2:7000"), 3);
+        assertEquals(List.of(address(2)), addressesWhileCutOff("b", Set.of("a")));
+    }
+
+    @Test
+    void sessionThatMovedToAnotherControlNodeStaysReadyWhenTheOldOneCloses() {
+        dataNodesHereAndAbroad();
+        dataNode(2, "b", true, OTHER);
+        directory.closed(sessions.peer(NodeId.of("10.1.0.2:7000")));
+        assertEquals(List.of(address(2)), addresses("b", NO_HOMES));
+    }
+
+    @Test
+    void sessionThatOnlyThisNodeHeldIsGoneWhenItCloses() {
+        dataNodesHereAndAbroad();
+        directory.closed(sessions.peer(NodeId.of("10.1.0.2:7000")));
+        assertEquals(
+                List.of(),
+                addresses("b", Set.of("b")).stream().filter(address(2)::equals).toList());
+    }
+
     @Test
     void homesOfAHostAreThoseOfAllItsRoutes() {
         String route = "{\"name\":\"%s\",\"host\":\"h.example\",\"pathPrefix\":\"/%s/\",\"routeKind\":\"streaming\","
