Both programs tell their figures to scrapers; an Error in work that must go on ends the process

Ejections, retries granted and refused and the revision in force, which had neither a log line nor a field, stand there. The self-test also plays an event stream and a scrape, so that the class data of the build hold the classes of both.

--- a/src/main/java/ringspindle/cli/SelfTest.java
+++ b/src/main/java/ringspindle/cli/SelfTest.java
@@ -36,9 +36,11 @@
     private static final long SHUTDOWN_TIMEOUT_MS = 10_000;
 
     /** The ports that the two planes listen on; the inner one is followed by a second. */
-    private record Ports(int control, int registry, int frontend, int readiness, int inner) {
+    private record Ports(int control, int registry, int frontend, int readiness, int metrics, int inner) {
+        private static final int SINGLE = 5;
+
         static Ports free() throws IOException {
-            int[] single = new int[4];
+            int[] single = new int[SINGLE];
             ServerSocket[] sockets = new ServerSocket[single.length];
             for (int i = 0; i < single.length; i++) {
                 sockets[i] = new ServerSocket(0);
@@ -47,7 +49,7 @@
             for (ServerSocket socket : sockets) {
                 socket.close();
             }
-            return new Ports(single[0], single[1], single[2], single[3], adjacentPair());
+            return new Ports(single[0], single[1], single[2], single[3], single[4], adjacentPair());
         }
 
         /** The first of two free ports that follow each other. */
@@ -95,10 +97,11 @@
     }
 
     private boolean passes(Path folder, ServerSocket engine) throws InterruptedException {
-        NodeConfig config = ((Valid<NodeConfig>) NodeConfig.check(properties(folder))).value();
+        NodeConfig config = config(properties(folder));
+        NodeConfig withMetrics = config(withMetrics(properties(folder)));
         CountDownLatch terminated = new CountDownLatch(1);
         Thread control = start(() -> ControlPlane.run(new Settings(config), terminated));
-        Thread data = start(() -> DataPlane.run(new Settings(config), terminated));
+        Thread data = start(() -> DataPlane.run(new Settings(withMetrics), terminated));
         Thread standIn = start(() -> SelfTestEngine.serve(engine));
         boolean passed = checksPass();
         terminated.countDown();
@@ -127,6 +130,15 @@
         return properties;
     }
 
+    private Properties withMetrics(Properties properties) {
+        properties.setProperty("listen.metrics", address(ports.metrics()));
+        return properties;
+    }
+
+    private static NodeConfig config(Properties properties) {
+        return ((Valid<NodeConfig>) NodeConfig.check(properties)).value();
+    }
+
     private static String address(int port) {
         return LOOPBACK + ":" + port;
     }
@@ -137,13 +149,18 @@
                 && gives(ports.readiness(), "GET", "/ringspindle/readiness", "", 200)
                 && gives(ports.registry(), "GET", "/ringspindle/resolution?name=a&region=r&zone=z", "", 200)
                 && gives(ports.frontend(), "POST", "/card/x", "hello", 200)
+                && gives(ports.frontend(), "POST", "/query/x", "hello", 200)
+                && gives(ports.metrics(), "GET", "/metrics", "", 200)
                 && gives(ports.frontend(), "POST", "/nowhere/x", "hello", 404);
     }
 
     private static String configuration() {
-        return "{\"revision\":1,\"routes\":[{\"name\":\"c\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/card/\",\"routeKind\":"
-                + "\"idempotent\",\"deadlineMs\":3000,\"targetLatencyMs\":500,\"priority\":0,\"service\":\"s\",\"maxAttempts\":2}],"
-                + "\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":10}]}";
+        String route =
+                "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"pathPrefix\":\"/%s/\",\"routeKind\":\"%s\",\"deadlineMs\":3000,"
+                        + "\"targetLatencyMs\":500,\"priority\":0,\"service\":\"s\",\"maxAttempts\":2}";
+        return "{\"revision\":1,\"routes\":[" + route.formatted("card", "card", "idempotent") + ","
+                + route.formatted("query", "query", "streaming")
+                + "],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":10}]}";
     }
 
     private String heartbeat() {
@@ -188,6 +205,8 @@
                 .header("If-Match", "0")
                 .header("Attempt-Id", "t1")
                 .header("Deadline-Ms", "2000")
+                .header("Token-Count", "300,20")
+                .header("Prompt-Prefix", "5c1e07a2:92,91bd3f06:208")
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
                 .build();
         try {
--- a/src/main/java/ringspindle/config/NodeConfig.java
+++ b/src/main/java/ringspindle/config/NodeConfig.java
@@ -23,6 +23,7 @@
  * @param readiness endpoint that tells whether the node is ready, of a data node
  * @param control endpoint for operators and engines, of a control node
  * @param registry endpoint for look-ups of data nodes, of a control node
+ * @param metrics endpoint where the node tells its own figures
  * @param innerPort the port for other nodes
  * @param seeds endpoints of control nodes to start from, at least one
  * @param regionOfZone the regions by their zones
@@ -51,6 +52,7 @@
         Optional<NodeId> readiness,
         Optional<NodeId> control,
         Optional<NodeId> registry,
+        Optional<NodeId> metrics,
         int innerPort,
         List<NodeId> seeds,
         Map<String, String> regionOfZone,
@@ -102,6 +104,7 @@
                 readiness,
                 control,
                 registry,
+                metrics,
                 innerPort,
                 next.seeds,
                 next.regionOfZone,
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -38,6 +38,7 @@
                 endpoint("listen.readiness"),
                 endpoint("listen.control"),
                 endpoint("listen.registry"),
+                endpoint("listen.metrics"),
                 innerPort,
                 seeds,
                 regionsByZone(),
--- a/src/main/java/ringspindle/controlplane/ControlPlane.java
+++ b/src/main/java/ringspindle/controlplane/ControlPlane.java
@@ -15,6 +15,7 @@
 import ringspindle.config.NodeConfig;
 import ringspindle.config.Settings;
 import ringspindle.logging.LogField;
+import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
 import ringspindle.transport.LifeCycles;
 import ringspindle.transport.NodeEnvironment;
@@ -60,6 +61,7 @@
         reports.listener(node.engines()::reported);
         Server server = server(config, pool, scheduler);
         server.setHandler(new ControlApiHandler(node));
+        config.metrics().ifPresent(address -> MetricsEndpoint.add(server, address, ControlPlaneMetrics.of(node)));
         settings.listen(node::settings);
         node.start();
         PeriodicTask.start(node::tick, scheduler, ControlNode.TICK_MS);
--- /dev/null
+++ b/src/main/java/ringspindle/controlplane/ControlPlaneMetrics.java
@@ -0,0 +1,73 @@
+package ringspindle.controlplane;
+
+import java.util.Map;
+import java.util.TreeMap;
+import ringspindle.metrics.Metrics;
+import ringspindle.protocol.FactKind;
+import ringspindle.protocol.Message.State;
+import ringspindle.protocol.Message.View;
+import ringspindle.protocol.NodeKind;
+
+/** The figures that a control node tells; docs/ON-CALL.md says which symptom each is for. */
+final class ControlPlaneMetrics {
+    private static final double MS_PER_S = 1000;
+
+    private ControlPlaneMetrics() {}
+
+    static Metrics of(ControlNode node) {
+        ReplicationDriver replication = node.replication();
+        return new Metrics()
+                .gauge(
+                        "ringspindle_quorate",
+                        "1 while this node is proven to hear of all that is committed, else 0.",
+                        () -> node.serving().quorate() ? 1 : 0)
+                .gauge(
+                        "ringspindle_proven_age_seconds",
+                        "Seconds since a majority was last proven, below 0 for never.",
+                        () -> node.serving().provenAgoMs() / MS_PER_S)
+                .gauge("ringspindle_view_epoch", "Epoch of the newest view, 0 without one.", () -> replication
+                        .status()
+                        .epoch())
+                .gauges(
+                        "ringspindle_view_members",
+                        "Members of the newest view, by part.",
+                        "part",
+                        () -> members(replication.view()))
+                .gauge(
+                        "ringspindle_committed_sequence",
+                        "Number of the last committed operation, below 0 while unknown.",
+                        () -> replication.status().sequence())
+                .gauge(
+                        "ringspindle_configuration_revision",
+                        "Revision of the committed configuration, 0 without one.",
+                        () -> revision(replication.committed()))
+                .gauges("ringspindle_sessions", "Sessions in touch, by kind of peer.", "kind", () -> sessions(node))
+                .gauge(
+                        "ringspindle_data_nodes_ready",
+                        "Data nodes that take requests, as known here.",
+                        () -> node.queries().readyDataNodes())
+                .gauge("ringspindle_engines", "Engines that are registered.", () -> node.fleet()
+                        .read(store -> store.all(FactKind.ENGINE).size()));
+    }
+
+    private static Map<String, Integer> members(View view) {
+        return view == null
+                ? Map.of()
+                : Map.of("voters", view.voters().size(), "chain", view.chain().size());
+    }
+
+    private static long revision(State committed) {
+        return committed == null ? 0 : committed.revision();
+    }
+
+    private static Map<String, Integer> sessions(ControlNode node) {
+        Map<String, Integer> inTouch = new TreeMap<>(Map.of("control", 0, "data", 0));
+        for (FleetQueries.Session session : node.queries().sessions()) {
+            if (session.linked()) {
+                String kind = session.hello().kind() == NodeKind.CONTROL ? "control" : "data";
+                inTouch.merge(kind, 1, Integer::sum);
+            }
+        }
+        return inTouch;
+    }
+}
--- a/src/main/java/ringspindle/controlplane/GroupCommitWriter.java
+++ b/src/main/java/ringspindle/controlplane/GroupCommitWriter.java
@@ -12,6 +12,7 @@
 import ringspindle.protocol.Message.State;
 import ringspindle.replication.ReplicatedState.Out.Store;
 import ringspindle.storage.Disk;
+import ringspindle.transport.FatalErrors;
 
 /**
  * Writes records in order and in groups; a disk that hangs holds up only this thread. What a group wrote is told and never
@@ -59,6 +60,8 @@
             }
         } catch (InterruptedException x) {
             Thread.currentThread().interrupt();
+        } catch (Error e) {
+            FatalErrors.end("writing to disk", e);
         }
     }
 
--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -48,6 +48,7 @@
         settings.listen(loadBalancer::updateSettings);
         settings.listen(node::settings);
         node.start();
+        config.metrics().ifPresent(address -> proxy.serveMetrics(address, DataPlaneMetrics.of(proxy, loadBalancer)));
         PeriodicTask.start(node::tick, scheduler, DataNode.TICK_MS);
         proxy.open();
         LOG.atInfo().with(LogField.NODE, config.name()).log("data plane serves");
--- /dev/null
+++ b/src/main/java/ringspindle/dataplane/DataPlaneMetrics.java
@@ -0,0 +1,49 @@
+package ringspindle.dataplane;
+
+import java.util.Map;
+import ringspindle.loadbalancing.LoadBalancer;
+import ringspindle.metrics.Metrics;
+import ringspindle.proxy.ProxyHandler;
+
+/** The figures that a data node tells; docs/ON-CALL.md says which symptom each is for. */
+final class DataPlaneMetrics {
+    private DataPlaneMetrics() {}
+
+    static Metrics of(ProxyHandler proxy, LoadBalancer loadBalancer) {
+        return new Metrics()
+                .gauge("ringspindle_ready", "1 while new clients are welcome, else 0.", () -> proxy.isReady() ? 1 : 0)
+                .gauge(
+                        "ringspindle_configuration_revision",
+                        "Revision of the configuration in force here, 0 without one.",
+                        proxy::configurationRevision)
+                .gauge("ringspindle_requests_active", "Requests under way.", proxy::active)
+                .gauge("ringspindle_requests_waiting", "Requests that wait for capacity.", proxy::waiting)
+                .counters("ringspindle_requests", "Requests that ended, by how.", "end", proxy::endCounts)
+                .gauges(
+                        "ringspindle_engines",
+                        "Engines by state; one may have several. known counts all.",
+                        "state",
+                        () -> engines(loadBalancer.figures()))
+                .counter(
+                        "ringspindle_engine_ejections",
+                        "Ejections of engines by what this node saw of them.",
+                        () -> loadBalancer.figures().ejections())
+                .counters(
+                        "ringspindle_retries",
+                        "Retries that the budget granted or refused.",
+                        "decision",
+                        () -> retries(loadBalancer.figures()));
+    }
+
+    private static Map<String, Integer> engines(LoadBalancer.Figures figures) {
+        return Map.of(
+                "known", figures.known(),
+                "ejected", figures.ejected(),
+                "draining", figures.draining(),
+                "heartbeat_missing", figures.heartbeatMissing());
+    }
+
+    private static Map<String, Long> retries(LoadBalancer.Figures figures) {
+        return Map.of("granted", figures.retriesGranted(), "refused", figures.retriesRefused());
+    }
+}
--- a/src/main/java/ringspindle/loadbalancing/EngineEntry.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineEntry.java
@@ -14,7 +14,7 @@
     private final long key;
     private final InFlightLoad load = new InFlightLoad();
     private final AttemptWindow attempts = new AttemptWindow();
-    private final OutlierEjection ejection = new OutlierEjection();
+    private final OutlierEjection ejection;
     private final FailureRateOutlier failureRate = new FailureRateOutlier();
     private final SlowStart slowStart;
     private Engine report;
@@ -25,8 +25,9 @@
     private boolean heartbeatMissing;
     private long heartbeatChangedMs;
 
-    EngineEntry(String id, boolean draining, boolean heartbeatMissing, long nowMs) {
+    EngineEntry(String id, boolean draining, boolean heartbeatMissing, long nowMs, Runnable onEjected) {
         this.id = id;
+        ejection = new OutlierEjection(onEjected);
         this.draining = draining;
         this.heartbeatMissing = heartbeatMissing;
         key = EngineKey.of(id);
--- a/src/main/java/ringspindle/loadbalancing/EngineTable.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTable.java
@@ -28,6 +28,12 @@
     private final Set<String> drainingIds = new HashSet<>();
     private final Set<String> heartbeatMissingIds = new HashSet<>();
     private final Set<String> removedIds = new LinkedHashSet<>();
+    private long ejections;
+
+    /** Ejections of engines since the start, of those that are gone too. */
+    long ejections() {
+        return ejections;
+    }
 
     /** All engines. */
     Collection<EngineEntry> all() {
@@ -59,7 +65,8 @@
 
     /** Adds an engine that is not known yet; the caller updates it with what it reported. */
     EngineEntry add(String id, long nowMs) {
-        EngineEntry engine = new EngineEntry(id, drainingIds.contains(id), heartbeatMissingIds.contains(id), nowMs);
+        EngineEntry engine = new EngineEntry(
+                id, drainingIds.contains(id), heartbeatMissingIds.contains(id), nowMs, () -> ejections++);
         byId.put(id, engine);
         byKey.put(engine.key(), engine);
         return engine;
--- a/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
@@ -320,6 +320,26 @@
         }
     }
 
+    @Override
+    public synchronized Figures figures() {
+        int ejected = 0;
+        int draining = 0;
+        int heartbeatMissing = 0;
+        for (EngineEntry engine : engines.all()) {
+            ejected += engine.ejection().isEjected() ? 1 : 0;
+            draining += engine.isDraining() ? 1 : 0;
+            heartbeatMissing += engine.isHeartbeatMissing() ? 1 : 0;
+        }
+        return new Figures(
+                engines.all().size(),
+                ejected,
+                draining,
+                heartbeatMissing,
+                engines.ejections(),
+                retryBudget.granted(),
+                retryBudget.refused());
+    }
+
     @Override
     public synchronized Set<String> knownEngineIds() {
         return new HashSet<>(engines.ids());
--- a/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
@@ -202,6 +202,29 @@
      */
     void onHealthProbeResult(String id, boolean healthy, int coldMs, long nowMs);
 
+    /**
+     * What a node that watches this one wants to know.
+     *
+     * @param known engines in the table
+     * @param ejected those that get nothing until a health probe succeeds
+     * @param draining those that get nothing new
+     * @param heartbeatMissing those that control nodes do not hear
+     * @param ejections ejections since the start of the process
+     * @param retriesGranted retries that the budget let go
+     * @param retriesRefused retries that it did not
+     */
+    record Figures(
+            int known,
+            int ejected,
+            int draining,
+            int heartbeatMissing,
+            long ejections,
+            long retriesGranted,
+            long retriesRefused) {}
+
+    /** Figures of the table as it is now. */
+    Figures figures();
+
     /** Ids of the engines that are known, for closing connections to all others. */
     Set<String> knownEngineIds();
 
--- a/src/main/java/ringspindle/loadbalancing/OutlierEjection.java
+++ b/src/main/java/ringspindle/loadbalancing/OutlierEjection.java
@@ -20,12 +20,18 @@
     private static final int MAX_PROBE_GAP_MS = 2000;
     private static final long NOT_WAITING = -1;
 
+    private final Runnable onEjected;
     private boolean ejected;
     private int consecutiveFailures;
     private long waitingSinceMs = NOT_WAITING;
     private long nextProbeMs;
     private long probeGapMs;
 
+    /** The ejection of one engine; each time that it is ejected, the given action runs. */
+    OutlierEjection(Runnable onEjected) {
+        this.onEjected = onEjected;
+    }
+
     boolean isEjected() {
         return ejected;
     }
@@ -85,6 +91,7 @@
             ejected = true;
             probeGapMs = FIRST_PROBE_GAP_MS;
             nextProbeMs = nowMs;
+            onEjected.run();
         }
     }
 
--- a/src/main/java/ringspindle/loadbalancing/RetryBudget.java
+++ b/src/main/java/ringspindle/loadbalancing/RetryBudget.java
@@ -12,6 +12,8 @@
     private final Map<String, RequestWindow> byService = new HashMap<>();
     private final QuotaShare quotaShare;
     private NodeConfig settings;
+    private long granted;
+    private long refused;
 
     RetryBudget(NodeConfig settings, QuotaShare quotaShare) {
         this.settings = settings;
@@ -35,12 +37,24 @@
         double earned = QuotaShare.USED_PART * settings.retryRatio() * window.requests(windowS);
         // one second more, as the seconds here are not the windows of whoever counts
         if (window.retries(windowS + 1) + 1 > earned + slack) {
+            refused++;
             return false;
         }
+        granted++;
         window.countRetry();
         return true;
     }
 
+    /** Retries that were granted since the start. */
+    long granted() {
+        return granted;
+    }
+
+    /** Retries that were refused since the start. */
+    long refused() {
+        return refused;
+    }
+
     private RequestWindow window(String service, long nowMs) {
         RequestWindow window = byService.computeIfAbsent(service, name -> new RequestWindow());
         window.advance(nowMs);
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -24,7 +24,9 @@
 import ringspindle.config.NodeConfig;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.logging.LogField;
+import ringspindle.metrics.Metrics;
 import ringspindle.protocol.Message.LedgerReport;
+import ringspindle.protocol.NodeId;
 import ringspindle.retry.Action;
 import ringspindle.retry.CancelCause;
 import ringspindle.retry.TerminalEvent;
@@ -111,6 +113,11 @@
         server.start();
     }
 
+    /** Serves figures at that address; before {@link #open}. */
+    public void serveMetrics(NodeId address, Metrics metrics) {
+        server.serveMetrics(address, metrics);
+    }
+
     // ---- for the owner of what the node knows
 
     @Override
@@ -185,6 +192,17 @@
         return active.sum();
     }
 
+    /** Revision of the configuration in force, 0 while there is none. */
+    public long configurationRevision() {
+        FleetConfig current = config;
+        return current == null ? 0 : current.revision();
+    }
+
+    /** Requests that wait for capacity. */
+    public int waiting() {
+        return queue.size();
+    }
+
     /** Ends all that is under way. */
     public void close() {
         server.close();
--- a/src/main/java/ringspindle/proxy/ProxyServer.java
+++ b/src/main/java/ringspindle/proxy/ProxyServer.java
@@ -11,6 +11,8 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
+import ringspindle.metrics.Metrics;
+import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
 import ringspindle.transport.LifeCycles;
 
@@ -77,6 +79,11 @@
         return http;
     }
 
+    /** Serves the node's own figures at a port of their own; before {@link #start}. */
+    void serveMetrics(NodeId address, Metrics metrics) {
+        MetricsEndpoint.add(server, address, metrics);
+    }
+
     /** True if the request came to the clients' port. */
     boolean isFromClient(Request request) {
         return request.getConnectionMetaData().getConnector() == clients;
--- a/src/main/java/ringspindle/proxy/WaitQueue.java
+++ b/src/main/java/ringspindle/proxy/WaitQueue.java
@@ -25,6 +25,10 @@
         entries.add(new Entry(request, rankMs, arrivals++));
     }
 
+    synchronized int size() {
+        return entries.size();
+    }
+
     /** Removes all that wait, in the order in which they may try. */
     synchronized List<ProxiedRequest> drain() {
         List<ProxiedRequest> requests = new ArrayList<>(entries.size());
--- a/src/main/java/ringspindle/transport/PeriodicTask.java
+++ b/src/main/java/ringspindle/transport/PeriodicTask.java
@@ -4,7 +4,10 @@
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.util.thread.Scheduler;
 
-/** Runs a task again and again, on the scheduler's thread; a run that fails is logged and does not end it. */
+/**
+ * Runs a task again and again, on the scheduler's thread. A run that throws an exception is logged and does not end it; an
+ * {@link Error} ends the process.
+ */
 public final class PeriodicTask implements Runnable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
@@ -32,6 +35,8 @@
             task.run();
         } catch (RuntimeException e) {
             LOG.atSevere().withCause(e).log("tick fails");
+        } catch (Error e) {
+            FatalErrors.end("periodic work", e);
         }
         scheduler.schedule(this, intervalMs, TimeUnit.MILLISECONDS);
     }
