--- a/src/main/java/ringspindle/api/Operation.java
+++ b/src/main/java/ringspindle/api/Operation.java
@@ -16,7 +16,9 @@
     RULES_PUT("PUT", "rules", ""),
     LEDGER("GET", "ledger", ""),
     ROLLOUTS("GET", "rollouts", ""),
-    ROLLOUT("POST", "rollouts", "service");
+    ROLLOUT("POST", "rollouts", "service"),
+    EXPERIMENTS("GET", "experiments", ""),
+    EXPERIMENT("POST", "experiments", "name");
 
     /** What all paths start with. */
     public static final String BASE = "/ringspindle/";
--- a/src/main/java/ringspindle/cli/Cli.java
+++ b/src/main/java/ringspindle/cli/Cli.java
@@ -28,6 +28,7 @@
         commands.put("rollout", new RolloutCommand());
         commands.put("rules", new RulesCommand());
         commands.put("ledger", new LedgerCommand());
+        commands.put("experiment", new ExperimentCommand());
     }
 
     /** The objects that hold the options of each command, by the command's name, for a {@link CommandLine} to fill in. */
--- a/src/main/java/ringspindle/controlplane/CommittedFacts.java
+++ b/src/main/java/ringspindle/controlplane/CommittedFacts.java
@@ -68,6 +68,7 @@
             case EVACUATED -> FactKind.EVACUATED;
             case LEAVING -> FactKind.LEAVING;
             case RULES -> FactKind.RULES;
+            case EXPERIMENT -> FactKind.EXPERIMENT;
             default -> FactKind.ROLLOUT;
         };
     }
--- a/src/main/java/ringspindle/controlplane/ControlApiHandler.java
+++ b/src/main/java/ringspindle/controlplane/ControlApiHandler.java
@@ -33,6 +33,8 @@
         resources.put(Operation.RULES_GET, rules::get);
         resources.put(Operation.RULES_PUT, rules::put);
         resources.put(Operation.ROLLOUT, new RolloutResource(node));
+        resources.put(Operation.EXPERIMENT, new ExperimentResource(node));
+        resources.put(Operation.EXPERIMENTS, ifUpToDate(exchange -> exchange.respond(ExperimentsPage.of(node))));
         resources.put(Operation.STATUS, exchange -> exchange.respond(StatusPage.of(node)));
         resources.put(Operation.ENGINES, ifUpToDate(exchange -> exchange.respond(EnginesPage.of(node))));
         resources.put(Operation.LEDGER, ifUpToDate(exchange -> exchange.respond(LedgerPage.of(node))));
--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -70,9 +70,11 @@
         HeartbeatExchange heartbeats = new HeartbeatExchange(context, fleet, replication, serving);
         dispatcher = new MessageDispatcher(
                 context, fleet, replication, heartbeats, new FactHandler(fleet, serving), new LoadHandler(fleet));
-        RolloutTask rollouts = new RolloutTask(me, fleet, engines, replication, reports);
+        HeadDuties headDuties = new HeadDuties(
+                new RolloutTask(me, fleet, engines, replication, reports),
+                new ExperimentTask(context, environment.incarnation(), fleet, replication));
         tasks = new ControlNodeTasks(
-                context, storage, fleet, replication, quorum, serving, heartbeats, committedFacts, rollouts);
+                context, storage, fleet, replication, quorum, serving, heartbeats, committedFacts, headDuties);
     }
 
     private static Hello greeting(NodeId me, NodeConfig settings, long incarnation) {
--- a/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
+++ b/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
@@ -43,7 +43,7 @@
     private final ServingState serving;
     private final HeartbeatExchange heartbeats;
     private final CommittedFacts committedFacts;
-    private final RolloutTask rollouts;
+    private final HeadDuties headDuties;
     private long ticks;
 
     ControlNodeTasks(
@@ -55,7 +55,7 @@
             ServingState serving,
             HeartbeatExchange heartbeats,
             CommittedFacts committedFacts,
-            RolloutTask rollouts) {
+            HeadDuties headDuties) {
         this.context = context;
         this.storage = storage;
         this.fleet = fleet;
@@ -64,7 +64,7 @@
         this.serving = serving;
         this.heartbeats = heartbeats;
         this.committedFacts = committedFacts;
-        this.rollouts = rollouts;
+        this.headDuties = headDuties;
     }
 
     /** Runs what is due. */
@@ -75,7 +75,7 @@
         View view = replicate(survey.live(), nowMs);
         dial(survey.known(), view);
         survey.heartbeatTo().forEach(heartbeats::send);
-        rollouts.tick(view, serving.quorate() && hearsEngines(nowMs), ticks, nowMs);
+        headDuties.tick(view, serving.quorate(), hearsEngines(nowMs), ticks, nowMs);
         synchronized (fleet.lock) {
             fleet.dataNodes().tick(nowMs);
             fleet.leases().tick(view, serving.quorate(), ticks, nowMs);
--- a/src/main/java/ringspindle/controlplane/FleetState.java
+++ b/src/main/java/ringspindle/controlplane/FleetState.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Function;
 import ringspindle.config.NodeConfig;
+import ringspindle.experiment.OutcomeCollector;
 import ringspindle.gossip.FactStore;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Message.Hello;
@@ -28,6 +29,7 @@
     private final FactDissemination dissemination;
     private final QuotaLeaseIssuer leases;
     private final LedgerReportStore ledgerReports = new LedgerReportStore();
+    private final OutcomeCollector outcomes = new OutcomeCollector();
 
     FleetState(NodeContext context, Hello self) {
         NodeId me = context.me();
@@ -99,6 +101,12 @@
         return leases;
     }
 
+    /** What became of requests that take part in experiments; the lock is held. */
+    OutcomeCollector outcomes() {
+        assert Thread.holdsLock(lock);
+        return outcomes;
+    }
+
     /** The data nodes' request ledgers; the lock is held. */
     LedgerReportStore ledgerReports() {
         assert Thread.holdsLock(lock);
--- a/src/main/java/ringspindle/controlplane/LoadHandler.java
+++ b/src/main/java/ringspindle/controlplane/LoadHandler.java
@@ -1,9 +1,12 @@
 package ringspindle.controlplane;
 
+import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.protocol.Message.Load;
+import ringspindle.protocol.Message.Outcomes;
 import ringspindle.protocol.Message.Report;
 import ringspindle.protocol.NodeId;
+import ringspindle.protocol.NodeKind;
 
 /** Handles reports of load and of requests. Thread safe; without state of its own. */
 final class LoadHandler {
@@ -27,6 +30,21 @@
         }
     }
 
+    /** What a data node counted of experiments, or a control node summed. */
+    void received(NodeId from, Outcomes outcomes) {
+        synchronized (fleet.lock) {
+            SessionTable.Peer peer = fleet.sessions().peer(from);
+            if (peer == null || peer.hello().life() != outcomes.life()) {
+                return;
+            }
+            if (peer.hello().kind() == NodeKind.DATA) {
+                fleet.outcomes().reported(from, outcomes);
+            } else {
+                fleet.outcomes().summed(from, outcomes);
+            }
+        }
+    }
+
     /** Another region's load. */
     void received(Load load, long nowMs) {
         synchronized (fleet.lock) {
--- a/src/main/java/ringspindle/controlplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/controlplane/MessageDispatcher.java
@@ -8,6 +8,7 @@
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.protocol.Message.Load;
 import ringspindle.protocol.Message.News;
+import ringspindle.protocol.Message.Outcomes;
 import ringspindle.protocol.Message.Report;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -62,6 +63,8 @@
             loads.received(from, report, nowMs);
         } else if (message instanceof LedgerReport report) {
             loads.received(from, report);
+        } else if (message instanceof Outcomes outcomes) {
+            loads.received(from, outcomes);
         } else if (message instanceof Load load) {
             loads.received(load, nowMs);
         } else if (message instanceof Digest digest) {
--- a/src/main/java/ringspindle/controlplane/package-info.java
+++ b/src/main/java/ringspindle/controlplane/package-info.java
@@ -7,7 +7,7 @@
  *   <li>{@code ReplicationDriver} feeds the replicated state, with {@code PendingCalls} and {@code Storage}.
  *   <li>{@code FleetState} holds what is learnt from other nodes: sessions, facts, load, leases and reports.
  *   <li>{@code MessageDispatcher} takes messages and passes each to the handler of its family.
- *   <li>{@code ControlNodeTasks} runs what is periodic; {@code RolloutTask} drives roll-outs.
+ *   <li>{@code ControlNodeTasks} runs what is periodic; {@code HeadDuties} drives roll-outs and experiments.
  *   <li>{@code ServingState} and {@code QuorumTracker} say whether this node may serve.
  *   <li>{@code ControlApiHandler} answers HTTP calls, with a class a resource and a class an operators' page.
  * </ul>
--- a/src/main/java/ringspindle/dataplane/FactApplier.java
+++ b/src/main/java/ringspindle/dataplane/FactApplier.java
@@ -5,8 +5,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
+import ringspindle.experiment.Experiment;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.logging.LogField;
 import ringspindle.protocol.Codec;
@@ -61,6 +63,7 @@
             case ENGINE ->
                 loadBalancer.updateEngine(fact.key(), (Engine) Codec.decode(fact.value()), fact.version(), nowMs);
             case RULES -> applyRules(fact);
+            case EXPERIMENT -> applyExperiment(fact);
             case SILENT -> loadBalancer.setHeartbeatMissing(fact.key(), fact.value()[0] == 1, nowMs);
             default -> {
                 // applied with the restrictions, or of no use here
@@ -78,6 +81,17 @@
         }
     }
 
+    /** What was counted of experiments that are over is of no use any more. */
+    private void applyExperiment(Fact fact) {
+        Experiment experiment = Experiment.read(text(fact));
+        proxy.experiments().update(experiment, fact.version());
+        Set<Long> open = new HashSet<>();
+        proxy.experiments().all().stream().filter(Experiment::isOpen).forEach(each -> open.add(each.id()));
+        proxy.outcomes().retain(open);
+        LOG.atInfo().log(
+                "experiment %s is %s, ramp %s", experiment.plan().name(), experiment.state(), experiment.ramp());
+    }
+
     private void applyRules(Fact fact) {
         if (ServingRules.read(fact.value()) instanceof Validated.Valid<ServingRules> valid) {
             proxy.updateRules(valid.value());
--- a/src/main/java/ringspindle/dataplane/LoadReporter.java
+++ b/src/main/java/ringspindle/dataplane/LoadReporter.java
@@ -8,6 +8,7 @@
 import ringspindle.membership.Proximity;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Message.LedgerReport;
+import ringspindle.protocol.Message.Outcomes;
 import ringspindle.protocol.NodeId;
 import ringspindle.proxy.Proxy;
 import ringspindle.routing.RequestLedger;
@@ -24,6 +25,8 @@
     /** A report that says nothing is sent only after so long without one. */
     private static final int IDLE_PERIOD_MS = 1400;
 
+    private static final int WHOLE_OUTCOMES_EVERY = 8;
+
     private final long incarnation;
     private final Supplier<NodeConfig> config;
     private final Mesh mesh;
@@ -36,6 +39,9 @@
     private long reportSequence;
     private long ledgerSequence;
     private long reportedMs;
+    private long outcomesSequence;
+    /** Who was last told all outcomes, null before the first. */
+    private NodeId outcomesCollector;
 
     LoadReporter(
             long incarnation,
@@ -58,6 +64,13 @@
         if (collector != null && tick % LEDGER_TICKS == 0) {
             reportLedger();
         }
+        if (collector != null) {
+            // a control node that is in touch with a majority speaks to this node: it would have told of a halt
+            proxy.experiments().renew(nowMs);
+            if (tick % LEDGER_TICKS == 0) {
+                reportOutcomes();
+            }
+        }
         LoadSummary seen = loadBalancer.summarizeLoad(nowMs);
         boolean due = !seen.isEmpty() || nowMs - reportedMs > IDLE_PERIOD_MS;
         if (collector != null && due) {
@@ -97,6 +110,16 @@
         return best;
     }
 
+    /** Sums since the start; all of them to a new collector and now and then, as a connection may have lost some. */
+    private void reportOutcomes() {
+        boolean whole = !collector.equals(outcomesCollector) || outcomesSequence % WHOLE_OUTCOMES_EVERY == 0;
+        outcomesCollector = collector;
+        String region = config.get().region();
+        for (Outcomes report : proxy.outcomes().report(incarnation, ++outcomesSequence, region, whole)) {
+            mesh.send(collector, report);
+        }
+    }
+
     private void reportLedger() {
         LedgerReport ledger = proxy.ledgerReport(incarnation, ++ledgerSequence);
         Set<RequestLedger.Violation> violations = RequestLedger.violations(ledger);
--- a/src/main/java/ringspindle/loadbalancing/CostModel.java
+++ b/src/main/java/ringspindle/loadbalancing/CostModel.java
@@ -17,8 +17,6 @@
     /** Shorter prompts say little of the time for a token. */
     private static final int MIN_LEARNING_TOKENS = 4000;
 
-    /** What one more running request costs the next one, in ms. */
-    private static final double RUNNING_REQUEST_MS = 4;
     /** Part of the time to read a token that a token in flight costs. */
     private static final double IN_FLIGHT_TOKEN_PART = 0.3;
     /** What others run costs less than what runs here, as it is known late. */
@@ -30,7 +28,6 @@
     private static final double SAME_ZONE_MS = 0.5;
 
     private static final double SAME_REGION_MS = 3;
-    private static final double OTHER_REGION_MS = 30;
 
     /** Random bits that break ties, and what one of their steps costs in ms: about 2 ms at most. */
     private static final int TIE_BREAK_SHIFT = 54;
@@ -68,9 +65,9 @@
         double tokensInFlight = load.ownTokens() + OTHERS_PART * othersTokens;
         long tieBreak = RendezvousHash.mix(request.random() ^ engine.key()) >>> TIE_BREAK_SHIFT;
         // the order of the terms is part of the behaviour, as sums of doubles depend on it
-        double cost = roundTripMs(engine)
+        double cost = roundTripMs(engine, request)
                 + tokensToRead * tokenMs
-                + running * RUNNING_REQUEST_MS
+                + running * request.weights().runningRequestMs()
                 + tokensInFlight * tokenMs * IN_FLIGHT_TOKEN_PART
                 + tieBreak * TIE_BREAK_STEP_MS;
         return engine.slowStart().isWarmingUp(nowMs) ? cost + WARMING_UP_MS : cost;
@@ -91,11 +88,13 @@
         return best;
     }
 
-    private double roundTripMs(EngineEntry engine) {
+    private double roundTripMs(EngineEntry engine, SelectionRequest request) {
         if (engine.zone().equals(settings.zone())) {
             return SAME_ZONE_MS;
         }
-        return engine.region().name().equals(settings.region()) ? SAME_REGION_MS : OTHER_REGION_MS;
+        return engine.region().name().equals(settings.region())
+                ? SAME_REGION_MS
+                : request.weights().otherRegionMs();
     }
 
     /** Learns from the time to the first byte of an answer, in ms; below 0 it says nothing. */
@@ -103,7 +102,7 @@
         if (firstMs < 0 || request.uncachedTokens() <= MIN_LEARNING_TOKENS) {
             return;
         }
-        double seen = (firstMs - roundTripMs(engine)) / request.uncachedTokens();
+        double seen = (firstMs - roundTripMs(engine, request)) / request.uncachedTokens();
         double bounded = Math.max(MIN_TOKEN_MS, Math.min(MAX_TOKEN_MS, seen));
         tokenMs += (bounded - tokenMs) * LEARNING_RATE;
     }
--- a/src/main/java/ringspindle/loadbalancing/LeastCostPolicy.java
+++ b/src/main/java/ringspindle/loadbalancing/LeastCostPolicy.java
@@ -44,7 +44,7 @@
         for (EngineEntry engine : PrefixAffinity.rank(candidates.healthy(), request)) {
             if (!candidates.isPassedOver(engine)
                     && PrefixAffinity.isBalanced(
-                            engine, request, PrefixAffinity.DEFAULT_MAX_IMBALANCE, meanTokens, nowMs)) {
+                            engine, request, request.weights().maxImbalance(), meanTokens, nowMs)) {
                 return engine;
             }
         }
--- a/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
@@ -10,6 +10,7 @@
 import ringspindle.protocol.Message.Load;
 import ringspindle.protocol.NodeId;
 import ringspindle.retry.AttemptOutcome;
+import ringspindle.routing.CostWeights;
 import ringspindle.routing.FallbackTarget;
 import ringspindle.telemetry.LoadSummary;
 import ringspindle.telemetry.RequestKind;
@@ -45,6 +46,7 @@
      * @param weightsVersion version of the model weights that the engine must run; below 0 if any will do
      * @param random uniformly distributed bits for breaking ties
      * @param preference what a serving rule says of the choice, or null
+     * @param weights weights of the cost by which engines are compared
      */
     record SelectionRequest(
             String service,
@@ -56,7 +58,34 @@
             Set<String> excludedEngineIds,
             long weightsVersion,
             long random,
-            RoutingPreference preference) {
+            RoutingPreference preference,
+            CostWeights weights) {
+        /** A request whose engines are compared by the ordinary weights. */
+        public SelectionRequest(
+                String service,
+                Set<String> allowedRegions,
+                long affinityKey,
+                int sharedPrefixTokens,
+                int uncachedTokens,
+                int outputTokens,
+                Set<String> excludedEngineIds,
+                long weightsVersion,
+                long random,
+                RoutingPreference preference) {
+            this(
+                    service,
+                    allowedRegions,
+                    affinityKey,
+                    sharedPrefixTokens,
+                    uncachedTokens,
+                    outputTokens,
+                    excludedEngineIds,
+                    weightsVersion,
+                    random,
+                    preference,
+                    CostWeights.DEFAULT);
+        }
+
         /** A request to which no serving rule applies. */
         public SelectionRequest(
                 String service,
--- a/src/main/java/ringspindle/loadbalancing/PrefixAffinity.java
+++ b/src/main/java/ringspindle/loadbalancing/PrefixAffinity.java
@@ -7,8 +7,6 @@
 
 /** Where a shared prompt prefix is cached: at the engine that rendezvous hashing ranks first, unless it is overloaded. */
 final class PrefixAffinity {
-    /** How many times the mean load the holder of a prefix may have, where no rule says otherwise. */
-    static final double DEFAULT_MAX_IMBALANCE = 1.5;
     /** So many tokens more than the mean are no imbalance yet. */
     private static final int IMBALANCE_SLACK_TOKENS = 60_000;
 
--- a/src/main/java/ringspindle/protocol/FactKind.java
+++ b/src/main/java/ringspindle/protocol/FactKind.java
@@ -23,7 +23,9 @@
     /** Whether control nodes hear an engine's heartbeats; rests on the number of the last one. */
     SILENT(9),
     /** The operators' serving rules. */
-    RULES(10);
+    RULES(10),
+    /** An experiment over routing policies. */
+    EXPERIMENT(11);
 
     private static final FactKind[] BY_CODE = values();
 
--- a/src/main/java/ringspindle/protocol/Message.java
+++ b/src/main/java/ringspindle/protocol/Message.java
@@ -303,6 +303,18 @@
     record LedgerReport(long life, long seq, long revision, long digest, long endedTwice, List<LedgerRow> rows)
             implements Message {}
 
+    /** Outcomes of one cell of an experiment: a side, a route and a group of sessions. */
+    record OutcomeRow(int side, int route, int group, long requests, long bad, long use) {}
+
+    /**
+     * Outcomes of an experiment's requests since the start of their source.
+     *
+     * @param experiment id of the experiment
+     * @param sources the data nodes that a control node summed; empty in the report of a data node
+     */
+    record Outcomes(long life, long seq, long experiment, String region, List<SourceRow> sources, List<OutcomeRow> rows)
+            implements Message {}
+
     /** An engine of the region, summed over nodes. */
     record EngineLoad(long engine, int answered, int failed, int running, long tokens) {}
 
--- a/src/main/java/ringspindle/protocol/TelemetryCodec.java
+++ b/src/main/java/ringspindle/protocol/TelemetryCodec.java
@@ -12,6 +12,8 @@
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.protocol.Message.LedgerRow;
 import ringspindle.protocol.Message.Load;
+import ringspindle.protocol.Message.OutcomeRow;
+import ringspindle.protocol.Message.Outcomes;
 import ringspindle.protocol.Message.RegionLoad;
 import ringspindle.protocol.Message.Report;
 import ringspindle.protocol.Message.SourceRow;
@@ -22,6 +24,8 @@
 import ringspindle.sbe.LoadEncoder;
 import ringspindle.sbe.MessageHeaderDecoder;
 import ringspindle.sbe.MessageHeaderEncoder;
+import ringspindle.sbe.OutcomesDecoder;
+import ringspindle.sbe.OutcomesEncoder;
 import ringspindle.sbe.ReportDecoder;
 import ringspindle.sbe.ReportEncoder;
 
@@ -40,6 +44,12 @@
                     LedgerReport.class,
                     TelemetryCodec::writeLedgerReport,
                     TelemetryCodec::readLedgerReport),
+            new MessageTemplate<>(
+                    OutcomesDecoder.TEMPLATE_ID,
+                    OutcomesDecoder.BLOCK_LENGTH,
+                    Outcomes.class,
+                    TelemetryCodec::writeOutcomes,
+                    TelemetryCodec::readOutcomes),
             new MessageTemplate<>(
                     LoadDecoder.TEMPLATE_ID,
                     LoadDecoder.BLOCK_LENGTH,
@@ -179,6 +189,44 @@
                 text(row.clsLength(), row::getCls));
     }
 
+    private static int writeOutcomes(Outcomes message, MutableDirectBuffer buffer, MessageHeaderEncoder header) {
+        OutcomesEncoder encoder = new OutcomesEncoder()
+                .wrapAndApplyHeader(buffer, 0, header)
+                .life(message.life())
+                .seq(message.seq())
+                .experiment(message.experiment());
+        OutcomesEncoder.SourcesEncoder sources =
+                encoder.sourcesCount(message.sources().size());
+        message.sources().forEach(row -> sources.next()
+                .node(row.node().bits())
+                .sourceLife(row.life())
+                .sourceSeq(row.seq()));
+        OutcomesEncoder.RowsEncoder rows = encoder.rowsCount(message.rows().size());
+        message.rows().forEach(row -> rows.next()
+                .side((short) row.side())
+                .route((short) row.route())
+                .sessions((short) row.group())
+                .requests(row.requests())
+                .bad(row.bad())
+                .use(row.use()));
+        putText(message.region(), encoder::putRegion);
+        return encoder.limit();
+    }
+
+    private static Outcomes readOutcomes(DirectBuffer buffer, MessageHeaderDecoder header) {
+        OutcomesDecoder decoder = new OutcomesDecoder().wrapAndApplyHeader(buffer, 0, header);
+        List<SourceRow> sources = new ArrayList<>();
+        for (OutcomesDecoder.SourcesDecoder row : decoder.sources()) {
+            sources.add(new SourceRow(new NodeId(row.node()), row.sourceLife(), row.sourceSeq()));
+        }
+        List<OutcomeRow> rows = new ArrayList<>();
+        for (OutcomesDecoder.RowsDecoder row : decoder.rows()) {
+            rows.add(new OutcomeRow(row.side(), row.route(), row.sessions(), row.requests(), row.bad(), row.use()));
+        }
+        String region = text(decoder.regionLength(), decoder::getRegion);
+        return new Outcomes(decoder.life(), decoder.seq(), decoder.experiment(), region, sources, rows);
+    }
+
     private static int writeLoad(Load message, MutableDirectBuffer buffer, MessageHeaderEncoder header) {
         LoadEncoder encoder = new LoadEncoder()
                 .wrapAndApplyHeader(buffer, 0, header)
--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -1,9 +1,12 @@
 package ringspindle.proxy;
 
+import java.util.Optional;
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import ringspindle.config.FleetConfig;
+import ringspindle.experiment.Assignment;
+import ringspindle.experiment.Policy;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.retry.RetryPolicy;
 import ringspindle.routing.Affinity;
@@ -16,8 +19,6 @@
  * done for it follows these, whatever configuration comes since.
  */
 final class AdmittedRequest {
-    private static final double DEFAULT_MAX_IMBALANCE = 1.5;
-
     private final Request request;
     private final byte[] body;
     private final FleetConfig.Route route;
@@ -26,6 +27,7 @@
     private final long receivedMs;
     private final long timeLimitMs;
     private final ServingRules rules;
+    private final Optional<Assignment> assignment;
     private final ServingRule rule;
     private final int promptTokens;
     private final int outputTokens;
@@ -38,7 +40,8 @@
      * @param attemptId the client's id of this try
      * @param receivedMs when its head had come, on the steady clock
      * @param timeLimitMs how long it may take from then on: the lesser of the client's and the route's deadline
-     * @param rules the serving rules in force, null while there are none
+     * @param rulesInForce the serving rules in force, null while there are none
+     * @param assignment what an experiment says of it
      */
     AdmittedRequest(
             Request request,
@@ -48,7 +51,8 @@
             String attemptId,
             long receivedMs,
             long timeLimitMs,
-            ServingRules rules) {
+            ServingRules rulesInForce,
+            Optional<Assignment> assignment) {
         this.request = request;
         this.body = body;
         this.route = route;
@@ -56,7 +60,8 @@
         this.attemptId = attemptId;
         this.receivedMs = receivedMs;
         this.timeLimitMs = timeLimitMs;
-        this.rules = rules;
+        this.assignment = assignment;
+        rules = policy().rules().orElse(rulesInForce);
         String[] tokens = header(Headers.TOKEN_COUNT, "0,0").split(",");
         promptTokens = parseCount(tokens[0]);
         outputTokens = tokens.length > 1 ? parseCount(tokens[1]) : 0;
@@ -111,7 +116,16 @@
         return receivedMs + timeLimitMs;
     }
 
-    /** The rules in force when it was admitted, null if there were none. */
+    /** What an experiment said of it when it was admitted. */
+    Optional<Assignment> assignment() {
+        return assignment;
+    }
+
+    private Policy policy() {
+        return assignment.map(Assignment::policy).orElse(Policy.DEFAULT);
+    }
+
+    /** The rules that it was admitted under, null if there were none. */
     ServingRules rules() {
         return rules;
     }
@@ -155,7 +169,8 @@
                 attemptedEngines,
                 weightVersion,
                 random,
-                routingPreference(waitedMs));
+                routingPreference(waitedMs),
+                policy().weights());
     }
 
     /** What its rule says of the choice of an engine; null where it says nothing, so that all is as without rules. */
@@ -172,7 +187,7 @@
             return null;
         }
         double maxImbalance = rule.affinity() == null
-                ? DEFAULT_MAX_IMBALANCE
+                ? policy().weights().maxImbalance()
                 : rule.affinity().maxImbalance();
         return new LoadBalancer.RoutingPreference(
                 reservedForOthers, maxImbalance, rule.whenBusy(), rule.whenUnavailable(), waitedMs);
--- a/src/main/java/ringspindle/proxy/ClientResponse.java
+++ b/src/main/java/ringspindle/proxy/ClientResponse.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import ringspindle.api.Outcome;
+import ringspindle.time.MonotonicClock;
 
 /** The answer to one client, written from that of an engine. */
 final class ClientResponse {
@@ -22,9 +23,11 @@
     private final Request request;
     private final Response response;
     private final Callback callback;
+    private final AnswerTiming timing;
 
     /** The response to that request; the callback ends the exchange. */
-    ClientResponse(Request request, Response response, Callback callback) {
+    ClientResponse(Request request, Response response, Callback callback, MonotonicClock clock) {
+        timing = new AnswerTiming(clock);
         this.request = request;
         this.response = response;
         this.callback = callback;
@@ -63,6 +66,7 @@
 
     /** Writes part of the body; one write at a time. */
     void write(byte[] part, Callback written) {
+        timing.onPart();
         response.write(false, ByteBuffer.wrap(part), written);
     }
 
@@ -71,6 +75,11 @@
         response.write(true, ByteBuffer.wrap(body), callback);
     }
 
+    /** When its parts were written; what is written whole is not among them. */
+    AnswerTiming timing() {
+        return timing;
+    }
+
     /** Ends a stream as complete. */
     void endStream() {
         response.write(true, ByteBuffer.wrap(NOTHING), callback);
--- /dev/null
+++ b/src/main/java/ringspindle/proxy/Departure.java
@@ -0,0 +1,17 @@
+package ringspindle.proxy;
+
+/**
+ * That the node leaves.
+ *
+ * @param sinceMs when it was told to, on the steady clock
+ * @param endMs when it closes whatever is still open
+ */
+record Departure(long sinceMs, long endMs) {
+    /** Requests sent within this of the order to leave may be cut by the node's end; later ones may not. */
+    private static final int GRACE_MS = 2700;
+
+    /** True for a request that came late enough to be refused and may last longer than the node. */
+    boolean mayBeOutlivedBy(long receivedMs, long timeLimitMs) {
+        return receivedMs - sinceMs >= GRACE_MS && receivedMs + timeLimitMs > endMs;
+    }
+}
--- a/src/main/java/ringspindle/proxy/Proxy.java
+++ b/src/main/java/ringspindle/proxy/Proxy.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 import ringspindle.config.FleetConfig;
+import ringspindle.experiment.ExperimentTable;
+import ringspindle.experiment.OutcomeTable;
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.routing.ServingRules;
 
@@ -21,6 +23,12 @@
      */
     LedgerReport ledgerReport(long life, long seq);
 
+    /** Experiments in force here; whoever hears a control node that is in touch with a majority renews its lease. */
+    ExperimentTable experiments();
+
+    /** What became of the requests that took part in experiments. */
+    OutcomeTable outcomes();
+
     /** A control node has told all that is in force: from now on requests are taken. */
     void markConfirmed();
 
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -22,6 +23,9 @@
 import ringspindle.api.Outcome;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.NodeConfig;
+import ringspindle.experiment.Assignment;
+import ringspindle.experiment.ExperimentTable;
+import ringspindle.experiment.OutcomeTable;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.logging.LogField;
 import ringspindle.metrics.Metrics;
@@ -45,8 +49,6 @@
     private static final int QUEUE_PERIOD_MS = 20;
     /** Default: about how long a node that has just started takes until it holds what is in force. */
     private static final int NOT_READY_MS = 1000;
-    /** Requests sent within this of the order to leave may be cut by the node's end; later ones may not. */
-    private static final int LEAVING_GRACE_MS = 2700;
 
     private final NodeConfig node;
     private final LoadBalancer loadBalancer;
@@ -64,19 +66,12 @@
     private final LongAdder active = new LongAdder();
     private final Map<String, LongAdder> endCounts = new ConcurrentHashMap<>();
     private final RequestLedger ledger = new RequestLedger();
+    private final ExperimentOutcomes experiments = new ExperimentOutcomes();
     private volatile ServingRules rules;
     private volatile FleetConfig config;
     private volatile boolean confirmed;
     private volatile Departure departure;
 
-    /**
-     * That the node leaves.
-     *
-     * @param sinceMs when it was told to, on the steady clock
-     * @param endMs when it closes whatever is still open
-     */
-    private record Departure(long sinceMs, long endMs) {}
-
     /**
      * A proxy that does not listen yet.
      *
@@ -144,6 +139,16 @@
                 life, seq, current == null ? 0 : current.revision(), current == null ? 0 : current.digest());
     }
 
+    @Override
+    public ExperimentTable experiments() {
+        return experiments.experiments();
+    }
+
+    @Override
+    public OutcomeTable outcomes() {
+        return experiments.outcomes();
+    }
+
     @Override
     public void markConfirmed() {
         confirmed = true;
@@ -274,6 +279,7 @@
     public void onActionEnded(TerminalEvent event) {
         active.decrement();
         ledger.onEnded(event);
+        experiments.onEnded(event, clock.nowMs());
         String end = event.state() + (event.cause() == null ? "" : " " + event.cause());
         endCounts.computeIfAbsent(end, key -> new LongAdder()).increment();
         if (event.state() != Action.State.COMPLETED && event.cause() != CancelCause.CLIENT_GONE) {
@@ -293,7 +299,7 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-        ClientResponse client = new ClientResponse(request, response, callback);
+        ClientResponse client = new ClientResponse(request, response, callback, clock);
         if (server.isFromClient(request)) {
             handleClient(request, client);
         } else if (request.getHttpURI().getPath().equals(READINESS_PATH)) {
@@ -325,12 +331,14 @@
         }
         long timeLimitMs;
         try {
-            timeLimitMs = timeLimitMs(route, request.getHeaders().get(Headers.DEADLINE_MS));
+            timeLimitMs =
+                    RequestTimeLimits.timeLimitMs(route, request.getHeaders().get(Headers.DEADLINE_MS));
         } catch (NumberFormatException notANumber) {
             client.respond(Outcome.MALFORMED, 0, isLeaving());
             return;
         }
-        if (mayOutliveNode(receivedMs, timeLimitMs)) {
+        Departure leaving = departure;
+        if (leaving != null && leaving.mayBeOutlivedBy(receivedMs, timeLimitMs)) {
             client.respond(Outcome.LEAVING, 0, true);
             return;
         }
@@ -344,20 +352,6 @@
                 current.limits().bodyBytes());
     }
 
-    /** How long a request may take: the lesser of the route's deadline and what the client states, if it does. */
-    private static long timeLimitMs(FleetConfig.Route route, String stated) {
-        return stated == null
-                ? route.deadlineMs()
-                : Math.min(route.deadlineMs(), (long) Double.parseDouble(stated.trim()));
-    }
-
-    private boolean mayOutliveNode(long receivedMs, long timeLimitMs) {
-        Departure leaving = departure;
-        return leaving != null
-                && receivedMs - leaving.sinceMs() >= LEAVING_GRACE_MS
-                && receivedMs + timeLimitMs > leaving.endMs();
-    }
-
     private void readBody(
             Request request,
             ClientResponse client,
@@ -379,11 +373,23 @@
                                 return;
                             }
                             String service = RouteSplit.service(route, attemptId);
+                            Optional<Assignment> assignment = experiments.assign(
+                                    route, request.getHeaders().get(Headers.PROMPT_PREFIX), clock.nowMs());
                             loadBalancer.onRequestReceived(service, clock.nowMs());
                             active.increment();
                             AdmittedRequest admitted = new AdmittedRequest(
-                                    request, body, route, service, attemptId, receivedMs, timeLimitMs, rules);
-                            new ProxiedRequest(this, admitted, client).begin();
+                                    request,
+                                    body,
+                                    route,
+                                    service,
+                                    attemptId,
+                                    receivedMs,
+                                    timeLimitMs,
+                                    rules,
+                                    assignment);
+                            ProxiedRequest proxied = new ProxiedRequest(this, admitted, client);
+                            experiments.begin(proxied.actionId(), admitted, client.timing());
+                            proxied.begin();
                         },
                         failure -> {
                             if (deadline.meet()) {
--- a/src/main/java/ringspindle/proxy/RequestTimeLimits.java
+++ b/src/main/java/ringspindle/proxy/RequestTimeLimits.java
@@ -1,5 +1,7 @@
 package ringspindle.proxy;
 
+import ringspindle.config.FleetConfig;
+
 /** How long the parts of a request may take, in ms. All figures are defaults of this project. Pure. */
 final class RequestTimeLimits {
     /** How long a request waits for capacity once something has run or reached the client. */
@@ -26,6 +28,17 @@
         this.admitted = admitted;
     }
 
+    /**
+     * How long a request may take: the lesser of the route's deadline and what the client states, if it does.
+     *
+     * @throws NumberFormatException if what it states is no number
+     */
+    static long timeLimitMs(FleetConfig.Route route, String stated) {
+        return stated == null
+                ? route.deadlineMs()
+                : Math.min(route.deadlineMs(), (long) Double.parseDouble(stated.trim()));
+    }
+
     /** How long an attempt may take where another may follow. */
     long attemptMs() {
         int targetMs = admitted.route().aimMs();
--- a/src/main/java/ringspindle/replication/CallKind.java
+++ b/src/main/java/ringspindle/replication/CallKind.java
@@ -23,7 +23,9 @@
     /** Starts, steps or ends a roll-out. */
     ROLLOUT(8),
     /** Replaces the serving rules. */
-    RULES(9);
+    RULES(9),
+    /** Starts, changes, judges or ends an experiment. */
+    EXPERIMENT(10);
 
     /** The argument of a {@link #READ} that asks for the serving rules in place of the configuration. */
     public static final String RULES_ARGUMENT = "rules";
--- a/src/main/java/ringspindle/replication/ControlState.java
+++ b/src/main/java/ringspindle/replication/ControlState.java
@@ -67,6 +67,7 @@
             case GONE -> marked(state, MarkKind.LEAVING, op.arg(), GONE);
             case ROLLOUT -> marked(state, MarkKind.ROLLOUT, op.arg(), new String(op.body(), UTF_8));
             case RULES -> ruled(state, op);
+            case EXPERIMENT -> marked(state, MarkKind.EXPERIMENT, op.arg(), new String(op.body(), UTF_8));
             case READ, UNKNOWN -> next(state, state.past(), state.marks());
         };
     }
--- /dev/null
+++ b/src/main/java/ringspindle/replication/ExperimentOrders.java
@@ -0,0 +1,205 @@
+package ringspindle.replication;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import ringspindle.api.Outcome;
+import ringspindle.config.ConfigError;
+import ringspindle.config.FleetConfig;
+import ringspindle.config.Validated;
+import ringspindle.experiment.Experiment;
+import ringspindle.experiment.Experiment.Plan;
+import ringspindle.experiment.Experiment.Progress;
+import ringspindle.experiment.Experiment.Standing;
+import ringspindle.experiment.ExperimentDocument;
+import ringspindle.protocol.Message.Call;
+import ringspindle.protocol.Message.Mark;
+import ringspindle.protocol.Message.State;
+
+/** One order on an experiment, and what it makes of the control state: an operator's, or one of the judge in charge. */
+final class ExperimentOrders {
+    private static final double LEAST_RAMP = 0.001;
+
+    private final State state;
+    private final Call order;
+    private final JsonObject fields;
+    /** The experiment of that name as it stands, null if there is none. */
+    private final Experiment current;
+
+    private ExperimentOrders(State state, Call order, JsonObject fields, Experiment current) {
+        this.state = state;
+        this.order = order;
+        this.fields = fields;
+        this.current = current;
+    }
+
+    /** What the order, a JSON object about the experiment that the call names, comes to on that state. */
+    static Decision decide(State state, Call order) {
+        if (!(FleetConfig.json(order.body()) instanceof Validated.Valid<JsonObject> valid)) {
+            return Decision.invalid("not a whole JSON object");
+        }
+        Mark mark = ControlState.mark(state, MarkKind.EXPERIMENT, order.arg());
+        Experiment current = mark == null ? null : Experiment.read(mark.value());
+        JsonObject fields = valid.value();
+        try {
+            Decision decision = new ExperimentOrders(state, order, fields, current).decide();
+            // an operator's order that was held up must not undo a newer one; those of the judge name their epoch
+            boolean operators = !fields.containsKey("epoch");
+            return operators && decision instanceof Decision.Commit && OrderDecider.overtaken(order, mark)
+                    ? Decision.answer(Outcome.UNCLEAR)
+                    : decision;
+        } catch (ClassCastException | NullPointerException | ArithmeticException e) {
+            return Decision.invalid("a field is missing or of the wrong type");
+        }
+    }
+
+    private Decision decide() {
+        String name = fields.getString("order");
+        if (name.equals("start")) {
+            return start();
+        }
+        if (current == null) {
+            return Decision.answer(Outcome.NO_SUCH);
+        }
+        return switch (name) {
+            case "ramp" -> ramp();
+            case "pause" -> turn(Standing.RUNNING, Standing.PAUSED);
+            case "resume" -> turn(Standing.PAUSED, Standing.RUNNING);
+            case "halt" -> over(Standing.HALTED, fields.getString("keep", ""));
+            case "end" -> over(Standing.ENDED, "");
+            case "promote" -> promote();
+            default -> judged(name);
+        };
+    }
+
+    // ---- operators' orders
+
+    private Decision start() {
+        Validated<ExperimentDocument.Started> read = ExperimentDocument.read(
+                fields.getJsonObject("document").toString().getBytes(UTF_8));
+        if (read instanceof Validated.Invalid<ExperimentDocument.Started> invalid) {
+            return Decision.invalid(invalid.errors());
+        }
+        ExperimentDocument.Started started = ((Validated.Valid<ExperimentDocument.Started>) read).value();
+        Plan plan = started.plan();
+        if (!plan.name().equals(order.arg())) {
+            return Decision.invalid(List.of(new ConfigError.OutOfRange("name", plan.name(), order.arg())));
+        }
+        if (current != null && current.isOpen()) {
+            boolean same =
+                    Experiment.start(plan, started.ramp(), current.id()).write().equals(current.write());
+            return Decision.answer(same ? Outcome.TAKEN : Outcome.CLASH);
+        }
+        if (state.config().length == 0
+                || !(FleetConfig.read(FleetConfig.unpack(state.config()))
+                        instanceof Validated.Valid<FleetConfig> configuration)) {
+            return Decision.invalid("there is no configuration yet");
+        }
+        List<ConfigError> errors = ExperimentDocument.check(plan, configuration.value(), Set.of());
+        if (!errors.isEmpty()) {
+            return Decision.invalid(errors);
+        }
+        Optional<String> conflict = conflict(plan);
+        return conflict.isPresent()
+                ? Decision.invalid(conflict.get())
+                : write(Experiment.start(plan, started.ramp(), state.seq() + 1));
+    }
+
+    /** A route takes part in one open experiment at most, and follows one promoted policy; a salt is used once. */
+    private Optional<String> conflict(Plan plan) {
+        for (Mark mark : state.marks()) {
+            if (!MarkKind.EXPERIMENT.marks(mark)) {
+                continue;
+            }
+            Experiment other = Experiment.read(mark.value());
+            if (other.plan().salt().equals(plan.salt())) {
+                return Optional.of("salt was used by experiment " + other.plan().name());
+            }
+            boolean inForce = other.isOpen() || !other.survivor().isEmpty();
+            boolean replaced = other.plan().name().equals(plan.name());
+            if (inForce && !replaced && other.plan().routes().stream().anyMatch(plan.routes()::contains)) {
+                return Optional.of(
+                        "a route of it is in experiment " + other.plan().name());
+            }
+        }
+        return Optional.empty();
+    }
+
+    private Decision ramp() {
+        double to = fields.get("to") instanceof JsonNumber number ? number.doubleValue() : 0;
+        if (to < LEAST_RAMP || to > 1) {
+            return Decision.invalid(List.of(new ConfigError.OutOfRange("to", "" + to, LEAST_RAMP + " to 1")));
+        }
+        if (!current.isOpen()) {
+            return Decision.answer(Outcome.CLASH);
+        }
+        if (to < current.ramp()) {
+            return Decision.invalid(List.of(
+                    new ConfigError.OutOfRange("to", "" + to, "at least " + current.ramp() + ", as no side shrinks")));
+        }
+        return write(current.rampedTo(to));
+    }
+
+    private Decision turn(Standing from, Standing to) {
+        if (current.state() == to) {
+            return Decision.answer(Outcome.TAKEN);
+        }
+        return current.state() == from ? write(current.with(to, "", "")) : Decision.answer(Outcome.CLASH);
+    }
+
+    /** Written also if it is over: the newer mark fences a start that is still on its way. */
+    private Decision over(Standing standing, String survivor) {
+        if (!survivor.isEmpty() && current.side(survivor).isEmpty()) {
+            return unknownSide(survivor);
+        }
+        return write(current.isOpen() ? current.with(standing, survivor, "operator") : current);
+    }
+
+    private Decision promote() {
+        String side = fields.getString("side", "");
+        if (current.side(side).isEmpty()) {
+            return unknownSide(side);
+        }
+        return write(current.with(Standing.PROMOTED, side, "operator"));
+    }
+
+    private static Decision unknownSide(String name) {
+        return Decision.invalid(List.of(new ConfigError.UnknownName("side", name)));
+    }
+
+    // ---- orders of the judge in charge; whoever holds an older epoch is refused
+
+    private Decision judged(String name) {
+        boolean inCharge = fields.getJsonNumber("epoch").longValue() == state.lineage()
+                && fields.getJsonNumber("id").longValue() == current.id();
+        if (!inCharge || current.state() != Standing.RUNNING) {
+            return Decision.answer(Outcome.CLASH);
+        }
+        return switch (name) {
+            case "look" -> look();
+            case "worse" ->
+                write(current.with(Standing.HALTED, fields.getString("survivor"), fields.getString("cause")));
+            case "harm" -> write(current.with(Standing.HALTED, "", fields.getString("cause")));
+            case "over" -> write(current.with(Standing.ENDED, "", fields.getString("cause")));
+            case "stop" -> write(current.with(Standing.PAUSED, "", fields.getString("cause")));
+            default -> Decision.invalid("no such order: " + name);
+        };
+    }
+
+    /** Each look has a number of its own, so that its part of the error rate is spent once, whoever looks. */
+    private Decision look() {
+        int number = fields.getInt("look");
+        return number == current.progress().looks() + 1
+                ? write(current.lookedAt(
+                        new Progress(number, fields.getJsonNumber("requests").longValue(), fields.getInt("elapsedS"))))
+                : Decision.answer(Outcome.CLASH);
+    }
+
+    private Decision write(Experiment experiment) {
+        return Decision.commit(order, experiment.write().getBytes(UTF_8));
+    }
+}
--- a/src/main/java/ringspindle/replication/MarkKind.java
+++ b/src/main/java/ringspindle/replication/MarkKind.java
@@ -13,7 +13,9 @@
     /** A service's roll-out, as {@link Rollout#write} writes it. */
     ROLLOUT(3),
     /** The serving rules; the key is empty. */
-    RULES(4);
+    RULES(4),
+    /** An experiment, as {@link ringspindle.experiment.Experiment#write} writes it; the key is its name. */
+    EXPERIMENT(5);
 
     private static final MarkKind[] BY_CODE = values();
 
--- a/src/main/java/ringspindle/replication/OrderDecider.java
+++ b/src/main/java/ringspindle/replication/OrderDecider.java
@@ -19,6 +19,7 @@
             case RESTORE -> evacuation(state, order, false);
             case DRAIN, GONE -> leaving(state, order);
             case ROLLOUT -> RolloutOrders.decide(state, order);
+            case EXPERIMENT -> ExperimentOrders.decide(state, order);
             case READ, UNKNOWN -> Decision.answer(Outcome.NO_SUCH);
         };
     }
--- a/src/main/java/ringspindle/routing/JsonFields.java
+++ b/src/main/java/ringspindle/routing/JsonFields.java
@@ -13,7 +13,7 @@
  * Reads one JSON object of a document strictly. What is wrong is added to the errors of the whole document, with its path,
  * and the default is returned, so that reading goes on and finds all errors.
  */
-final class JsonFields {
+public final class JsonFields {
     private final JsonObject object;
     private final String path;
     private final List<ConfigError> errors;
@@ -24,17 +24,23 @@
      * @param path where the object is in the document, empty for the document itself
      * @param errors where errors go
      */
-    JsonFields(JsonObject object, String path, List<ConfigError> errors) {
+    public JsonFields(JsonObject object, String path, List<ConfigError> errors) {
         this.object = object;
         this.path = path;
         this.errors = errors;
     }
 
+    /** The object itself. */
+    public JsonObject source() {
+        return object;
+    }
+
     String path() {
         return path;
     }
 
-    boolean has(String key) {
+    /** True if the key is there. */
+    public boolean has(String key) {
         return object.containsKey(key);
     }
 
@@ -44,7 +50,7 @@
     }
 
     /** Every field that is not among these is an error. */
-    void rejectUnknown(String... known) {
+    public void rejectUnknown(String... known) {
         List<String> knownKeys = List.of(known);
         for (String key : object.keySet()) {
             if (!knownKeys.contains(key)) {
@@ -58,7 +64,7 @@
     }
 
     /** The fields of an object; those of an empty one if there is none. */
-    JsonFields object(String key) {
+    public JsonFields object(String key) {
         String childPath = path.isEmpty() ? key : path + "." + key;
         JsonValue value = object.get(key);
         if (value instanceof JsonObject child) {
@@ -71,7 +77,7 @@
     }
 
     /** The values of a list; none if there is no list. */
-    List<JsonValue> array(String key) {
+    public List<JsonValue> array(String key) {
         JsonValue value = object.get(key);
         if (value instanceof JsonArray list) {
             return list;
@@ -83,7 +89,7 @@
     }
 
     /** A text; empty if there is none. */
-    String text(String key) {
+    public String text(String key) {
         JsonValue value = object.get(key);
         if (value instanceof JsonString text) {
             return text.getString();
@@ -95,12 +101,12 @@
     }
 
     /** A whole number within bounds, both included. */
-    int integer(String key, int min, int max, int defaultValue) {
+    public int integer(String key, int min, int max, int defaultValue) {
         return (int) integer(key, min, max, (long) defaultValue);
     }
 
     /** A whole number within bounds, both included. */
-    long integer(String key, long min, long max, long defaultValue) {
+    public long integer(String key, long min, long max, long defaultValue) {
         JsonValue value = object.get(key);
         if (value == null) {
             return defaultValue;
@@ -120,7 +126,7 @@
     }
 
     /** A number within bounds, both included. */
-    double decimal(String key, double min, double max, double defaultValue) {
+    public double decimal(String key, double min, double max, double defaultValue) {
         JsonValue value = object.get(key);
         if (value == null) {
             return defaultValue;
--- a/src/test/java/ringspindle/MainTest.java
+++ b/src/test/java/ringspindle/MainTest.java
@@ -22,8 +22,17 @@
 @Timeout(60)
 class MainTest {
     private static final List<String> DAEMONS = List.of("data-plane", "control-plane");
-    private static final List<String> FLEET_COMMANDS =
-            List.of("status", "engines", "mappings", "config", "evacuate", "restore", "rollout", "rules", "ledger");
+    private static final List<String> FLEET_COMMANDS = List.of(
+            "status",
+            "engines",
+            "mappings",
+            "config",
+            "evacuate",
+            "restore",
+            "rollout",
+            "rules",
+            "ledger",
+            "experiment");
 
     private final PrintStream standardOut = System.out;
     private final PrintStream standardError = System.err;
--- a/src/test/java/ringspindle/dataplane/HollowDataNode.java
+++ b/src/test/java/ringspindle/dataplane/HollowDataNode.java
@@ -3,6 +3,8 @@
 import java.util.Map;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.NodeConfig;
+import ringspindle.experiment.ExperimentTable;
+import ringspindle.experiment.OutcomeTable;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.proxy.Proxy;
@@ -14,6 +16,8 @@
 public final class HollowDataNode implements Proxy {
     private final DataNode data;
     private final LoadBalancer loadBalancer;
+    private final ExperimentTable experiments = new ExperimentTable();
+    private final OutcomeTable outcomes = new OutcomeTable();
     private boolean confirmed;
     private long revision = -1;
     private long rules;
@@ -69,6 +73,16 @@
         return rules;
     }
 
+    @Override
+    public ExperimentTable experiments() {
+        return experiments;
+    }
+
+    @Override
+    public OutcomeTable outcomes() {
+        return outcomes;
+    }
+
     @Override
     public void markConfirmed() {
         confirmed = true;
--- a/src/test/java/ringspindle/protocol/GoldenBytesTest.java
+++ b/src/test/java/ringspindle/protocol/GoldenBytesTest.java
@@ -17,12 +17,13 @@
 
 /**
  * Every message is written as the same bytes as by the code of commit 879a0b1, whose bytes stand in the resource: nodes
- * of both versions talk with each other, and what one has stored the other reads.
+ * of both versions talk with each other, and what one has stored the other reads. Messages that came later stand behind these,
+ * as they were first written.
  */
 class GoldenBytesTest {
     private static final String RESOURCE = "/golden-bytes-879a0b1.txt";
     private static final int TEMPLATE_OFFSET = 2;
-    private static final int TEMPLATES = 27;
+    private static final int TEMPLATES = 28;
 
     /** Lines {@code NAME=HEX}. */
     private static Map<String, String> recorded() throws IOException {
--- a/src/test/java/ringspindle/protocol/GoldenMessages.java
+++ b/src/test/java/ringspindle/protocol/GoldenMessages.java
@@ -26,6 +26,8 @@
 import ringspindle.protocol.Message.Mark;
 import ringspindle.protocol.Message.News;
 import ringspindle.protocol.Message.Op;
+import ringspindle.protocol.Message.OutcomeRow;
+import ringspindle.protocol.Message.Outcomes;
 import ringspindle.protocol.Message.Pledge;
 import ringspindle.protocol.Message.Position;
 import ringspindle.protocol.Message.Prepare;
@@ -74,6 +76,7 @@
         golden.gossip();
         golden.telemetry();
         golden.ledgers();
+        golden.outcomes();
         return golden.messages;
     }
 
@@ -228,6 +231,25 @@
                 new Load(MIN, MIN, List.of(), List.of()));
     }
 
+    private void outcomes() {
+        add(
+                new Outcomes(
+                        1,
+                        2,
+                        3,
+                        "ahd",
+                        List.of(new SourceRow(A, 4, 5), new SourceRow(B, 6, 7)),
+                        List.of(new OutcomeRow(0, 1, 31, 200, 3, 41_000), new OutcomeRow(1, 0, 0, 4, 0, 5))),
+                new Outcomes(
+                        MAX,
+                        MAX,
+                        MAX,
+                        LONG_TEXT,
+                        List.of(new SourceRow(LAST, MAX, MAX)),
+                        List.of(new OutcomeRow(UINT8_MAX, UINT8_MAX, UINT8_MAX, UINT32_MAX, UINT32_MAX, MAX))),
+                new Outcomes(MIN, MIN, MIN, "", List.of(), List.of()));
+    }
+
     private void ledgers() {
         add(
                 new LedgerReport(
--- a/src/test/java/ringspindle/protocol/KindCodesTest.java
+++ b/src/test/java/ringspindle/protocol/KindCodesTest.java
@@ -61,7 +61,18 @@
     @Test
     void callKinds() {
         assertCodes(
-                List.of("UNKNOWN", "PUT", "PATCH", "EVACUATE", "RESTORE", "DRAIN", "GONE", "READ", "ROLLOUT", "RULES"),
+                List.of(
+                        "UNKNOWN",
+                        "PUT",
+                        "PATCH",
+                        "EVACUATE",
+                        "RESTORE",
+                        "DRAIN",
+                        "GONE",
+                        "READ",
+                        "ROLLOUT",
+                        "RULES",
+                        "EXPERIMENT"),
                 CallKind.values(),
                 CallKind::code,
                 CallKind::of);
@@ -70,7 +81,7 @@
     @Test
     void markKinds() {
         assertCodes(
-                List.of("UNKNOWN", "EVACUATED", "LEAVING", "ROLLOUT", "RULES"),
+                List.of("UNKNOWN", "EVACUATED", "LEAVING", "ROLLOUT", "RULES", "EXPERIMENT"),
                 MarkKind.values(),
                 MarkKind::code,
                 code -> MarkKind.of(new Message.Mark(code, "", 0, "")));
@@ -90,7 +101,8 @@
                         "ROLLOUT",
                         "TURN",
                         "SILENT",
-                        "RULES"),
+                        "RULES",
+                        "EXPERIMENT"),
                 FactKind.values(),
                 FactKind::code,
                 FactKind::of);
