--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -137,6 +137,11 @@
         return replication.founding(context.nowMs());
     }
 
+    /** Steady time of this node, in ms. */
+    long nowMs() {
+        return context.nowMs();
+    }
+
     /** The settings in force. */
     NodeConfig config() {
         return config;
--- a/src/main/java/ringspindle/controlplane/ExperimentTask.java
+++ b/src/main/java/ringspindle/controlplane/ExperimentTask.java
@@ -110,7 +110,7 @@
                     watches.computeIfAbsent(experiment.id(), id -> new ExperimentWatch(experiment, nowMs));
             Totals totals;
             synchronized (fleet.lock) {
-                totals = fleet.outcomes().totals(experiment.id());
+                totals = fleet.outcomes().totals(experiment.id(), nowMs);
             }
             Optional<JudgeOrder> order = watch.next(experiment, totals, regions, nowMs);
             if (order.isPresent()) {
--- a/src/main/java/ringspindle/controlplane/ExperimentsPage.java
+++ b/src/main/java/ringspindle/controlplane/ExperimentsPage.java
@@ -56,7 +56,7 @@
     private static void addCounts(JsonObjectBuilder page, ControlNode node, Experiment experiment) {
         Totals totals;
         synchronized (node.fleet().lock) {
-            totals = node.fleet().outcomes().totals(experiment.id());
+            totals = node.fleet().outcomes().totals(experiment.id(), node.nowMs());
         }
         int regions = new HashSet<>(node.config().regionOfZone().values()).size();
         int look = Math.max(1, experiment.progress().looks());
--- a/src/main/java/ringspindle/controlplane/LoadHandler.java
+++ b/src/main/java/ringspindle/controlplane/LoadHandler.java
@@ -31,7 +31,7 @@
     }
 
     /** What a data node counted of experiments, or a control node summed. */
-    void received(NodeId from, Outcomes outcomes) {
+    void received(NodeId from, Outcomes outcomes, long nowMs) {
         synchronized (fleet.lock) {
             SessionTable.Peer peer = fleet.sessions().peer(from);
             if (peer == null || peer.hello().life() != outcomes.life()) {
@@ -40,7 +40,7 @@
             if (peer.hello().kind() == NodeKind.DATA) {
                 fleet.outcomes().reported(from, outcomes);
             } else {
-                fleet.outcomes().summed(from, outcomes);
+                fleet.outcomes().summed(from, outcomes, nowMs);
             }
         }
     }
--- a/src/main/java/ringspindle/controlplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/controlplane/MessageDispatcher.java
@@ -64,7 +64,7 @@
         } else if (message instanceof LedgerReport report) {
             loads.received(from, report);
         } else if (message instanceof Outcomes outcomes) {
-            loads.received(from, outcomes);
+            loads.received(from, outcomes, nowMs);
         } else if (message instanceof Load load) {
             loads.received(load, nowMs);
         } else if (message instanceof Digest digest) {
--- a/src/main/java/ringspindle/experiment/OutcomeCollector.java
+++ b/src/main/java/ringspindle/experiment/OutcomeCollector.java
@@ -18,6 +18,9 @@
  * incarnation that is gone had counted still counts. Not thread safe.
  */
 public final class OutcomeCollector {
+    /** A sum of another control node counts for so long; it is told anew every second. */
+    private static final long SUM_TTL_MS = 5000;
+
     /** An incarnation of a data node, in one experiment. */
     private record Source(long experiment, NodeId node, long life) {}
 
@@ -30,6 +33,8 @@
     /** What another control node summed for one experiment and region. */
     private record SumKey(long experiment, String region, NodeId from) {}
 
+    private record Heard(Outcomes sum, long atMs) {}
+
     /**
      * All outcomes of an experiment.
      *
@@ -50,7 +55,9 @@
     }
 
     private final Map<Source, Holding> holdings = new HashMap<>();
-    private final Map<SumKey, Outcomes> sums = new HashMap<>();
+    private final Map<SumKey, Heard> sums = new HashMap<>();
+    /** Of which experiments and regions this node has told sums: what it holds no longer it takes back. */
+    private final Map<Long, Set<String>> told = new TreeMap<>();
 
     /** A data node's report. */
     public void reported(NodeId node, Outcomes report) {
@@ -75,13 +82,13 @@
     }
 
     /** The sum of another control node; a source of which it has a newer report than this node is dropped here. */
-    public void summed(NodeId from, Outcomes sum) {
+    public void summed(NodeId from, Outcomes sum, long nowMs) {
         SumKey key = new SumKey(sum.experiment(), sum.region(), from);
-        Outcomes known = sums.get(key);
-        if (known != null && known.life() == sum.life() && known.seq() >= sum.seq()) {
+        Heard known = sums.get(key);
+        if (known != null && known.sum().life() == sum.life() && known.sum().seq() >= sum.seq()) {
             return;
         }
-        sums.put(key, sum);
+        sums.put(key, new Heard(sum, nowMs));
         for (SourceRow source : sum.sources()) {
             Source here = new Source(sum.experiment(), source.node(), source.life());
             Holding held = holdings.get(here);
@@ -95,17 +102,22 @@
     public void retain(Set<Long> openExperiments) {
         holdings.keySet().removeIf(source -> !openExperiments.contains(source.experiment()));
         sums.keySet().removeIf(key -> !openExperiments.contains(key.experiment()));
+        told.keySet().retainAll(openExperiments);
     }
 
     /** What this node summed itself, for other control nodes: one message for each experiment and region. */
     public List<Outcomes> ownSums(long life, long sequence) {
         Map<Long, Map<String, List<Source>>> bySum = new TreeMap<>();
+        told.forEach((experiment, regions) -> regions.forEach(region ->
+                bySum.computeIfAbsent(experiment, id -> new TreeMap<>()).put(region, new ArrayList<>())));
         holdings.forEach((source, holding) -> bySum.computeIfAbsent(source.experiment(), id -> new TreeMap<>())
                 .computeIfAbsent(holding.region, region -> new ArrayList<>())
                 .add(source));
         List<Outcomes> own = new ArrayList<>();
-        bySum.forEach((experiment, byRegion) ->
-                byRegion.forEach((region, sources) -> own.add(sum(life, sequence, experiment, region, sources))));
+        bySum.forEach((experiment, byRegion) -> byRegion.forEach((region, sources) -> {
+            told.computeIfAbsent(experiment, id -> new HashSet<>()).add(region);
+            own.add(sum(life, sequence, experiment, region, sources));
+        }));
         return own;
     }
 
@@ -122,8 +134,12 @@
         return new Outcomes(life, sequence, experiment, region, rows, outcomes);
     }
 
-    /** All that is known of an experiment, here and at other control nodes. */
-    public Totals totals(long experiment) {
+    /**
+     * All that is known of an experiment, here and at other control nodes. The sum of one that is not heard any more counts no
+     * longer: its data nodes tell another one all they counted, and only what incarnations that are gone had told it is lost.
+     */
+    public Totals totals(long experiment, long nowMs) {
+        sums.values().removeIf(heard -> nowMs - heard.atMs() > SUM_TTL_MS);
         List<Outcomes> all = new ArrayList<>();
         for (Outcomes own : ownSums(0, 0)) {
             if (own.experiment() == experiment) {
@@ -132,7 +148,7 @@
         }
         sums.forEach((key, sum) -> {
             if (key.experiment() == experiment) {
-                all.add(sum);
+                all.add(sum.sum());
             }
         });
         Map<String, Map<Cell, Counts>> byRegion = new TreeMap<>();
