--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -37,29 +37,18 @@
      * Reads what the head says of the request.
      *
      * @param service the service of the route that serves this request
-     * @param attemptId the client's id of this try
-     * @param receivedMs when its head had come, on the steady clock
-     * @param timeLimitMs how long it may take from then on: the lesser of the client's and the route's deadline
      * @param rulesInForce the serving rules in force, null while there are none
      * @param assignment what an experiment says of it
      */
     AdmittedRequest(
-            Request request,
-            byte[] body,
-            FleetConfig.Route route,
-            String service,
-            String attemptId,
-            long receivedMs,
-            long timeLimitMs,
-            ServingRules rulesInForce,
-            Optional<Assignment> assignment) {
-        this.request = request;
+            Arrival arrival, byte[] body, String service, ServingRules rulesInForce, Optional<Assignment> assignment) {
+        request = arrival.request();
+        route = arrival.route();
+        attemptId = arrival.attemptId();
+        receivedMs = arrival.receivedMs();
+        timeLimitMs = arrival.timeLimitMs();
         this.body = body;
-        this.route = route;
         this.service = service;
-        this.attemptId = attemptId;
-        this.receivedMs = receivedMs;
-        this.timeLimitMs = timeLimitMs;
         this.assignment = assignment;
         rules = policy().rules().orElse(rulesInForce);
         String[] tokens = header(Headers.TOKEN_COUNT, "0,0").split(",");
--- /dev/null
+++ b/src/main/java/ringspindle/proxy/Arrival.java
@@ -0,0 +1,20 @@
+package ringspindle.proxy;
+
+import org.eclipse.jetty.server.Request;
+import ringspindle.config.FleetConfig;
+
+/**
+ * A client's request whose head was read and found proper; its body is still to come.
+ *
+ * @param client where its answer goes
+ * @param attemptId the client's id of this try
+ * @param receivedMs when the head had come, on the steady clock
+ * @param timeLimitMs how long it may take from then on
+ */
+record Arrival(
+        Request request,
+        ClientResponse client,
+        FleetConfig.Route route,
+        String attemptId,
+        long receivedMs,
+        long timeLimitMs) {}
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -342,54 +342,20 @@
             client.respond(Outcome.LEAVING, 0, true);
             return;
         }
-        readBody(
-                request,
-                client,
-                route,
-                attemptId,
-                receivedMs,
-                timeLimitMs,
-                current.limits().bodyBytes());
-    }
-
-    private void readBody(
-            Request request,
-            ClientResponse client,
-            FleetConfig.Route route,
-            String attemptId,
-            long receivedMs,
-            long timeLimitMs,
-            int bytesMax) {
+        Arrival arrival = new Arrival(request, client, route, attemptId, receivedMs, timeLimitMs);
+        readBody(arrival, current.limits().bodyBytes());
+    }
+
+    private void readBody(Arrival arrival, int bytesMax) {
+        ClientResponse client = arrival.client();
         BodyDeadline deadline = new BodyDeadline(() -> client.respond(Outcome.NO_TIME, 0, true));
         new BoundedBody(
-                        request,
+                        arrival.request(),
                         bytesMax,
                         body -> {
-                            if (!deadline.meet()) {
-                                return;
-                            }
-                            if (body == null) {
-                                client.respond(Outcome.TOO_LARGE, 0, isLeaving());
-                                return;
+                            if (deadline.meet()) {
+                                admit(arrival, body);
                             }
-                            String service = RouteSplit.service(route, attemptId);
-                            Optional<Assignment> assignment = experiments.assign(
-                                    route, request.getHeaders().get(Headers.PROMPT_PREFIX), clock.nowMs());
-                            loadBalancer.onRequestReceived(service, clock.nowMs());
-                            active.increment();
-                            AdmittedRequest admitted = new AdmittedRequest(
-                                    request,
-                                    body,
-                                    route,
-                                    service,
-                                    attemptId,
-                                    receivedMs,
-                                    timeLimitMs,
-                                    rules,
-                                    assignment);
-                            ProxiedRequest proxied = new ProxiedRequest(this, admitted, client);
-                            experiments.begin(proxied.actionId(), admitted, client.timing());
-                            proxied.begin();
                         },
                         failure -> {
                             if (deadline.meet()) {
@@ -398,7 +364,25 @@
                         })
                 .run();
         if (!deadline.isMet()) {
-            deadline.set(schedule(deadline::pass, Math.max(1, timeLimitMs)));
+            deadline.set(schedule(deadline::pass, Math.max(1, arrival.timeLimitMs())));
+        }
+    }
+
+    /** The body has come in time; null if it is too large. */
+    private void admit(Arrival arrival, byte[] body) {
+        if (body == null) {
+            arrival.client().respond(Outcome.TOO_LARGE, 0, isLeaving());
+            return;
         }
+        long nowMs = clock.nowMs();
+        String service = RouteSplit.service(arrival.route(), arrival.attemptId());
+        String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
+        Optional<Assignment> assignment = experiments.assign(arrival.route(), promptPrefix, nowMs);
+        loadBalancer.onRequestReceived(service, nowMs);
+        active.increment();
+        AdmittedRequest admitted = new AdmittedRequest(arrival, body, service, rules, assignment);
+        ProxiedRequest proxied = new ProxiedRequest(this, admitted, arrival.client());
+        experiments.begin(proxied.actionId(), admitted, arrival.client().timing());
+        proxied.begin();
     }
 }
