--- a/src/main/java/ringspindle/replication/ExperimentOrders.java
+++ b/src/main/java/ringspindle/replication/ExperimentOrders.java
@@ -39,22 +39,10 @@
 
     /** What the order, a JSON object about the experiment that the call names, comes to on that state. */
     static Decision decide(State state, Call order) {
-        if (!(FleetConfig.json(order.body()) instanceof Validated.Valid<JsonObject> valid)) {
-            return Decision.invalid("not a whole JSON object");
-        }
-        Mark mark = ControlState.mark(state, MarkKind.EXPERIMENT, order.arg());
-        Experiment current = mark == null ? null : Experiment.read(mark.value());
-        JsonObject fields = valid.value();
-        try {
-            Decision decision = new ExperimentOrders(state, order, fields, current).decide();
-            // an operator's order that was held up must not undo a newer one; those of the judge name their epoch
-            boolean operators = !fields.containsKey("epoch");
-            return operators && decision instanceof Decision.Commit && OrderDecider.overtaken(order, mark)
-                    ? Decision.answer(Outcome.UNCLEAR)
-                    : decision;
-        } catch (ClassCastException | NullPointerException | ArithmeticException e) {
-            return Decision.invalid("a field is missing or of the wrong type");
-        }
+        return JsonOrder.decide(state, order, MarkKind.EXPERIMENT, (fields, mark) -> {
+            Experiment current = mark == null ? null : Experiment.read(mark.value());
+            return new ExperimentOrders(state, order, fields, current).decide();
+        });
     }
 
     private Decision decide() {
@@ -174,7 +162,7 @@
     // ---- orders of the judge in charge; whoever holds an older epoch is refused
 
     private Decision judged(String name) {
-        boolean inCharge = fields.getJsonNumber("epoch").longValue() == state.lineage()
+        boolean inCharge = fields.getJsonNumber(JsonOrder.EPOCH).longValue() == state.lineage()
                 && fields.getJsonNumber("id").longValue() == current.id();
         if (!inCharge || current.state() != Standing.RUNNING) {
             return Decision.answer(Outcome.CLASH);
--- a/src/main/java/ringspindle/replication/RolloutOrders.java
+++ b/src/main/java/ringspindle/replication/RolloutOrders.java
@@ -11,7 +11,6 @@
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
 import ringspindle.protocol.Message.Call;
-import ringspindle.protocol.Message.Mark;
 import ringspindle.protocol.Message.State;
 import ringspindle.replication.Rollout.Standing;
 
@@ -37,22 +36,10 @@
 
     /** What the order, a JSON object about the service that the call names, comes to on that state. */
     static Decision decide(State state, Call order) {
-        if (!(FleetConfig.json(order.body()) instanceof Validated.Valid<JsonObject> valid)) {
-            return Decision.invalid("not a whole JSON object");
-        }
-        Mark mark = ControlState.mark(state, MarkKind.ROLLOUT, order.arg());
-        Rollout current = mark == null ? null : Rollout.read(mark.value());
-        JsonObject fields = valid.value();
-        try {
-            Decision decision = new RolloutOrders(state, order, fields, current).decide();
-            // an operator's order that was held up must not undo a newer one; the controller's own name their epoch
-            boolean operators = !fields.containsKey("epoch");
-            return operators && decision instanceof Decision.Commit && OrderDecider.overtaken(order, mark)
-                    ? Decision.answer(Outcome.UNCLEAR)
-                    : decision;
-        } catch (ClassCastException | NullPointerException | ArithmeticException e) {
-            return Decision.invalid("a field is missing or of the wrong type");
-        }
+        return JsonOrder.decide(state, order, MarkKind.ROLLOUT, (fields, mark) -> {
+            Rollout current = mark == null ? null : Rollout.read(mark.value());
+            return new RolloutOrders(state, order, fields, current).decide();
+        });
     }
 
     private Decision decide() {
@@ -155,7 +142,7 @@
         if (current == null) {
             return Decision.answer(Outcome.NO_SUCH);
         }
-        boolean inCharge = fields.getJsonNumber("epoch").longValue() == state.lineage();
+        boolean inCharge = fields.getJsonNumber(JsonOrder.EPOCH).longValue() == state.lineage();
         if (!inCharge || current.state() != Standing.RUNNING) {
             return Decision.answer(Outcome.CLASH);
         }
