Sight: the directory counts its answers by scope and logs when the scope changes

Change: Resolution names how the data nodes were found; metric ringspindle_directory_answers; a log line with what the answer rests on. Answers are as before.

--- a/src/main/java/ringspindle/controlplane/ControlPlaneMetrics.java
+++ b/src/main/java/ringspindle/controlplane/ControlPlaneMetrics.java
@@ -46,6 +46,11 @@
                         "ringspindle_data_nodes_ready",
                         "Data nodes that take requests, as known here.",
                         () -> node.queries().readyDataNodes())
+                .counters(
+                        "ringspindle_directory_answers",
+                        "Answers to clients that asked where to go, by how near the named data nodes are.",
+                        "scope",
+                        () -> node.queries().resolutions())
                 .gauge("ringspindle_engines", "Engines that are registered.", () -> node.fleet()
                         .read(store -> store.all(FactKind.ENGINE).size()));
     }
--- a/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
@@ -6,9 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.StringJoiner;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import ringspindle.controlplane.Resolution.Scope;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
@@ -113,23 +115,29 @@
      * @param inTouch without a majority only those count near the client that this node itself is in touch with: what others
      *     told may be old
      */
-    List<String> addresses(String region, String zone, Supplier<Set<String>> homeRegions, boolean inTouch, long nowMs) {
+    Resolution addresses(String region, String zone, Supplier<Set<String>> homeRegions, boolean inTouch, long nowMs) {
         if (!inTouch) {
             List<String> atHome = addressesAtHome(region, homeRegions.get(), nowMs);
             if (!atHome.isEmpty()) {
-                return atHome;
+                return new Resolution(Scope.HOMES, atHome);
             }
         }
         List<Hello> ready = readyWhere((fact, node) -> inTouch ? holds(fact, node, nowMs) : linkedHere(node));
         List<String> nearest = addressesWhere(ready, node -> node.zone().equals(zone));
-        if (nearest.isEmpty()) {
-            nearest = addressesWhere(ready, node -> node.region().equals(region));
+        if (!nearest.isEmpty()) {
+            return new Resolution(Scope.ZONE, nearest);
         }
-        if (nearest.isEmpty()) {
-            Set<String> homes = homeRegions.get();
-            nearest = addressesWhere(ready, node -> homes.contains(node.region()));
+        nearest = addressesWhere(ready, node -> node.region().equals(region));
+        if (!nearest.isEmpty()) {
+            return new Resolution(Scope.REGION, nearest);
         }
-        return nearest.isEmpty() ? addressesWhere(ready, node -> true) : nearest;
+        Set<String> homes = homeRegions.get();
+        nearest = addressesWhere(ready, node -> homes.contains(node.region()));
+        if (!nearest.isEmpty()) {
+            return new Resolution(Scope.HOMES, nearest);
+        }
+        nearest = addressesWhere(ready, node -> true);
+        return new Resolution(nearest.isEmpty() ? Scope.NOWHERE : Scope.ANYWHERE, nearest);
     }
 
     /** Nodes in the homes as last told; none if the client's region is one of the homes, or there are no homes. */
@@ -207,6 +215,18 @@
         return dataNodes;
     }
 
+    /** Data nodes as known here, for log lines: each with what it says and whether that counts. */
+    String describe(boolean inTouch, long nowMs) {
+        StringJoiner described = new StringJoiner(", ");
+        for (Fact fact : facts.store().all(FactKind.NODE)) {
+            DataNodeFact node = DataNodeFact.of(fact.value());
+            String says = node.ready() ? "ready" : node.flags().isEmpty() ? "gone" : "not ready";
+            boolean counts = inTouch ? holds(fact, node, nowMs) : linkedHere(node);
+            described.add(node.hello().name() + " " + says + (counts ? "" : " (not counted)"));
+        }
+        return described.toString();
+    }
+
     /** How many data nodes take requests, as known here. */
     int ready() {
         return readyWhere((fact, node) -> true).size();
--- a/src/main/java/ringspindle/controlplane/FleetQueries.java
+++ b/src/main/java/ringspindle/controlplane/FleetQueries.java
@@ -37,16 +37,32 @@
     }
 
     /**
-     * Addresses of data nodes for a client, nearest first; while this node is cut off see {@link DataNodeDirectory#addresses}.
+     * Data nodes for a client, the nearest that there are; while this node is cut off see {@link DataNodeDirectory#addresses}.
      *
      * @param host the host that the client asks for
      */
-    List<String> frontends(String host, String region, String zone) {
+    Resolution resolve(String host, String region, String zone) {
         synchronized (fleet.lock) {
             long nowMs = context.nowMs();
             fleet.sessions().advance(nowMs);
-            return fleet.dataNodes()
-                    .addresses(region, zone, () -> fleet.homeRegions().of(host), quorum.inTouch(nowMs), nowMs);
+            boolean inTouch = quorum.inTouch(nowMs);
+            Resolution resolution = fleet.dataNodes()
+                    .addresses(region, zone, () -> fleet.homeRegions().of(host), inTouch, nowMs);
+            fleet.resolutions().answered(region, resolution.scope(), () -> known(host, inTouch, nowMs));
+            return resolution;
+        }
+    }
+
+    private String known(String host, boolean inTouch, long nowMs) {
+        String configuration = fleet.homeRegions().known() ? "configuration known" : "no configuration";
+        return (inTouch ? "in touch" : "cut off") + "; " + configuration + "; homes "
+                + fleet.homeRegions().of(host) + "; " + fleet.dataNodes().describe(inTouch, nowMs);
+    }
+
+    /** How many answers of the directory this node has given, by scope. */
+    Map<String, Long> resolutions() {
+        synchronized (fleet.lock) {
+            return fleet.resolutions().counts();
         }
     }
 
--- a/src/main/java/ringspindle/controlplane/FleetState.java
+++ b/src/main/java/ringspindle/controlplane/FleetState.java
@@ -25,6 +25,7 @@
     private final FleetFacts facts;
     private final DataNodeDirectory dataNodes;
     private final HomeRegions homeRegions;
+    private final ResolutionLog resolutions = new ResolutionLog();
     private final LoadAggregator loads;
     private final FactDissemination dissemination;
     private final QuotaLeaseIssuer leases;
@@ -77,6 +78,12 @@
         return homeRegions;
     }
 
+    /** What clients were answered that asked where to go; the lock is held. */
+    ResolutionLog resolutions() {
+        assert Thread.holdsLock(lock);
+        return resolutions;
+    }
+
     /** Data nodes; the lock is held. */
     DataNodeDirectory dataNodes() {
         assert Thread.holdsLock(lock);
--- a/src/main/java/ringspindle/controlplane/HomeRegions.java
+++ b/src/main/java/ringspindle/controlplane/HomeRegions.java
@@ -35,6 +35,11 @@
         return config == null ? Set.of() : config.homeRegions(host);
     }
 
+    /** True once this node has a configuration. */
+    boolean known() {
+        return facts.get(FactKind.CONFIG, CONFIGURATION) != null;
+    }
+
     private static FleetConfig read(Fact fact) {
         return FleetConfig.read(FleetConfig.unpack(fact.value())) instanceof Validated.Valid<FleetConfig> valid
                 ? valid.value()
--- /dev/null
+++ b/src/main/java/ringspindle/controlplane/Resolution.java
@@ -0,0 +1,25 @@
+package ringspindle.controlplane;
+
+import java.util.List;
+
+/**
+ * What a client is answered that asks where to go: {@code new Resolution(Scope.ZONE, List.of("10.1.0.10:8161"))}.
+ *
+ * @param scope how the data nodes were found
+ * @param addresses where they take requests, empty if {@link Scope#NOWHERE}
+ */
+record Resolution(Scope scope, List<String> addresses) {
+    /** How near to the client the named data nodes are; the nearest that has any is chosen. */
+    enum Scope {
+        /** In the client's zone. */
+        ZONE,
+        /** In the client's region. */
+        REGION,
+        /** In regions that are a home of all routes of the host that have homes. */
+        HOMES,
+        /** In any region. */
+        ANYWHERE,
+        /** No data node can be named. */
+        NOWHERE
+    }
+}
--- a/src/main/java/ringspindle/controlplane/ResolutionResource.java
+++ b/src/main/java/ringspindle/controlplane/ResolutionResource.java
@@ -19,8 +19,9 @@
 
     @Override
     public void handle(ApiExchange exchange) {
-        List<String> addresses =
-                node.queries().frontends(exchange.query("name"), exchange.query("region"), exchange.query("zone"));
+        List<String> addresses = node.queries()
+                .resolve(exchange.query("name"), exchange.query("region"), exchange.query("zone"))
+                .addresses();
         if (addresses.isEmpty()) {
             exchange.respond(Outcome.UNCLEAR);
             return;
--- a/src/main/java/ringspindle/logging/LogField.java
+++ b/src/main/java/ringspindle/logging/LogField.java
@@ -10,6 +10,8 @@
 public final class LogField {
     /** The name or endpoint of a node. */
     public static final MetadataKey<Object> NODE = field("node");
+    /** The name of a region. */
+    public static final MetadataKey<Object> REGION = field("region");
     /** The id of an engine. */
     public static final MetadataKey<Object> ENGINE = field("engine");
     /** The name of a service. */
--- a/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
+++ b/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
@@ -54,7 +54,9 @@
     }
 
     private List<String> addresses(String region, Set<String> homes) {
-        return directory.addresses(region, "z" + region, () -> homes, true, nowMs);
+        return directory
+                .addresses(region, "z" + region, () -> homes, true, nowMs)
+                .addresses();
     }
 
     private static String address(int number) {
@@ -103,7 +105,9 @@
     }
 
     private List<String> addressesWhileCutOff(String region, Set<String> homes) {
-        return directory.addresses(region, "z" + region, () -> homes, false, nowMs);
+        return directory
+                .addresses(region, "z" + region, () -> homes, false, nowMs)
+                .addresses();
     }
 
     /** A data node of region b with a session here, and one of region a that the other control node tells of. */
