The directory leads a client out of its region only where that is known to be allowed

Cause: without a ready data node in the client's region and the homes it named those of any region; the same where homes were not known, had none in common, or this node was cut off. Class: what is not known was taken for leave to go anywhere. Change: AllowedRegions (unknown, any, only) in place of a set whose emptiness meant three things; FrontendResolver, split off DataNodeDirectory, never names a node elsewhere; the test that asked for being sent abroad was wrong and is replaced.

--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -184,11 +184,16 @@
 
     /**
      * The regions that may serve every request of a host: those that are a home of each of its routes that have homes.
-     * Empty if none of its routes has homes, or no region is a home of all of these.
+     *
+     * @param host with or without a port; unknown if no route has it
      */
-    public Set<String> homeRegions(String host) {
+    public AllowedRegions allowedRegions(String host) {
+        List<Route> routes = routesOf(host);
+        if (routes.isEmpty()) {
+            return AllowedRegions.UNKNOWN;
+        }
         Set<String> common = null;
-        for (Route route : routesOf(host)) {
+        for (Route route : routes) {
             if (route.homes().isEmpty()) {
                 continue;
             }
@@ -198,7 +203,7 @@
                 common.retainAll(route.homes());
             }
         }
-        return common == null ? Set.of() : common;
+        return common == null ? AllowedRegions.ANY : new AllowedRegions.Only(Set.copyOf(common));
     }
 
     /** The routes of a host, longest prefix first. */
--- a/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
@@ -5,12 +5,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.StringJoiner;
 import java.util.function.BiPredicate;
-import java.util.function.Predicate;
-import java.util.function.Supplier;
-import ringspindle.controlplane.Resolution.Scope;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
@@ -33,7 +29,6 @@
     /** While this node is cut off, what it knows of nodes in other regions holds for so long after it was last told. */
     private static final int CUT_OFF_HOLDS_MS = 15_000;
 
-    private static final int ADDRESSES_MAX = 64;
     /** A data node that was lost counts among those that share the budgets for so long. */
     private static final int LOST_COUNTS_MS = 10_000;
 
@@ -105,48 +100,19 @@
         return restarted ? Math.max(own, known.life() + 1) : known.life();
     }
 
-    /**
-     * Addresses of data nodes for a client: those of its zone that take requests, else of its region, else of the regions
-     * that may serve all requests of the host it asks for, else all. If this node is cut off from the majority, its region
-     * probably is: a client whose requests have to be served in other regions is then sent to these, as nodes here could
-     * only refuse them.
-     *
-     * @param homeRegions asked for only where it matters; empty if the host's routes name none
-     * @param inTouch without a majority only those count near the client that this node itself is in touch with: what others
-     *     told may be old
-     */
-    Resolution addresses(String region, String zone, Supplier<Set<String>> homeRegions, boolean inTouch, long nowMs) {
-        if (!inTouch) {
-            List<String> atHome = addressesAtHome(region, homeRegions.get(), nowMs);
-            if (!atHome.isEmpty()) {
-                return new Resolution(Scope.HOMES, atHome);
-            }
-        }
-        List<Hello> ready = readyWhere((fact, node) -> inTouch ? holds(fact, node, nowMs) : linkedHere(node));
-        List<String> nearest = addressesWhere(ready, node -> node.zone().equals(zone));
-        if (!nearest.isEmpty()) {
-            return new Resolution(Scope.ZONE, nearest);
-        }
-        nearest = addressesWhere(ready, node -> node.region().equals(region));
-        if (!nearest.isEmpty()) {
-            return new Resolution(Scope.REGION, nearest);
-        }
-        Set<String> homes = homeRegions.get();
-        nearest = addressesWhere(ready, node -> homes.contains(node.region()));
-        if (!nearest.isEmpty()) {
-            return new Resolution(Scope.HOMES, nearest);
-        }
-        nearest = addressesWhere(ready, node -> true);
-        return new Resolution(nearest.isEmpty() ? Scope.NOWHERE : Scope.ANYWHERE, nearest);
+    /** Data nodes that take requests, by facts that still hold. */
+    List<Hello> ready(long nowMs) {
+        return readyWhere((fact, node) -> holds(fact, node, nowMs));
     }
 
-    /** Nodes in the homes as last told; none if the client's region is one of the homes, or there are no homes. */
-    private List<String> addressesAtHome(String region, Set<String> homes, long nowMs) {
-        if (homes.isEmpty() || homes.contains(region)) {
-            return List.of();
-        }
-        List<Hello> ready = readyWhere((fact, node) -> lastToldWithin(CUT_OFF_HOLDS_MS, node, nowMs));
-        return addressesWhere(ready, node -> homes.contains(node.region()));
+    /** Data nodes that take requests and have a session with this node. */
+    List<Hello> readyHere() {
+        return readyWhere((fact, node) -> linkedHere(node));
+    }
+
+    /** Data nodes that took requests when they were last told of, not too long ago; for a node that is cut off. */
+    List<Hello> readyAsLastTold(long nowMs) {
+        return readyWhere((fact, node) -> lastToldWithin(CUT_OFF_HOLDS_MS, node, nowMs));
     }
 
     /** Data nodes that say that they take requests, where their facts count. */
@@ -165,14 +131,6 @@
         return nowMs - lastLinkedMs.getOrDefault(dataNode.via(), SessionTable.NEVER_MS) < periodMs;
     }
 
-    private static List<String> addressesWhere(List<Hello> nodes, Predicate<Hello> wanted) {
-        return nodes.stream()
-                .filter(wanted)
-                .limit(ADDRESSES_MAX)
-                .map(node -> new NodeId(node.front()).toString())
-                .toList();
-    }
-
     /** Notes which control nodes are in touch: what one has told of data nodes does not outlast it by much. */
     void tick(long nowMs) {
         for (SessionTable.Peer peer : sessions.peers()) {
@@ -228,7 +186,7 @@
     }
 
     /** How many data nodes take requests, as known here. */
-    int ready() {
+    int readyCount() {
         return readyWhere((fact, node) -> true).size();
     }
 
--- a/src/main/java/ringspindle/controlplane/FleetQueries.java
+++ b/src/main/java/ringspindle/controlplane/FleetQueries.java
@@ -37,7 +37,7 @@
     }
 
     /**
-     * Data nodes for a client, the nearest that there are; while this node is cut off see {@link DataNodeDirectory#addresses}.
+     * Data nodes for a client, by {@link FrontendResolver}.
      *
      * @param host the host that the client asks for
      */
@@ -46,17 +46,17 @@
             long nowMs = context.nowMs();
             fleet.sessions().advance(nowMs);
             boolean inTouch = quorum.inTouch(nowMs);
-            Resolution resolution = fleet.dataNodes()
-                    .addresses(region, zone, () -> fleet.homeRegions().of(host), inTouch, nowMs);
-            fleet.resolutions().answered(region, resolution.scope(), () -> known(host, inTouch, nowMs));
+            Resolution resolution = fleet.frontends()
+                    .resolve(region, zone, () -> fleet.homeRegions().of(host), inTouch, nowMs);
+            fleet.resolutions().answered(region, resolution.scope(), () -> basis(host, inTouch, nowMs));
             return resolution;
         }
     }
 
-    private String known(String host, boolean inTouch, long nowMs) {
-        String configuration = fleet.homeRegions().known() ? "configuration known" : "no configuration";
-        return (inTouch ? "in touch" : "cut off") + "; " + configuration + "; homes "
-                + fleet.homeRegions().of(host) + "; " + fleet.dataNodes().describe(inTouch, nowMs);
+    /** What an answer of the directory rests on, for a log line. */
+    private String basis(String host, boolean inTouch, long nowMs) {
+        return (inTouch ? "in touch" : "cut off") + "; " + fleet.homeRegions().of(host) + "; "
+                + fleet.dataNodes().describe(inTouch, nowMs);
     }
 
     /** How many answers of the directory this node has given, by scope. */
@@ -129,7 +129,7 @@
     /** How many data nodes take requests, as known here. */
     int readyDataNodes() {
         synchronized (fleet.lock) {
-            return fleet.dataNodes().ready();
+            return fleet.dataNodes().readyCount();
         }
     }
 
--- a/src/main/java/ringspindle/controlplane/FleetState.java
+++ b/src/main/java/ringspindle/controlplane/FleetState.java
@@ -24,6 +24,7 @@
     private final SessionTable sessions;
     private final FleetFacts facts;
     private final DataNodeDirectory dataNodes;
+    private final FrontendResolver frontends;
     private final HomeRegions homeRegions;
     private final ResolutionLog resolutions = new ResolutionLog();
     private final LoadAggregator loads;
@@ -39,6 +40,7 @@
         sessions = SessionTable.forControl(me);
         facts = new FleetFacts(config, context.clock());
         dataNodes = new DataNodeDirectory(me, sessions, facts);
+        frontends = new FrontendResolver(dataNodes);
         homeRegions = new HomeRegions(facts.store());
         loads = new LoadAggregator(config, self, mesh, sessions, facts);
         dissemination = new FactDissemination(mesh, sessions, facts);
@@ -78,6 +80,12 @@
         return homeRegions;
     }
 
+    /** Which data nodes a client is told of; the lock is held. */
+    FrontendResolver frontends() {
+        assert Thread.holdsLock(lock);
+        return frontends;
+    }
+
     /** What clients were answered that asked where to go; the lock is held. */
     ResolutionLog resolutions() {
         assert Thread.holdsLock(lock);
--- a/src/main/java/ringspindle/controlplane/HomeRegions.java
+++ b/src/main/java/ringspindle/controlplane/HomeRegions.java
@@ -1,6 +1,6 @@
 package ringspindle.controlplane;
 
-import java.util.Set;
+import ringspindle.config.AllowedRegions;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
 import ringspindle.gossip.FactStore;
@@ -8,8 +8,8 @@
 import ringspindle.protocol.Message.Fact;
 
 /**
- * Which regions may serve all requests of a host, by the configuration in force. The configuration is read only when
- * somebody asks, and once a version. Guarded by its owner.
+ * Which regions may serve all requests of a host, by the newest configuration that this node knows. The configuration is read
+ * only when somebody asks, and once a version. Guarded by its owner.
  */
 final class HomeRegions {
     private static final String CONFIGURATION = "";
@@ -22,22 +22,17 @@
         this.facts = facts;
     }
 
-    /** The regions that are a home of every route of the host that has homes; empty if there is none. */
-    Set<String> of(String host) {
+    /** The regions that may serve a host; unknown without a configuration, or if it has no route of that host. */
+    AllowedRegions of(String host) {
         Fact newest = facts.get(FactKind.CONFIG, CONFIGURATION);
         if (newest == null) {
-            return Set.of();
+            return AllowedRegions.UNKNOWN;
         }
         if (newest != readFrom) {
             readFrom = newest;
             config = read(newest);
         }
-        return config == null ? Set.of() : config.homeRegions(host);
-    }
-
-    /** True once this node has a configuration. */
-    boolean known() {
-        return facts.get(FactKind.CONFIG, CONFIGURATION) != null;
+        return config == null ? AllowedRegions.UNKNOWN : config.allowedRegions(host);
     }
 
     private static FleetConfig read(Fact fact) {
--- a/src/main/java/ringspindle/controlplane/Resolution.java
+++ b/src/main/java/ringspindle/controlplane/Resolution.java
@@ -9,15 +9,18 @@
  * @param addresses where they take requests, empty if {@link Scope#NOWHERE}
  */
 record Resolution(Scope scope, List<String> addresses) {
+    /** No data node can be named. */
+    static final Resolution NOWHERE = new Resolution(Scope.NOWHERE, List.of());
+
     /** How near to the client the named data nodes are; the nearest that has any is chosen. */
     enum Scope {
         /** In the client's zone. */
         ZONE,
         /** In the client's region. */
         REGION,
-        /** In regions that are a home of all routes of the host that have homes. */
+        /** In another region, which is a home of all routes of the host that have homes. */
         HOMES,
-        /** In any region. */
+        /** In another region, as no route of the host has homes. */
         ANYWHERE,
         /** No data node can be named. */
         NOWHERE
--- a/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
+++ b/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
@@ -2,7 +2,6 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashMap;
 import java.util.List;
@@ -10,6 +9,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import ringspindle.config.AllowedRegions;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
 import ringspindle.membership.DataNodeFact;
@@ -33,6 +33,7 @@
     private SessionTable sessions;
     private FleetFacts facts;
     private DataNodeDirectory directory;
+    private FrontendResolver resolver;
     private long nowMs = 1_000_000;
 
     @BeforeEach
@@ -40,6 +41,7 @@
         sessions = SessionTable.forControl(ME);
         facts = new FleetFacts(ControlNodeSettings.create(), () -> nowMs);
         directory = new DataNodeDirectory(ME, sessions, facts);
+        resolver = new FrontendResolver(directory);
     }
 
     /** A data node as that control node tells of it; its address ends with its number. */
@@ -54,11 +56,14 @@
     }
 
     private List<String> addresses(String region, Set<String> homes) {
-        return directory
-                .addresses(region, "z" + region, () -> homes, true, nowMs)
+        return resolver.resolve(region, "z" + region, () -> allowed(homes), true, nowMs)
                 .addresses();
     }
 
+    private static AllowedRegions allowed(Set<String> homes) {
+        return homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(homes);
+    }
+
     private static String address(int number) {
         return "10.1.0." + number + ":80";
     }
@@ -82,11 +87,37 @@
     }
 
     @Test
-    void clientIsSentAbroadOnlyIfNoHomeHasANode() {
+    void nobodyIsNamedIfNeitherTheClientsRegionNorAHomeHasANode() {
         dataNode(1, "a", false, OTHER);
         dataNode(2, "b", false, OTHER);
         dataNode(3, "c", true, OTHER);
-        assertEquals(List.of(address(3)), addresses("b", Set.of("a", "b")));
+        assertEquals(List.of(), addresses("b", Set.of("a", "b")));
+        assertEquals(List.of(address(3)), addresses("c", Set.of("a", "b")), "its own region is always allowed");
+        assertEquals(List.of(address(3)), addresses("b", NO_HOMES));
+    }
+
+    @Test
+    void whereNothingIsKnownOfTheHostOnlyTheClientsOwnRegionIsNamed() {
+        dataNode(1, "a", true, OTHER);
+        assertEquals(Resolution.NOWHERE, resolver.resolve("b", "zb", () -> AllowedRegions.UNKNOWN, true, nowMs));
+        assertEquals(
+                List.of(address(1)),
+                resolver.resolve("a", "za", () -> AllowedRegions.UNKNOWN, true, nowMs)
+                        .addresses());
+    }
+
+    @Test
+    void hostWhoseRoutesHaveNoHomeInCommonIsServedInTheClientsRegionOnly() {
+        dataNode(1, "a", true, OTHER);
+        AllowedRegions none = new AllowedRegions.Only(Set.of());
+        assertEquals(Resolution.NOWHERE, resolver.resolve("b", "zb", () -> none, true, nowMs));
+    }
+
+    @Test
+    void nodeThatIsCutOffLeadsNobodyToItsOwnRegionForWantOfNodesInTheClients() {
+        dataNodesHereAndAbroad();
+        assertEquals(List.of(), addressesWhileCutOff("a", Set.of("a")));
+        assertEquals(List.of(), addressesWhileCutOff("a", NO_HOMES), "what is known of the homes may be old");
     }
 
     @Test
@@ -105,8 +136,7 @@
     }
 
     private List<String> addressesWhileCutOff(String region, Set<String> homes) {
-        return directory
-                .addresses(region, "z" + region, () -> homes, false, nowMs)
+        return resolver.resolve(region, "z" + region, () -> allowed(homes), false, nowMs)
                 .addresses();
     }
 
@@ -175,9 +205,9 @@
                 + "\"warmupPerS\":0}]}";
         FleetConfig config = ((Validated.Valid<FleetConfig>) FleetConfig.read(json.getBytes(UTF_8))).value();
         HomeRegions homes = new HomeRegions(facts.store());
-        assertTrue(homes.of("h.example").isEmpty(), "no configuration yet");
+        assertEquals(AllowedRegions.UNKNOWN, homes.of("h.example"), "no configuration yet");
         facts.merge(List.of(new Fact(FactKind.CONFIG, "", 0, 3, config.packed())));
-        assertEquals(Set.of("b"), homes.of("H.example:8161"));
-        assertTrue(homes.of("other.example").isEmpty());
+        assertEquals(new AllowedRegions.Only(Set.of("b")), homes.of("H.example:8161"));
+        assertEquals(AllowedRegions.UNKNOWN, homes.of("other.example"));
     }
 }
--- a/src/test/java/ringspindle/controlplane/ResolutionHistoryTest.java
+++ b/src/test/java/ringspindle/controlplane/ResolutionHistoryTest.java
@@ -50,6 +50,7 @@
         private final SessionTable sessions = SessionTable.forControl(ME);
         private final FleetFacts facts;
         private final DataNodeDirectory directory;
+        private final FrontendResolver resolver;
         private final HomeRegions homes;
         private final long[] clock;
 
@@ -57,6 +58,7 @@
             this.clock = clock;
             facts = new FleetFacts(ControlNodeSettings.create(), () -> clock[0]);
             directory = new DataNodeDirectory(ME, sessions, facts);
+            resolver = new FrontendResolver(directory);
             homes = new HomeRegions(facts.store());
             sessions.opened(new Hello(OTHER, 1, NodeKind.CONTROL, 0, "o", "zb", "b"), clock[0]);
         }
@@ -147,8 +149,8 @@
         }
         for (String host : HOMES_OF.keySet()) {
             for (String region : REGIONS) {
-                Resolution resolution = node.directory.addresses(
-                        region, "z" + region, () -> node.homes.of(host), inTouch, node.clock[0]);
+                Resolution resolution =
+                        node.resolver.resolve(region, "z" + region, () -> node.homes.of(host), inTouch, node.clock[0]);
                 for (String address : resolution.addresses()) {
                     if (!allowed(host, region, regionOf.get(address))) {
                         violations.add(when + ": a client in " + region + " asking for " + host + " is led to "
