Homes of a route that cannot be read make a configuration invalid

Change: it is an InvalidValue, as is null or a list that holds anything but names. Measured: FleetConfigTest, six cases that fail on the code before.

--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -9,6 +9,7 @@
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonString;
+import jakarta.json.JsonValue;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,6 +28,7 @@
 
 /** Makes a configuration of its JSON, and collects all errors on the way. */
 final class FleetConfigParser {
+    private static final String HOME_REGIONS = "homeRegions";
     private static final String DEFAULT_HEALTH_PATH = "/health";
     private static final int DEFAULT_MAX_CONNECTIONS = 100;
     private static final int DEFAULT_TARGET_LATENCY_MS = 1000;
@@ -107,7 +109,7 @@
                 json.getBoolean("resumable", false),
                 json.getBoolean("sticky", false),
                 integer(json, "tokenGapMs", DEFAULT_TOKEN_GAP_MS),
-                homes(json));
+                homes(json, name));
     }
 
     private String uniqueName(JsonObject json, Set<String> names) {
@@ -142,12 +144,20 @@
         return List.copyOf(targets);
     }
 
-    private static Set<String> homes(JsonObject route) {
-        Set<String> homes = new TreeSet<>();
-        if (route.get("homeRegions") instanceof JsonArray regions) {
-            regions.getValuesAs(JsonString.class).forEach(region -> homes.add(region.getString()));
+    /** The homes of a route. What cannot be read must not pass for leave to serve it anywhere. */
+    private Set<String> homes(JsonObject route, String routeName) {
+        JsonValue value = route.get(HOME_REGIONS);
+        if (value == null) {
+            return Set.of();
         }
-        return Set.copyOf(homes);
+        if (value instanceof JsonArray array && array.stream().allMatch(JsonString.class::isInstance)) {
+            Set<String> homes = new TreeSet<>();
+            array.getValuesAs(JsonString.class).forEach(region -> homes.add(region.getString()));
+            return Set.copyOf(homes);
+        }
+        String key = HOME_REGIONS + " of route " + routeName;
+        errors.add(new ConfigError.InvalidValue(key, value.toString(), "a list of names of regions"));
+        return Set.of();
     }
 
     private static Kind kind(JsonObject route) {
--- a/src/test/java/ringspindle/config/FleetConfigTest.java
+++ b/src/test/java/ringspindle/config/FleetConfigTest.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.Properties;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import ringspindle.config.Validated.Invalid;
 import ringspindle.config.Validated.Valid;
 
@@ -80,6 +82,13 @@
         assertInstanceOf(ConfigError.Unreadable.class, bad("{\"revision\":1,\"routes\":{},\"services\":[]}"));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"\"a\"", "{}", "7", "null", "[\"a\",7]", "[[\"a\"]]"})
+    void homesThatCannotBeReadAreRefusedAndNotTakenForNone(String homes) {
+        String route = mapping("a", "/x/", ",\"homeRegions\":" + homes);
+        assertInstanceOf(ConfigError.InvalidValue.class, bad(whole(1, route)));
+    }
+
     @Test
     void patchesAddReplaceAndRemoveByName() {
         FleetConfig c = good(whole(1, mapping("a", "/x/", ""), mapping("b", "/y/", "")));
