A fact that cannot be put into force is tried again and holds up no other

If applying one threw, the connection was closed and the rest were known but never applied, so an old configuration could stay in force for good, unseen in logs. Change: FactApplier goes on behind a failure and returns what failed; the dispatcher tries it again with each message; an Error ends the process; a message that cannot be handled is logged.

--- a/src/main/java/ringspindle/dataplane/FactApplier.java
+++ b/src/main/java/ringspindle/dataplane/FactApplier.java
@@ -3,9 +3,11 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
 import ringspindle.experiment.Experiment;
@@ -18,11 +20,15 @@
 import ringspindle.proxy.Proxy;
 import ringspindle.replication.Rollout;
 import ringspindle.routing.ServingRules;
+import ringspindle.transport.FatalErrors;
 
 /** Puts new facts into force in load balancer and proxy. Without state; called in the order in which facts were learnt. */
 final class FactApplier {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
+    /** Of facts that cannot be put into force one is logged in so many seconds. */
+    private static final int LOG_EVERY_S = 10;
+
     private final LoadBalancer loadBalancer;
     private final Proxy proxy;
 
@@ -31,13 +37,33 @@
         this.proxy = proxy;
     }
 
-    /** Applies facts that were learnt together: what forbids comes before what allows. */
-    void apply(List<Fact> facts, long nowMs) {
+    /**
+     * Applies facts that were learnt together: what forbids comes before what allows. One that fails does not hold up the
+     * others.
+     *
+     * @return the facts that are not in force, as applying them failed
+     */
+    List<Fact> apply(List<Fact> facts, long nowMs) {
+        List<Fact> failed = new ArrayList<>();
         for (Fact fact : facts) {
-            applyRestriction(fact, nowMs);
+            attempt(fact, () -> applyRestriction(fact, nowMs), failed);
         }
         for (Fact fact : facts) {
-            applyPermission(fact, nowMs);
+            attempt(fact, () -> applyPermission(fact, nowMs), failed);
+        }
+        return failed;
+    }
+
+    /** An {@link Error} ends the process: a node that goes on without the fact would serve old state and look well. */
+    private static void attempt(Fact fact, Runnable application, List<Fact> failed) {
+        try {
+            application.run();
+        } catch (RuntimeException e) {
+            failed.add(fact);
+            LOG.atSevere().withCause(e).atMostEvery(LOG_EVERY_S, TimeUnit.SECONDS).log(
+                    "%s %s, version %s, cannot be put into force", fact.kind(), fact.key(), fact.version());
+        } catch (Error e) {
+            FatalErrors.end("putting facts into force", e);
         }
     }
 
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -1,5 +1,6 @@
 package ringspindle.dataplane;
 
+import java.util.ArrayList;
 import java.util.List;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.membership.FactValidator;
@@ -34,6 +35,8 @@
     private final FactApplier applier;
     private final LoadBalancer loadBalancer;
     private final Proxy proxy;
+    /** Facts that are known here and not in force, as putting them into force failed. */
+    private final List<Fact> unapplied = new ArrayList<>();
     /** A peer has told all that it knows. */
     private boolean filled;
 
@@ -71,6 +74,7 @@
     public void received(NodeId from, Message message) {
         long nowMs = clock.nowMs();
         synchronized (gossip.lock) {
+            retryUnapplied(nowMs);
             if (message instanceof Heartbeat heartbeat) {
                 received(from, heartbeat, nowMs);
             } else if (message instanceof News news) {
@@ -110,13 +114,25 @@
         FactValidator.check(news.items());
         List<Fact> fresh = gossip.facts().merge(news.items());
         gossip.facts().markKnown(from, news.items());
-        applier.apply(fresh, nowMs);
+        unapplied.addAll(applier.apply(fresh, nowMs));
         filled |= news.full();
         if (filled && gossip.facts().get(FactKind.CONFIG, "") != null) {
             proxy.markConfirmed();
         }
     }
 
+    /** Facts that could not be put into force are tried again, unless a newer one has taken their place. */
+    private void retryUnapplied(long nowMs) {
+        if (unapplied.isEmpty()) {
+            return;
+        }
+        List<Fact> newest = unapplied.stream()
+                .filter(fact -> fact.equals(gossip.facts().get(fact.kind(), fact.key())))
+                .toList();
+        unapplied.clear();
+        unapplied.addAll(applier.apply(newest, nowMs));
+    }
+
     private void received(NodeId from, Digest digest) {
         List<Fact> differing = gossip.facts().differing(digest.ranges());
         if (!differing.isEmpty()) {
--- a/src/main/java/ringspindle/transport/FrameConnection.java
+++ b/src/main/java/ringspindle/transport/FrameConnection.java
@@ -1,7 +1,9 @@
 package ringspindle.transport;
 
 import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
@@ -17,6 +19,8 @@
  */
 final class FrameConnection extends AbstractConnection {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** Of messages that cannot be handled one is logged in so many seconds. */
+    private static final int LOG_EVERY_S = 10;
     /** No frame is longer, in bytes. */
     private static final int BODY_MAX = 48 << 20;
     /** Who has not said who it is gets no more room than that takes. */
@@ -101,9 +105,13 @@
         } catch (FrameException e) {
             owner.refused(this, e);
             close();
-        } catch (Throwable e) {
+        } catch (IOException e) {
             LOG.atFine().withCause(e).log("connection to %s fails", peerNode());
             close();
+        } catch (Throwable e) {
+            LOG.atSevere().withCause(e).atMostEvery(LOG_EVERY_S, TimeUnit.SECONDS).log(
+                    "a message of %s cannot be handled", peerNode());
+            close();
         }
     }
 
