Signals are handled before anything else in a daemon

Cause: found by the soak: between the start of main and the end of reading settings a SIGHUP ended the process (code 129), as no handler stood yet. Change: DaemonSignals, installed first; a SIGHUP that comes before the settings are read is acted on afterwards.

--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.logging.Level;
 import ringspindle.cli.Cli;
 import ringspindle.cli.CommandLine;
@@ -21,7 +20,6 @@
 import ringspindle.dataplane.DataPlane;
 import ringspindle.logging.JsonLogFormatter;
 import ringspindle.logging.LogField;
-import sun.misc.Signal;
 
 /** The program: {@code data-plane}, {@code control-plane}, and the operator's command line. */
 public final class Main {
@@ -64,7 +62,11 @@
     private final Cli cli = new Cli(System.out, System.err);
     private final CommandLine line = new CommandLine(global, commands());
 
-    private Main() {}
+    private final DaemonSignals signals;
+
+    private Main(DaemonSignals signals) {
+        this.signals = signals;
+    }
 
     private Map<String, Object> commands() {
         Map<String, Object> commands = new LinkedHashMap<>();
@@ -77,12 +79,20 @@
 
     /** Runs the command that the arguments name, for example {@code control-plane --settings node.conf}. */
     public static void main(String[] args) {
-        System.exit(run(args).value());
+        DaemonSignals signals = new DaemonSignals();
+        if (namesDaemon(args)) {
+            signals.install();
+        }
+        System.exit(new Main(signals).parseAndExecute(args).value());
+    }
+
+    private static boolean namesDaemon(String[] args) {
+        return args.length > 0 && (args[0].equals(DATA_PLANE) || args[0].equals(CONTROL_PLANE));
     }
 
     /** Runs the command that the arguments name; a daemon's runs until it is terminated. */
     public static ExitCode run(String[] args) {
-        return new Main().parseAndExecute(args);
+        return new Main(new DaemonSignals()).parseAndExecute(args);
     }
 
     private ExitCode parseAndExecute(String[] args) {
@@ -123,7 +133,7 @@
         };
     }
 
-    private static ExitCode runDaemon(String command, DaemonOptions options) {
+    private ExitCode runDaemon(String command, DaemonOptions options) {
         installLog(options.level);
         if (options.settings == null || options.settings.isEmpty()) {
             throw new ParameterException("no settings file: give --settings or RINGSPINDLE_SETTINGS");
@@ -135,15 +145,13 @@
             return ExitCode.USAGE;
         }
         Settings settings = new Settings(((Valid<NodeConfig>) read).value());
-        CountDownLatch terminated = new CountDownLatch(1);
-        Signal.handle(new Signal("TERM"), signal -> terminated.countDown());
-        Signal.handle(new Signal("INT"), signal -> terminated.countDown());
-        Signal.handle(new Signal("HUP"), signal -> reload(settings, file));
+        signals.install();
+        signals.onReload(() -> reload(settings, file));
         try {
             if (command.equals(DATA_PLANE)) {
-                DataPlane.run(settings, terminated);
+                DataPlane.run(settings, signals.terminated());
             } else {
-                ControlPlane.run(settings, terminated);
+                ControlPlane.run(settings, signals.terminated());
             }
             return ExitCode.OK;
         } catch (Exception failure) {
