--- a/src/main/java/ringspindle/cli/CandidateEngines.java
+++ b/src/main/java/ringspindle/cli/CandidateEngines.java
@@ -41,7 +41,7 @@
         String service = engine.getString("service");
         boolean isTarget =
                 route.targets().stream().anyMatch(target -> target.service().equals(service));
-        boolean isHome = route.homes().isEmpty() || route.homes().contains(engine.getString("region", ""));
+        boolean isHome = route.allowedRegions().allows(engine.getString("region", ""));
         return isTarget && isHome;
     }
 }
--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -51,6 +51,11 @@
             boolean sticky,
             int tokenGapMs,
             Set<String> homes) {
+        /** The regions that may serve it. */
+        public AllowedRegions allowedRegions() {
+            return homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(homes);
+        }
+
         /** True if a request may safely run more than once. */
         public boolean repeatable() {
             return kind == Kind.IDEMPOTENT || resumable;
--- a/src/main/java/ringspindle/loadbalancing/CandidateFilter.java
+++ b/src/main/java/ringspindle/loadbalancing/CandidateFilter.java
@@ -54,10 +54,8 @@
     }
 
     private static boolean isPermitted(EngineEntry engine, SelectionRequest request) {
-        Set<String> allowedRegions = request.allowedRegions();
         return engine.service().equals(request.service())
-                && (allowedRegions.isEmpty()
-                        || allowedRegions.contains(engine.region().name()))
+                && request.allowedRegions().allows(engine.region().name())
                 && !request.excludedEngineIds().contains(engine.id())
                 && engine.runsWeights(request.weightsVersion());
     }
--- a/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Set;
 import ringspindle.api.Outcome;
+import ringspindle.config.AllowedRegions;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.NodeConfig;
 import ringspindle.protocol.Message.Engine;
@@ -37,7 +38,7 @@
      * A request that needs an engine.
      *
      * @param service name of the service that must serve it
-     * @param allowedRegions regions whose engines may serve it; empty if any region may
+     * @param allowedRegions regions whose engines may serve it
      * @param affinityKey hash of the shared prompt prefix; 0 if nothing is shared
      * @param sharedPrefixTokens tokens of the shared prefix, which an engine with the prefix in its cache need not read
      * @param uncachedTokens the other tokens of the prompt, which any engine must read
@@ -50,7 +51,7 @@
      */
     record SelectionRequest(
             String service,
-            Set<String> allowedRegions,
+            AllowedRegions allowedRegions,
             long affinityKey,
             int sharedPrefixTokens,
             int uncachedTokens,
@@ -60,56 +61,6 @@
             long random,
             RoutingPreference preference,
             CostWeights weights) {
-        /** A request whose engines are compared by the ordinary weights. */
-        public SelectionRequest(
-                String service,
-                Set<String> allowedRegions,
-                long affinityKey,
-                int sharedPrefixTokens,
-                int uncachedTokens,
-                int outputTokens,
-                Set<String> excludedEngineIds,
-                long weightsVersion,
-                long random,
-                RoutingPreference preference) {
-            this(
-                    service,
-                    allowedRegions,
-                    affinityKey,
-                    sharedPrefixTokens,
-                    uncachedTokens,
-                    outputTokens,
-                    excludedEngineIds,
-                    weightsVersion,
-                    random,
-                    preference,
-                    CostWeights.DEFAULT);
-        }
-
-        /** A request to which no serving rule applies. */
-        public SelectionRequest(
-                String service,
-                Set<String> allowedRegions,
-                long affinityKey,
-                int sharedPrefixTokens,
-                int uncachedTokens,
-                int outputTokens,
-                Set<String> excludedEngineIds,
-                long weightsVersion,
-                long random) {
-            this(
-                    service,
-                    allowedRegions,
-                    affinityKey,
-                    sharedPrefixTokens,
-                    uncachedTokens,
-                    outputTokens,
-                    excludedEngineIds,
-                    weightsVersion,
-                    random,
-                    null);
-        }
-
         /** Tokens that count as in flight at the engine while the request runs there. */
         int tokensInFlight() {
             return uncachedTokens + outputTokens;
--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -150,7 +150,7 @@
             Set<String> attemptedEngines, long weightVersion, long random, long waitedMs) {
         return new LoadBalancer.SelectionRequest(
                 service,
-                route.homes(),
+                route.allowedRegions(),
                 affinityKey(),
                 sharedTokens(),
                 ownTokens(),
--- a/src/main/java/ringspindle/routing/ServingRulesValidator.java
+++ b/src/main/java/ringspindle/routing/ServingRulesValidator.java
@@ -66,8 +66,7 @@
             errors.add(new ConfigError.UnknownName(path, region));
             return;
         }
-        boolean bound = route != null && !route.homes().isEmpty();
-        if (bound && !route.homes().contains(region)) {
+        if (route != null && !route.allowedRegions().allows(region)) {
             errors.add(new ConfigError.OutsideHomes(path, region));
         }
     }
--- a/src/test/java/ringspindle/loadbalancing/LoadBalancerTest.java
+++ b/src/test/java/ringspindle/loadbalancing/LoadBalancerTest.java
@@ -85,7 +85,7 @@
     }
 
     private static SelectionRequest ask(Set<String> homes, Set<String> tried, long weights) {
-        return new SelectionRequest("s", homes, 0, 0, 100, 50, tried, weights, 5);
+        return SelectionRequests.of("s", homes, 0, 0, 100, 50, tried, weights, 5);
     }
 
     private static SelectionRequest any() {
@@ -263,7 +263,7 @@
             for (int i = 1; i <= 6; i++) {
                 p.updateEngine("i-" + i, engine(i % 2 == 0 ? "a1" : "b1", i, 0, false), 1, 0);
             }
-            where.add(id(p.select(new SelectionRequest("s", Set.of(), 4711, 13_000, 3000, 100, Set.of(), -1, n), 10)));
+            where.add(id(p.select(SelectionRequests.of("s", Set.of(), 4711, 13_000, 3000, 100, Set.of(), -1, n), 10)));
         }
         assertEquals(1, where.size(), where.toString());
     }
@@ -282,7 +282,7 @@
         Map<String, Integer> out = new TreeMap<>();
         Random luck = new Random(5);
         for (int i = 0; i < n; i++) {
-            SelectionRequest a = new SelectionRequest("s", Set.of(), 0, 0, 100, 50, Set.of(), -1, luck.nextLong());
+            SelectionRequest a = SelectionRequests.of("s", Set.of(), 0, 0, 100, 50, Set.of(), -1, luck.nextLong());
             String id = id(p.select(a, nowMs));
             out.merge(id, 1, Integer::sum);
             p.onAttemptEnded(id, a, AttemptOutcome.PARENT_ENDED, -1, nowMs);
@@ -358,7 +358,7 @@
         LoadBalancer p = picker("a1", "a");
         p.updateEngine("i-a", engine("a1", 1, 0, false), 1, 0);
         p.updateEngine("i-b", engine("b1", 2, 0, false), 1, 0);
-        SelectionRequest digest = new SelectionRequest("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
+        SelectionRequest digest = SelectionRequests.of("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
         p.setHeartbeatMissing("i-a", true, 10);
         assertEquals(Map.of("i-b", 50), choices(p, 50, 20));
         p.setHeartbeatMissing("i-a", false, 30);
@@ -394,7 +394,7 @@
     void reportHoldsWhatWasSeenLatelyAndWhatRuns() {
         LoadBalancer p = picker("a1", "a");
         p.updateEngine("i-a", engine("a1", 1, 0, false), 1, 0);
-        SelectionRequest digest = new SelectionRequest("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
+        SelectionRequest digest = SelectionRequests.of("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
         p.select(digest, 100);
         p.select(any(), 100);
         p.onAttemptEnded("i-a", any(), AttemptOutcome.ANSWERED, 120, 200);
@@ -438,7 +438,7 @@
     }
 
     private static SelectionRequest steered(RoutingPreference steer, long affinity) {
-        return new SelectionRequest("s", Set.of(), affinity, 13_000, 3000, 100, Set.of(), -1, 7, steer);
+        return SelectionRequests.of("s", Set.of(), affinity, 13_000, 3000, 100, Set.of(), -1, 7, steer);
     }
 
     private static FallbackTarget step(FallbackTarget.Scope to, int waitMs) {
@@ -571,7 +571,7 @@
             RoutingPreference steer =
                     new RoutingPreference(luck.nextInt(2) * 0.5, 1 + luck.nextInt(3), steps, steps, luck.nextInt(500));
             String got = id(p.select(
-                    new SelectionRequest(
+                    SelectionRequests.of(
                             "s", homes, luck.nextInt(2) * 4711L, 13_000, 3000, 100, Set.of("i-6"), -1, round, steer),
                     10));
             assertFalse(out.contains(got) || got.equals("i-6"), "round " + round + ": " + got + " of " + out);
--- a/src/test/java/ringspindle/loadbalancing/SelectionSequence.java
+++ b/src/test/java/ringspindle/loadbalancing/SelectionSequence.java
@@ -210,7 +210,7 @@
         Set<String> allowed = random.nextInt(6) == 0 ? Set.of(oneOf(REGIONS)) : Set.of();
         Set<String> excluded = random.nextInt(5) == 0 ? Set.of(engineId(), "i-none") : Set.of();
         boolean shares = random.nextInt(2) == 0;
-        return new SelectionRequest(
+        return SelectionRequests.of(
                 SERVICES[random.nextInt(10) == 0 ? 1 + random.nextInt(2) : 0],
                 allowed,
                 shares ? 1 + random.nextInt(5) * 7919L : 0,
--- a/src/test/java/ringspindle/replication/RolloutTraffic.java
+++ b/src/test/java/ringspindle/replication/RolloutTraffic.java
@@ -7,6 +7,7 @@
 import ringspindle.loadbalancing.LoadBalancer.SelectedEngine;
 import ringspindle.loadbalancing.LoadBalancer.Selection;
 import ringspindle.loadbalancing.LoadBalancer.SelectionRequest;
+import ringspindle.loadbalancing.SelectionRequests;
 import ringspindle.retry.Action;
 import ringspindle.retry.Attempt;
 import ringspindle.retry.AttemptOutcome;
@@ -53,7 +54,7 @@
         }
         long weights = request.weights.isEmpty() ? -1 : request.weights.get(0);
         SelectionRequest ask =
-                new SelectionRequest("s", request.homes, 0, 0, 200, 50, tried, weights, simulation.random.nextLong());
+                SelectionRequests.of("s", request.homes, 0, 0, 200, 50, tried, weights, simulation.random.nextLong());
         Selection selection = picker.select(ask, simulation.nowMs());
         if (!(selection instanceof SelectedEngine chosen)) {
             if (request.pieces.isEmpty() && !action.mayHaveRun()) {
--- a/src/test/java/ringspindle/scale/HollowFleet.java
+++ b/src/test/java/ringspindle/scale/HollowFleet.java
@@ -16,6 +16,7 @@
 import ringspindle.controlplane.HollowControlNode;
 import ringspindle.dataplane.HollowDataNode;
 import ringspindle.loadbalancing.LoadBalancer;
+import ringspindle.loadbalancing.SelectionRequests;
 import ringspindle.protocol.Message.Engine;
 import ringspindle.protocol.NodeId;
 import ringspindle.retry.AttemptOutcome;
@@ -231,7 +232,7 @@
 
     private void request(HollowDataNode d) {
         LoadBalancer.SelectionRequest ask =
-                new LoadBalancer.SelectionRequest("llm", Set.of(), 0, 92, 291, 40, Set.of(), -1, luck.nextLong());
+                SelectionRequests.of("llm", Set.of(), 0, 92, 291, 40, Set.of(), -1, luck.nextLong());
         NodeId id = dataIds.get(datas.indexOf(d));
         net.charge(id, () -> {
             if (d.loadBalancer().select(ask, net.nowMs()) instanceof LoadBalancer.SelectedEngine c) {
--- a/src/test/java/ringspindle/scale/RestartTest.java
+++ b/src/test/java/ringspindle/scale/RestartTest.java
@@ -13,6 +13,7 @@
 import ringspindle.controlplane.HollowControlNode;
 import ringspindle.dataplane.HollowDataNode;
 import ringspindle.loadbalancing.LoadBalancer;
+import ringspindle.loadbalancing.SelectionRequests;
 import ringspindle.protocol.Message.Engine;
 import ringspindle.protocol.NodeId;
 import ringspindle.telemetry.EngineKey;
@@ -61,8 +62,7 @@
 
     /** One request runs on, from now. */
     private void request() {
-        LoadBalancer.SelectionRequest ask =
-                new LoadBalancer.SelectionRequest("s", Set.of(), 0, 92, 291, 40, Set.of(), -1, 1);
+        LoadBalancer.SelectionRequest ask = SelectionRequests.of("s", Set.of(), 0, 92, 291, 40, Set.of(), -1, 1);
         LoadBalancer.SelectedEngine chosen = assertInstanceOf(
                 LoadBalancer.SelectedEngine.class, data.loadBalancer().select(ask, net.nowMs()));
         data.loadBalancer().onRequestSent(chosen.id(), net.nowMs());
