A connection's late end leaves the session of the next connection alone

Cause: by reading, while tracing CONFIG: between taking a closed connection out and telling of it, a newer one may stand and open its session; the late word then removed that session, so that a live peer got no news until the connection was dropped for silence, and a data node was told as gone. Change: both dispatchers ask under their lock whether a connection stands. Measured: MessageDispatcherTest.lateWordOfAClosedConnection..., which fails without the check by its construction; 101 tests of the packages concerned pass.

--- a/src/main/java/ringspindle/controlplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/controlplane/MessageDispatcher.java
@@ -77,6 +77,10 @@
     @Override
     public void closed(NodeId peer) {
         synchronized (fleet.lock) {
+            if (context.mesh().connected(peer)) {
+                // a newer connection stands already, and the session is its own or is about to be
+                return;
+            }
             SessionTable.Peer session = fleet.sessions().peer(peer);
             boolean heardDataNode = session != null
                     && session.hello().kind() == NodeKind.DATA
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -90,6 +90,10 @@
     @Override
     public void closed(NodeId peer) {
         synchronized (gossip.lock) {
+            if (mesh.connected(peer)) {
+                // a newer connection stands already, and the session is its own or is about to be
+                return;
+            }
             gossip.sessions().closed(peer);
             gossip.facts().removePeer(peer);
         }
--- a/src/main/java/ringspindle/transport/Mesh.java
+++ b/src/main/java/ringspindle/transport/Mesh.java
@@ -19,7 +19,10 @@
         /** A message came. */
         void received(NodeId from, Message message);
 
-        /** The connection to that node is gone, and none has taken its place. */
+        /**
+         * The connection to that node is gone, and none had taken its place. One may have by the time this is handled: who
+         * keeps a session for each peer asks {@link Mesh#connected} under the lock that guards it.
+         */
         void closed(NodeId peer);
     }
 
--- a/src/test/java/ringspindle/dataplane/MessageDispatcherTest.java
+++ b/src/test/java/ringspindle/dataplane/MessageDispatcherTest.java
@@ -2,6 +2,8 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.InvocationHandler;
 import java.util.ArrayList;
@@ -33,6 +35,8 @@
     private final List<Long> inForce = new ArrayList<>();
     private final List<String> evacuated = new ArrayList<>();
     private int failuresLeft;
+    private boolean connected = true;
+    private GossipState gossip;
     private MessageDispatcher dispatcher;
     private long heartbeats;
 
@@ -43,9 +47,9 @@
         settings.putAll(Map.of("listen.frontend", ME.ip() + ":80", "listen.inner", "7720,7735"));
         settings.putAll(Map.of("seeds", "10.1.0.9:1", "zone.z", "r"));
         NodeConfig config = ((Validated.Valid<NodeConfig>) NodeConfig.check(settings)).value();
-        GossipState gossip = new GossipState(ME);
+        gossip = new GossipState(ME);
         Mesh mesh = standIn(
-                Mesh.class, (proxy, method, arguments) -> method.getReturnType() == boolean.class ? true : null);
+                Mesh.class, (self, method, arguments) -> method.getName().equals("connected") ? connected : null);
         Proxy proxy = standIn(Proxy.class, (self, method, arguments) -> called(method.getName(), arguments));
         LoadBalancer loadBalancer = standIn(LoadBalancer.class, (self, method, arguments) -> {
             if (method.getName().equals("setZoneEvacuated")) {
@@ -118,4 +122,20 @@
         receiveHeartbeat();
         assertEquals(List.of(3L, 4L, 6L), inForce);
     }
+
+    private boolean hasSession() {
+        synchronized (gossip.lock) {
+            return gossip.sessions().peer(CONTROL.node()) != null;
+        }
+    }
+
+    @Test
+    void lateWordOfAClosedConnectionLeavesTheSessionOfTheNextOneAlone() {
+        dispatcher.opened(CONTROL);
+        dispatcher.closed(CONTROL.node());
+        assertTrue(hasSession(), "another connection stands");
+        connected = false;
+        dispatcher.closed(CONTROL.node());
+        assertFalse(hasSession());
+    }
 }
