--- a/src/test/java/ringspindle/soak/SoakClient.java
+++ b/src/test/java/ringspindle/soak/SoakClient.java
@@ -14,8 +14,8 @@
 import ringspindle.soak.SoakTopology.Node;
 
 /**
- * A client of one host. It asks the directory, then keeps the data node that it was led to until that node fails it, whatever
- * the directory would say by then.
+ * A client of one host. It asks the directory, then keeps the data node that it was led to until that node refuses it, or,
+ * every other client, until its process is gone; whatever the directory would say by then.
  */
 final class SoakClient implements Runnable {
     private static final JsonProvider JSON = JsonProvider.provider();
@@ -28,6 +28,9 @@
     private final SoakHistory history;
     private final CountDownLatch ended;
     private final Random random;
+    /** It stays with a node that refuses it, until the process is gone. */
+    private final boolean stubborn;
+
     private final SoakHttp http = new SoakHttp();
     private int attempts;
 
@@ -39,6 +42,7 @@
         this.history = history;
         this.ended = ended;
         random = new Random(seed);
+        stubborn = random.nextBoolean();
         name = region + "-" + host + "-" + seed;
     }
 
@@ -98,6 +102,6 @@
         boolean wholeBody = answer != null && answer.body().equals(id);
         history.add(
                 new SoakHistory.Attempt(id, host, mutating, node, System.nanoTime(), status, answeredBy, wholeBody));
-        return status == 200;
+        return stubborn ? status != SoakHistory.NO_STATUS : status == 200;
     }
 }
