Soak: exactly every other client is the one that stays

Cause: the first draw of neighbouring seeds is the same, so all or none of the clients stayed. Change: by the seed's parity.

--- a/src/test/java/ringspindle/soak/SoakClient.java
+++ b/src/test/java/ringspindle/soak/SoakClient.java
@@ -42,7 +42,7 @@
         this.history = history;
         this.ended = ended;
         random = new Random(seed);
-        stubborn = random.nextBoolean();
+        stubborn = seed % 2 == 0;
         name = region + "-" + host + "-" + seed;
     }
 
