--- a/src/test/java/ringspindle/soak/NodeProcess.java
+++ b/src/test/java/ringspindle/soak/NodeProcess.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -176,6 +177,7 @@
             lines.add("listen.frontend=" + node.ip() + ":" + SoakTopology.FRONTEND_PORT);
             lines.add("listen.readiness=" + node.ip() + ":" + SoakTopology.READINESS_PORT);
         }
-        Files.write(settingsFile(), lines);
+        Path written = Files.write(folder.resolve("settings.new"), lines);
+        Files.move(written, settingsFile(), StandardCopyOption.ATOMIC_MOVE);
     }
 }
