--- a/src/main/java/ringspindle/controlplane/FrontendResolver.java
+++ b/src/main/java/ringspindle/controlplane/FrontendResolver.java
@@ -29,7 +29,8 @@
      *
      * @param allowed where the host may be served; asked for only where it matters
      * @param inTouch without a majority only those count near the client that this node itself is in touch with: what others
-     *     told may be old. What is known of the configuration may be old too, so nobody is led anywhere by it
+     *     told may be old. What is known of the configuration may be old too, so that clients are led to homes by it, and
+     *     nowhere for want of homes
      */
     Resolution resolve(String region, String zone, Supplier<AllowedRegions> allowed, boolean inTouch, long nowMs) {
         if (!inTouch) {
