A node that ends takes no request in the moment between its last look and its close

Change: ActiveRequests lets the count be closed only in one step with its being zero; what comes afterwards is refused as not run, and there is a moment to read that.

--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -67,12 +67,17 @@
         proxy.close();
     }
 
-    /** Waits until no request has been active for a moment, and no longer than to that time. */
+    /** Waits until no request has been active for a moment and none can begin any more, and no longer than to that time. */
     private static void awaitIdle(ProxyHandler proxy, MonotonicClock clock, long endMs) throws InterruptedException {
         int idleSteps = 0;
-        while (clock.nowMs() < endMs && idleSteps < IDLE_STEPS) {
+        while (clock.nowMs() < endMs) {
             Thread.sleep(IDLE_STEP_MS);
             idleSteps = proxy.active() == 0 ? idleSteps + 1 : 0;
+            if (idleSteps >= IDLE_STEPS && proxy.refuseIfIdle()) {
+                // whoever still sends gets a refusal, and time to read it
+                Thread.sleep(IDLE_STEP_MS);
+                return;
+            }
         }
     }
 }
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -63,7 +63,7 @@
     private final WaitQueue queue = new WaitQueue();
     private final AtomicBoolean queueScheduled = new AtomicBoolean();
     private final AtomicLong actionIds = new AtomicLong();
-    private final LongAdder active = new LongAdder();
+    private final ActiveRequests active = new ActiveRequests();
     private final Map<String, LongAdder> endCounts = new ConcurrentHashMap<>();
     private final RequestLedger ledger = new RequestLedger();
     private final ExperimentOutcomes experiments = new ExperimentOutcomes();
@@ -194,7 +194,15 @@
 
     /** Requests under way. */
     public long active() {
-        return active.sum();
+        return active.count();
+    }
+
+    /**
+     * Takes no request any more if none is under way; true if so. A request that comes on an open connection from then on is
+     * refused as not run.
+     */
+    public boolean refuseIfIdle() {
+        return active.closeIfNone();
     }
 
     /** Revision of the configuration in force, 0 while there is none. */
@@ -277,7 +285,7 @@
 
     @Override
     public void onActionEnded(TerminalEvent event) {
-        active.decrement();
+        active.end();
         ledger.onEnded(event);
         experiments.onEnded(event, clock.nowMs());
         String end = event.state() + (event.cause() == null ? "" : " " + event.cause());
@@ -378,8 +386,11 @@
         String service = RouteSplit.service(arrival.route(), arrival.attemptId());
         String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
         Optional<Assignment> assignment = experiments.assign(arrival.route(), promptPrefix, nowMs);
+        if (!active.begin()) {
+            arrival.client().respond(Outcome.LEAVING, 0, true);
+            return;
+        }
         loadBalancer.onRequestReceived(service, nowMs);
-        active.increment();
         AdmittedRequest admitted = new AdmittedRequest(arrival, body, service, rules, assignment);
         ProxiedRequest proxied = new ProxiedRequest(this, admitted, arrival.client());
         experiments.begin(proxied.actionId(), admitted, arrival.client(), clock);
--- a/src/test/java/ringspindle/proxy/LimitsTest.java
+++ b/src/test/java/ringspindle/proxy/LimitsTest.java
@@ -1,6 +1,7 @@
 package ringspindle.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -164,6 +165,29 @@
         assertEquals(2, e.seen.size());
     }
 
+    /** Clients use open connections until the process is gone: what comes as it ends is refused, or keeps it from ending. */
+    @Test
+    void requestOnAnOpenConnectionIsNotTakenOnceTheNodeEnds() throws Exception {
+        CountDownLatch hold = new CountDownLatch(1);
+        StandInEngine engine = engine("i-1", "z", (seen, out, socket) -> {
+            hold.await();
+            StandInEngine.whole(200, "hello", "").run(seen, out, socket);
+        });
+        Socket kept = send("/once/x", "t1", "", "");
+        engine.seen.take();
+        assertFalse(front.refuseIfIdle(), "a request is under way");
+        front.leave(clock.nowMs() + 7300);
+        hold.countDown();
+        assertTrue(all(kept).startsWith("HTTP/1.1 200"));
+        while (!front.refuseIfIdle()) {
+            Thread.onSpinWait();
+        }
+        String refused = all(send("/once/x", "t2", "", ""));
+        assertTrue(refused.startsWith("HTTP/1.1 503") && refused.contains("Retry-After"), refused);
+        assertTrue(refused.contains("Connection: close"), refused);
+        assertEquals(0, engine.seen.size(), "it has not run");
+    }
+
     /** The deadline holds for a body that does not come, too: nothing has run, and the client is told so. */
     @Test
     void requestWhoseBodyDoesNotComeIsAnsweredAtItsDeadline() throws Exception {
