A program that was told to end ends at once when its work is done, and always in time

Cause: after the hand-over a control node stopped its server piece by piece, up to three seconds for each, and was killed at the end of the grace time; nothing watched that. Change: the end of the process closes its sockets. A watch ends a process shortly before the platform would kill it, with a SEVERE line.

--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -29,6 +29,8 @@
     private static final String CONTROL_PLANE = "control-plane";
     private static final String SELF_TEST = "selftest";
 
+    private static final int MS_PER_S = 1000;
+
     /** Options that come before a command. */
     private static final class GlobalOptions {
         @Parameter(
@@ -147,6 +149,8 @@
         Settings settings = new Settings(((Valid<NodeConfig>) read).value());
         signals.install();
         signals.onReload(() -> reload(settings, file));
+        ShutdownDeadline.start(
+                signals.terminated(), () -> (long) (settings.now().graceS() * MS_PER_S));
         try {
             if (command.equals(DATA_PLANE)) {
                 DataPlane.run(settings, signals.terminated());
--- a/src/main/java/ringspindle/controlplane/ControlPlane.java
+++ b/src/main/java/ringspindle/controlplane/ControlPlane.java
@@ -17,7 +17,6 @@
 import ringspindle.logging.LogField;
 import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
-import ringspindle.transport.LifeCycles;
 import ringspindle.transport.NodeEnvironment;
 import ringspindle.transport.PeriodicTask;
 import ringspindle.transport.Threads;
@@ -31,9 +30,6 @@
 
     private static final int LEAVE_MOST_MS = 5000;
     private static final int LEAVE_STEP_MS = 100;
-    /** How long threads get to end: nobody is served meanwhile, though the port still takes connections. */
-    private static final int STOP_MS = 200;
-
     private static final String DEFAULT_FOLDER = "/tmp/ringspindle";
     private static final int REQUEST_HEAD_MAX = 16384;
     private static final int IDLE_MS = 20_000;
@@ -42,7 +38,8 @@
     private ControlPlane() {}
 
     /**
-     * Runs until told to end, then hands over and ends.
+     * Runs until told to end, then hands over. What is still open is closed by the end of the process: answers are written and
+     * acknowledged state is on disk by then.
      *
      * @param settings the settings in force, which may change while running
      * @param term counted down when the node is to end
@@ -52,7 +49,6 @@
         NodeConfig config = settings.now();
         Threads threads = Threads.start("cp", 16, 6);
         QueuedThreadPool pool = threads.pool();
-        pool.setStopTimeout(STOP_MS);
         Scheduler scheduler = threads.scheduler();
         EngineReportClient reports = new EngineReportClient(pool, scheduler);
         Path folder = Path.of(config.dataPath().isEmpty() ? DEFAULT_FOLDER : config.dataPath());
@@ -71,7 +67,7 @@
         node.leave();
         LOG.atInfo().with(LogField.NODE, config.name()).log("control plane shuts down");
         awaitHandover(node);
-        LifeCycles.stopQuietly(server);
+        LOG.atInfo().with(LogField.NODE, config.name()).log("control plane ends");
     }
 
     private static Server server(NodeConfig config, QueuedThreadPool pool, Scheduler scheduler) {
