--- a/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.StringJoiner;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
@@ -100,31 +101,40 @@
         return restarted ? Math.max(own, known.life() + 1) : known.life();
     }
 
-    /** Data nodes that take requests, by facts that still hold. */
-    List<Hello> ready(long nowMs) {
-        return readyWhere((fact, node) -> holds(fact, node, nowMs));
+    /**
+     * Data nodes that take requests.
+     *
+     * @param inTouch true: by facts that still hold; false, for a node that is cut off: those with a session here
+     */
+    List<Hello> ready(boolean inTouch, long nowMs) {
+        return nodesWhere(DataNodeFact::ready, (fact, node) -> counts(fact, node, inTouch, nowMs));
     }
 
-    /** Data nodes that take requests and have a session with this node. */
-    List<Hello> readyHere() {
-        return readyWhere((fact, node) -> linkedHere(node));
+    /** Data nodes that shut down and still take requests; what counts is the same as of those that are ready. */
+    List<Hello> leaving(boolean inTouch, long nowMs) {
+        return nodesWhere(DataNodeFact::servesWhileLeaving, (fact, node) -> counts(fact, node, inTouch, nowMs));
     }
 
     /** Data nodes that took requests when they were last told of, not too long ago; for a node that is cut off. */
     List<Hello> readyAsLastTold(long nowMs) {
-        return readyWhere((fact, node) -> lastToldWithin(CUT_OFF_HOLDS_MS, node, nowMs));
+        return nodesWhere(DataNodeFact::ready, (fact, node) -> lastToldWithin(CUT_OFF_HOLDS_MS, node, nowMs));
     }
 
-    /** Data nodes that say that they take requests, where their facts count. */
-    private List<Hello> readyWhere(BiPredicate<Fact, DataNodeFact> counts) {
-        List<Hello> ready = new ArrayList<>();
+    /** While this node is cut off, what others have told of data nodes may be old, and only sessions of its own count. */
+    private boolean counts(Fact fact, DataNodeFact node, boolean inTouch, long nowMs) {
+        return inTouch ? holds(fact, node, nowMs) : linkedHere(node);
+    }
+
+    /** Data nodes that say so, where their facts count. */
+    private List<Hello> nodesWhere(Predicate<DataNodeFact> says, BiPredicate<Fact, DataNodeFact> counts) {
+        List<Hello> nodes = new ArrayList<>();
         for (Fact fact : facts.store().all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
-            if (node.ready() && counts.test(fact, node)) {
-                ready.add(node.hello());
+            if (says.test(node) && counts.test(fact, node)) {
+                nodes.add(node.hello());
             }
         }
-        return ready;
+        return nodes;
     }
 
     private boolean lastToldWithin(int periodMs, DataNodeFact dataNode, long nowMs) {
@@ -178,16 +188,25 @@
         StringJoiner described = new StringJoiner(", ");
         for (Fact fact : facts.store().all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
-            String says = node.ready() ? "ready" : node.flags().isEmpty() ? "gone" : "not ready";
-            boolean counts = inTouch ? holds(fact, node, nowMs) : linkedHere(node);
-            described.add(node.hello().name() + " " + says + (counts ? "" : " (not counted)"));
+            boolean counts = counts(fact, node, inTouch, nowMs);
+            described.add(node.hello().name() + " " + says(node) + (counts ? "" : " (not counted)"));
         }
         return described.toString();
     }
 
+    private static String says(DataNodeFact node) {
+        if (node.ready()) {
+            return "ready";
+        }
+        if (node.flags().isEmpty()) {
+            return "gone";
+        }
+        return node.servesWhileLeaving() ? "leaving" : "not ready";
+    }
+
     /** How many data nodes take requests, as known here. */
     int readyCount() {
-        return readyWhere((fact, node) -> true).size();
+        return nodesWhere(DataNodeFact::ready, (fact, node) -> true).size();
     }
 
     /** How many data nodes may be sending requests: those with a session, and those that lost theirs a moment ago. */
--- a/src/main/java/ringspindle/controlplane/FrontendResolver.java
+++ b/src/main/java/ringspindle/controlplane/FrontendResolver.java
@@ -5,6 +5,7 @@
 import java.util.function.Supplier;
 import ringspindle.config.AllowedRegions;
 import ringspindle.controlplane.Resolution.Scope;
+import ringspindle.membership.LastServing;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 
@@ -24,7 +25,7 @@
 
     /**
      * Data nodes that take requests: those of the client's zone, else of its region, else of the regions that are known to
-     * be allowed. If this node is cut off from the majority, its region probably is: a client whose requests have to be
+     * be allowed, else the last of those that are shutting down. If this node is cut off from the majority, its region probably is: a client whose requests have to be
      * served in other regions is then sent to these, as nodes here could only refuse them.
      *
      * @param allowed where the host may be served; asked for only where it matters
@@ -39,7 +40,7 @@
                 return new Resolution(Scope.HOMES, atHome);
             }
         }
-        List<Hello> ready = inTouch ? dataNodes.ready(nowMs) : dataNodes.readyHere();
+        List<Hello> ready = dataNodes.ready(inTouch, nowMs);
         List<String> nearest = addressesWhere(ready, node -> node.zone().equals(zone));
         if (!nearest.isEmpty()) {
             return new Resolution(Scope.ZONE, nearest);
@@ -48,7 +49,28 @@
         if (!nearest.isEmpty()) {
             return new Resolution(Scope.REGION, nearest);
         }
-        return ready.isEmpty() ? Resolution.NOWHERE : abroad(ready, allowed.get(), inTouch);
+        Resolution abroad = abroad(ready, allowed.get(), inTouch);
+        return abroad.addresses().isEmpty() ? lastServing(region, allowed.get(), inTouch, nowMs) : abroad;
+    }
+
+    /**
+     * Where nobody else can be named: of the data nodes that are shutting down in the client's region, else in a home, the one
+     * that goes on taking requests for longest.
+     */
+    private Resolution lastServing(String region, AllowedRegions allowed, boolean inTouch, long nowMs) {
+        List<Hello> leaving = dataNodes.leaving(inTouch, nowMs);
+        List<String> last = lastOf(leaving, node -> node.region().equals(region));
+        if (last.isEmpty() && allowed instanceof AllowedRegions.Only) {
+            last = lastOf(leaving, node -> allowed.allows(node.region()));
+        }
+        return last.isEmpty() ? Resolution.NOWHERE : new Resolution(Scope.LEAVING, last);
+    }
+
+    private static List<String> lastOf(List<Hello> leaving, Predicate<Hello> wanted) {
+        List<NodeId> nodes = leaving.stream().filter(wanted).map(Hello::node).toList();
+        return LastServing.of(nodes)
+                .map(last -> addressesWhere(leaving, node -> node.node().equals(last)))
+                .orElse(List.of());
     }
 
     /** Data nodes in other regions than the client's. */
--- a/src/main/java/ringspindle/controlplane/Resolution.java
+++ b/src/main/java/ringspindle/controlplane/Resolution.java
@@ -22,6 +22,8 @@
         HOMES,
         /** In another region, as no route of the host has homes. */
         ANYWHERE,
+        /** In the client's region, else in a home: the one that serves longest of those that are shutting down. */
+        LEAVING,
         /** No data node can be named. */
         NOWHERE
     }
--- a/src/main/java/ringspindle/dataplane/DataNode.java
+++ b/src/main/java/ringspindle/dataplane/DataNode.java
@@ -1,7 +1,10 @@
 package ringspindle.dataplane;
 
+import java.util.List;
 import ringspindle.config.NodeConfig;
 import ringspindle.loadbalancing.LoadBalancer;
+import ringspindle.membership.DataNodeFact;
+import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -21,6 +24,7 @@
     /** Milliseconds between two ticks. */
     static final int TICK_MS = 100;
 
+    private final NodeId me;
     private volatile NodeConfig config;
     private final Mesh mesh;
     private final GossipState gossip;
@@ -34,7 +38,7 @@
         this.config = config;
         MonotonicClock clock = environment.clock();
         // a data node talks at the second inner port, so that both programs fit on one machine
-        NodeId me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
+        me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
         mesh = environment.meshFactory().apply(greeting(me, config, environment.incarnation()));
         gossip = new GossipState(me);
         heartbeats = new HeartbeatSender(clock, mesh, gossip, proxy);
@@ -82,6 +86,32 @@
     /** Tells all peers at once, and from now on with every tick, that this node leaves. */
     void leave() {
         heartbeats.leave();
+        announce();
+    }
+
+    /** Tells all peers at once how this node is. */
+    void announce() {
         tick();
     }
+
+    /** How many facts have been known for over a second and are not in force. */
+    int overdueFacts() {
+        return dispatcher.overdueFacts();
+    }
+
+    /** What this node's answers rest on, for log lines. */
+    String describeKnowledge() {
+        return dispatcher.describeKnowledge();
+    }
+
+    /** Who takes the requests of this region while this node leaves, as far as is known here. */
+    RegionCoverage coverage() {
+        synchronized (gossip.lock) {
+            List<DataNodeFact> region = gossip.facts().all(FactKind.NODE).stream()
+                    .map(fact -> DataNodeFact.of(fact.value()))
+                    .filter(dataNode -> dataNode.hello().region().equals(config.region()))
+                    .toList();
+            return RegionCoverage.of(me, region);
+        }
+    }
 }
--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -18,18 +18,10 @@
 public final class DataPlane {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-    /** Of the grace period, what is left for closing. */
-    private static final int STOP_MS = 700;
-    /** Clients that were told this node's address still use it for so long. */
-    private static final int STILL_ADDRESSED_MS = 2500;
-
-    private static final int IDLE_STEP_MS = 100;
-    private static final int IDLE_STEPS = 5;
-
     private DataPlane() {}
 
     /**
-     * Runs until told to end, then lets requests end.
+     * Runs until told to end, then lets requests end. What is still open is closed by the end of the process.
      *
      * @param settings the settings in force, which may change while running
      * @param term counted down when the node is to end
@@ -45,39 +37,16 @@
         LoadBalancer loadBalancer = LoadBalancer.create(config);
         ProxyHandler proxy = new ProxyHandler(config, loadBalancer, pool, scheduler, clock);
         DataNode node = new DataNode(config, proxy, loadBalancer, environment);
+        proxy.explainBy(node::describeKnowledge);
         settings.listen(loadBalancer::updateSettings);
         settings.listen(node::settings);
         node.start();
-        config.metrics().ifPresent(address -> proxy.serveMetrics(address, DataPlaneMetrics.of(proxy, loadBalancer)));
+        config.metrics()
+                .ifPresent(address -> proxy.serveMetrics(address, DataPlaneMetrics.of(proxy, loadBalancer, node)));
         PeriodicTask.start(node::tick, scheduler, DataNode.TICK_MS);
         proxy.open();
         LOG.atInfo().with(LogField.NODE, config.name()).log("data plane serves");
         term.await();
-        long endMs = clock.nowMs() + (long) (settings.now().graceS() * 1000) - STOP_MS;
-        proxy.leave(endMs);
-        node.leave();
-        LOG.atInfo()
-                .with(LogField.NODE, config.name())
-                .with(LogField.COUNT, proxy.active())
-                .log("data plane shuts down with requests in flight");
-        // clients hold addresses for a while; what still comes is served
-        Thread.sleep(STILL_ADDRESSED_MS);
-        proxy.stopAccepting();
-        awaitIdle(proxy, clock, endMs);
-        proxy.close();
-    }
-
-    /** Waits until no request has been active for a moment and none can begin any more, and no longer than to that time. */
-    private static void awaitIdle(ProxyHandler proxy, MonotonicClock clock, long endMs) throws InterruptedException {
-        int idleSteps = 0;
-        while (clock.nowMs() < endMs) {
-            Thread.sleep(IDLE_STEP_MS);
-            idleSteps = proxy.active() == 0 ? idleSteps + 1 : 0;
-            if (idleSteps >= IDLE_STEPS && proxy.refuseIfIdle()) {
-                // whoever still sends gets a refusal, and time to read it
-                Thread.sleep(IDLE_STEP_MS);
-                return;
-            }
-        }
+        new GracefulShutdown(proxy, node, clock).run((long) (settings.now().graceS() * 1000));
     }
 }
--- a/src/main/java/ringspindle/dataplane/DataPlaneMetrics.java
+++ b/src/main/java/ringspindle/dataplane/DataPlaneMetrics.java
@@ -9,13 +9,17 @@
 final class DataPlaneMetrics {
     private DataPlaneMetrics() {}
 
-    static Metrics of(ProxyHandler proxy, LoadBalancer loadBalancer) {
+    static Metrics of(ProxyHandler proxy, LoadBalancer loadBalancer, DataNode node) {
         return new Metrics()
                 .gauge("ringspindle_ready", "1 while new clients are welcome, else 0.", () -> proxy.isReady() ? 1 : 0)
                 .gauge(
                         "ringspindle_configuration_revision",
                         "Revision of the configuration in force here, 0 without one.",
                         proxy::configurationRevision)
+                .gauge(
+                        "ringspindle_facts_overdue",
+                        "Facts known here for over a second and not in force.",
+                        node::overdueFacts)
                 .gauge("ringspindle_requests_active", "Requests under way.", proxy::active)
                 .gauge("ringspindle_requests_waiting", "Requests that wait for capacity.", proxy::waiting)
                 .counters("ringspindle_requests", "Requests that ended, by how.", "end", proxy::endCounts)
--- a/src/main/java/ringspindle/dataplane/HeartbeatSender.java
+++ b/src/main/java/ringspindle/dataplane/HeartbeatSender.java
@@ -41,8 +41,9 @@
 
     /** Sends a heartbeat to a peer. */
     void send(NodeId to) {
-        NodeFlags flags =
-                NodeFlags.READY.when(proxy.isReady()).and(NodeFlags.LEAVING.when(lifecycle == Lifecycle.LEAVING));
+        NodeFlags flags = lifecycle == Lifecycle.LEAVING
+                ? NodeFlags.LEAVING.and(NodeFlags.STILL_SERVING.when(proxy.takesRequests()))
+                : NodeFlags.READY.when(proxy.isReady());
         long digest = gossip.facts().digest();
         mesh.send(to, gossip.sessions().nextHeartbeat(to, flags, 0, 0, digest, clock.nowMs()));
     }
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -1,6 +1,5 @@
 package ringspindle.dataplane;
 
-import java.util.ArrayList;
 import java.util.List;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.membership.FactValidator;
@@ -26,19 +25,21 @@
 final class MessageDispatcher implements Mesh.Listener {
     /** Every so many heartbeats that show other facts the two compare what they know. */
     private static final int DIGEST_HEARTBEATS = 16;
+    /** A fact that is known for longer than this and not in force is overdue. */
+    private static final int OVERDUE_MS = 1000;
 
     private final MonotonicClock clock;
     private final Mesh mesh;
     private final GossipState gossip;
     private final HeartbeatSender heartbeats;
     private final PeerDialer dialer;
-    private final FactApplier applier;
+    private final UnappliedFacts unapplied;
     private final LoadBalancer loadBalancer;
     private final Proxy proxy;
-    /** Facts that are known here and not in force, as putting them into force failed. */
-    private final List<Fact> unapplied = new ArrayList<>();
     /** A peer has told all that it knows. */
     private boolean filled;
+    /** When a control node in touch with a majority was last heard. */
+    private long majorityHeardMs = SessionTable.NEVER_MS;
 
     MessageDispatcher(
             MonotonicClock clock,
@@ -55,7 +56,9 @@
         this.dialer = dialer;
         this.loadBalancer = loadBalancer;
         this.proxy = proxy;
-        applier = new FactApplier(loadBalancer, proxy);
+        synchronized (gossip.lock) {
+            unapplied = new UnappliedFacts(gossip.facts(), new FactApplier(loadBalancer, proxy));
+        }
     }
 
     @Override
@@ -74,7 +77,7 @@
     public void received(NodeId from, Message message) {
         long nowMs = clock.nowMs();
         synchronized (gossip.lock) {
-            retryUnapplied(nowMs);
+            unapplied.retry(nowMs);
             if (message instanceof Heartbeat heartbeat) {
                 received(from, heartbeat, nowMs);
             } else if (message instanceof News news) {
@@ -107,6 +110,9 @@
         }
         dialer.learnControlNodes(heartbeat.heard());
         SessionTable.Peer peer = gossip.sessions().peer(from);
+        if (peer != null && peer.serves()) {
+            majorityHeardMs = nowMs;
+        }
         boolean differs = heartbeat.digest() != gossip.facts().digest();
         if (peer != null && differs && peer.received() % DIGEST_HEARTBEATS == 0) {
             mesh.send(from, new Digest(gossip.facts().ranges()));
@@ -118,29 +124,33 @@
         FactValidator.check(news.items());
         List<Fact> fresh = gossip.facts().merge(news.items());
         gossip.facts().markKnown(from, news.items());
-        unapplied.addAll(applier.apply(fresh, nowMs));
+        unapplied.apply(fresh, nowMs);
         filled |= news.full();
         if (filled && gossip.facts().get(FactKind.CONFIG, "") != null) {
             proxy.markConfirmed();
         }
     }
 
-    /** Facts that could not be put into force are tried again, unless a newer one has taken their place. */
-    private void retryUnapplied(long nowMs) {
-        if (unapplied.isEmpty()) {
-            return;
-        }
-        List<Fact> newest = unapplied.stream()
-                .filter(fact -> fact.equals(gossip.facts().get(fact.kind(), fact.key())))
-                .toList();
-        unapplied.clear();
-        unapplied.addAll(applier.apply(newest, nowMs));
-    }
-
     private void received(NodeId from, Digest digest) {
         List<Fact> differing = gossip.facts().differing(digest.ranges());
         if (!differing.isEmpty()) {
             mesh.send(from, new News(false, differing));
         }
     }
+
+    /** How many facts have been known for over a second and are not in force. */
+    int overdueFacts() {
+        synchronized (gossip.lock) {
+            return unapplied.countOver(OVERDUE_MS, clock.nowMs());
+        }
+    }
+
+    /** What this node's answers rest on, for log lines. */
+    String describeKnowledge() {
+        long nowMs = clock.nowMs();
+        synchronized (gossip.lock) {
+            String heard = majorityHeardMs == SessionTable.NEVER_MS ? "never" : nowMs - majorityHeardMs + " ms ago";
+            return "majority heard " + heard + "; not in force " + unapplied.describe(nowMs);
+        }
+    }
 }
--- a/src/main/java/ringspindle/membership/DataNodeFact.java
+++ b/src/main/java/ringspindle/membership/DataNodeFact.java
@@ -38,7 +38,12 @@
                 .array();
     }
 
-    /** True while the node takes requests. */
+    /** True while the node is shutting down and still takes requests. */
+    public boolean servesWhileLeaving() {
+        return flags.has(NodeFlags.LEAVING.and(NodeFlags.STILL_SERVING));
+    }
+
+    /** True while the node takes requests, and will go on doing so. */
     public boolean ready() {
         return flags.has(NodeFlags.READY) && !flags.has(NodeFlags.LEAVING);
     }
--- a/src/main/java/ringspindle/protocol/NodeFlags.java
+++ b/src/main/java/ringspindle/protocol/NodeFlags.java
@@ -24,6 +24,8 @@
     public static final NodeFlags QUORATE = of(4);
     /** A control node that has not relearned what was promised; it can neither vote nor hold state. */
     public static final NodeFlags RELEARNING = of(8);
+    /** A data node that is shutting down and still takes requests. */
+    public static final NodeFlags STILL_SERVING = of(16);
 
     private final int bits;
 
--- a/src/main/java/ringspindle/proxy/ActiveRequests.java
+++ b/src/main/java/ringspindle/proxy/ActiveRequests.java
@@ -1,41 +1,74 @@
 package ringspindle.proxy;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Counts the requests under way. It can be closed only in one step with the finding that there are none, so that a request
- * either keeps the node from ending or is never begun. Thread safe.
+ * The requests under way. Closing and refusing are one step: once it is closed no request begins, so that each one either
+ * is seen by whoever ends the node or is never begun. Thread safe.
  *
  * <pre>{@code
  * if (active.begin()) {
- *     try { serve(); } finally { active.end(); }
+ *     active.track(request.id(), request);
  * } else {
  *     refuse();
  * }
  * }</pre>
  */
 final class ActiveRequests {
-    private static final long CLOSED = -1;
+    /** A request that is under way. */
+    @FunctionalInterface
+    interface Cancellable {
+        /** The node ends: the request gets its final answer now. Has no effect on one that has ended. */
+        void onNodeEnds();
+    }
+
+    /** Stands beside the count once none may begin any more. */
+    private static final long CLOSED = 1L << 62;
 
-    private final AtomicLong count = new AtomicLong();
+    private final AtomicLong state = new AtomicLong();
+    private final Map<String, Cancellable> underWay = new ConcurrentHashMap<>();
 
     /** Counts a request; false if none may begin any more. */
     boolean begin() {
-        return count.updateAndGet(requests -> requests == CLOSED ? CLOSED : requests + 1) != CLOSED;
+        long before = state.getAndUpdate(now -> isClosed(now) ? now : now + 1);
+        return !isClosed(before);
+    }
+
+    /** A request that was counted can be ended with the node from now on. */
+    void track(String id, Cancellable request) {
+        underWay.put(id, request);
+        if (isClosed(state.get())) {
+            // closed between its beginning and this, so that whoever closed may not have seen it
+            request.onNodeEnds();
+        }
     }
 
     /** A request that was counted is over. */
-    void end() {
-        count.decrementAndGet();
+    void end(String id) {
+        underWay.remove(id);
+        state.decrementAndGet();
     }
 
     /** How many are under way. */
     long count() {
-        return Math.max(0, count.get());
+        return state.get() & ~CLOSED;
     }
 
     /** Lets none begin from now on, if none is under way; true if so. */
     boolean closeIfNone() {
-        return count.compareAndSet(0, CLOSED) || count.get() == CLOSED;
+        return state.compareAndSet(0, CLOSED) || state.get() == CLOSED;
+    }
+
+    /** Lets none begin from now on, and gives those under way their final answer; returns how many there were. */
+    long closeAndEndAll() {
+        long before = state.getAndUpdate(now -> now | CLOSED);
+        underWay.values().forEach(Cancellable::onNodeEnds);
+        return before & ~CLOSED;
+    }
+
+    private static boolean isClosed(long state) {
+        return (state & CLOSED) != 0;
     }
 }
--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -27,6 +27,7 @@
     private final long receivedMs;
     private final long timeLimitMs;
     private final ServingRules rules;
+    private final boolean mayOutliveNode;
     private final Optional<Assignment> assignment;
     private final ServingRule rule;
     private final int promptTokens;
@@ -47,6 +48,7 @@
         attemptId = arrival.attemptId();
         receivedMs = arrival.receivedMs();
         timeLimitMs = arrival.timeLimitMs();
+        mayOutliveNode = arrival.mayOutliveNode();
         this.body = body;
         this.service = service;
         this.assignment = assignment;
@@ -186,6 +188,11 @@
         return route.kind() == FleetConfig.Kind.STREAMING;
     }
 
+    /** True for a stream that is passed on only when it is whole, as the node may end before: it must not be cut then. */
+    boolean isHeldWhole() {
+        return mayOutliveNode && isStreaming();
+    }
+
     RetryPolicy retryPolicy() {
         return new RetryPolicy(route.repeatable(), route.resumable(), route.maxAttempts());
     }
--- a/src/main/java/ringspindle/proxy/Arrival.java
+++ b/src/main/java/ringspindle/proxy/Arrival.java
@@ -10,6 +10,7 @@
  * @param attemptId the client's id of this try
  * @param receivedMs when the head had come, on the steady clock
  * @param timeLimitMs how long it may take from then on
+ * @param mayOutliveNode the node may end before that time is over
  */
 record Arrival(
         Request request,
@@ -17,4 +18,5 @@
         FleetConfig.Route route,
         String attemptId,
         long receivedMs,
-        long timeLimitMs) {}
+        long timeLimitMs,
+        boolean mayOutliveNode) {}
--- /dev/null
+++ b/src/main/java/ringspindle/proxy/AttemptTiming.java
@@ -0,0 +1,52 @@
+package ringspindle.proxy;
+
+import ringspindle.loadbalancing.LoadBalancer;
+
+/** When an attempt was sent and what was heard of it, in ms of the steady clock. Guarded by its owner. */
+final class AttemptTiming {
+    private static final long NOT_YET = -1;
+
+    private long sentMs = NOT_YET;
+    private long firstByteMs = NOT_YET;
+    private long lastHeardMs;
+
+    AttemptTiming(long nowMs) {
+        lastHeardMs = nowMs;
+    }
+
+    void sent(long nowMs) {
+        sentMs = nowMs;
+        lastHeardMs = nowMs;
+    }
+
+    void heard(long nowMs) {
+        lastHeardMs = nowMs;
+    }
+
+    void bodyBytes(long nowMs) {
+        lastHeardMs = nowMs;
+        firstByteMs = firstByteMs < 0 ? nowMs - sentMs : firstByteMs;
+    }
+
+    /** The engine had closed the connection before: the time says nothing of the engine. */
+    void connectionWasStale() {
+        firstByteMs = LoadBalancer.STALE_MS;
+    }
+
+    boolean wasSent() {
+        return sentMs != NOT_YET;
+    }
+
+    boolean wasSentWithin(int periodMs, long nowMs) {
+        return nowMs - sentMs < periodMs;
+    }
+
+    /** From sending to the first byte of the body; negative if there was none, or it says nothing. */
+    long firstByteMs() {
+        return firstByteMs;
+    }
+
+    long lastHeardMs() {
+        return lastHeardMs;
+    }
+}
--- a/src/main/java/ringspindle/proxy/BufferedBody.java
+++ b/src/main/java/ringspindle/proxy/BufferedBody.java
@@ -20,6 +20,10 @@
         return bytes.size() <= BYTES_MAX;
     }
 
+    boolean isEmpty() {
+        return bytes.size() == 0;
+    }
+
     /** All that has come, in a new array. */
     byte[] toByteArray() {
         return bytes.toByteArray();
--- a/src/main/java/ringspindle/proxy/ProxiedAttempt.java
+++ b/src/main/java/ringspindle/proxy/ProxiedAttempt.java
@@ -22,8 +22,6 @@
     /** An idle connection that the engine has forgotten is reset within this. */
     private static final int FORGOTTEN_RESET_MS = 150;
 
-    private static final long NOT_YET = -1;
-
     /** Where an attempt stands; it only moves forward. */
     private enum Phase {
         CONNECTING,
@@ -32,21 +30,12 @@
         ENDED
     }
 
-    /** The write to the client. */
-    private enum ClientWrite {
-        NONE,
-        PENDING,
-        /** The attempt's own timeout came while it was pending, when nobody read from the engine. */
-        PENDING_PAST_TIMEOUT
-    }
-
     private final ProxiedRequest request;
     private final ProxyHandler proxy;
     private final Attempt scope;
     private final LoadBalancer.SelectionRequest selection;
     private final LoadBalancer.SelectedEngine engine;
     private final boolean resumes;
-    private final EventRelay relay = new EventRelay();
 
     private Phase phase = Phase.CONNECTING;
     private PooledConnection connection;
@@ -56,16 +45,12 @@
     private Content.Source content;
     /** The answer's body as far as it has come, where it is held until it is complete; null for a stream. */
     private BufferedBody buffered;
+    /** The answer as a stream, null for any other. */
+    private EngineStream stream;
 
-    private ClientWrite clientWrite = ClientWrite.NONE;
-    /** How the exchange ended, where that came while a write was pending. */
-    private Result resultAfterWrite;
-    /** The stream cannot go on behind what is being written: the attempt ends once that is done. */
-    private boolean endAfterWrite;
+    private final PendingWrite clientWrite = new PendingWrite();
 
-    private long sentMs = NOT_YET;
-    private long firstByteMs = NOT_YET;
-    private long lastHeardMs;
+    private final AttemptTiming timing;
 
     ProxiedAttempt(
             ProxiedRequest request,
@@ -80,7 +65,7 @@
         this.selection = selection;
         this.engine = engine;
         this.resumes = resumes;
-        this.lastHeardMs = proxy.nowMs();
+        timing = new AttemptTiming(proxy.nowMs());
     }
 
     /** Takes a connection to the engine and goes on from there. */
@@ -115,8 +100,7 @@
             engineRequest = request.createEngineRequest(engine, resumes, nowMs);
             scope.markSent();
             request.onSent(resumes);
-            sentMs = nowMs;
-            lastHeardMs = nowMs;
+            timing.sent(nowMs);
             proxy.loadBalancer().onRequestSent(engine.id(), nowMs);
             phase = Phase.AWAITING_HEAD;
         }
@@ -133,7 +117,7 @@
             }
             long nowMs = proxy.nowMs();
             head = response;
-            lastHeardMs = nowMs;
+            timing.heard(nowMs);
             phase = Phase.RECEIVING;
             if (AnswerKind.isForeign(response, request.admitted().attemptId())) {
                 kind = AnswerKind.BROKEN;
@@ -151,10 +135,8 @@
     }
 
     private void beginStream(Response response) {
-        String weightVersions = response.getHeaders().get(Headers.WEIGHT_VERSIONS);
-        if (!resumes) {
-            request.position().begin(weightVersions);
-        } else if (!request.position().continuesWith(weightVersions)) {
+        stream = new EngineStream(request.position(), request.admitted().isHeldWhole());
+        if (!stream.begin(response.getHeaders().get(Headers.WEIGHT_VERSIONS), resumes)) {
             request.onAttemptFailed(this, AttemptOutcome.BROKEN);
         }
     }
@@ -194,11 +176,8 @@
                 return false;
             }
             long nowMs = proxy.nowMs();
-            lastHeardMs = nowMs;
+            timing.bodyBytes(nowMs);
             proxy.loadBalancer().onResponseBytes(engine.id(), nowMs);
-            if (firstByteMs < 0) {
-                firstByteMs = nowMs - sentMs;
-            }
             if (buffered != null) {
                 return buffer(part);
             }
@@ -206,10 +185,13 @@
             if (following.length == 0) {
                 return phase != Phase.ENDED;
             }
+            if (stream.isHeldWhole()) {
+                return hold(following);
+            }
             if (!request.commit(head, nowMs)) {
                 return false;
             }
-            clientWrite = ClientWrite.PENDING;
+            clientWrite.begin();
         }
         request.client()
                 .write(
@@ -219,20 +201,27 @@
         return false;
     }
 
-    private boolean buffer(ByteBuffer part) {
-        boolean fits = buffered.append(part);
-        if (!fits) {
+    /** Keeps events until the stream is whole; true if the next part may be read at once. */
+    private boolean hold(byte[] events) {
+        return goesOnIf(stream.hold(events));
+    }
+
+    private boolean goesOnIf(boolean kept) {
+        if (!kept) {
             request.onAttemptFailed(this, AttemptOutcome.BROKEN);
         }
-        return fits;
+        return kept;
+    }
+
+    private boolean buffer(ByteBuffer part) {
+        return goesOnIf(buffered.append(part));
     }
 
     /** The events that may be passed on; ends the attempt where there are none and none can come any more. */
     private byte[] followingEvents(ByteBuffer part) {
-        EventRelay.Passage passage = relay.feed(part, request.position());
+        EventRelay.Passage passage = stream.feed(part);
         passage.outOfOrder().ifPresent(event -> proxy.logOutOfOrder(event, request, engine.id()));
-        endAfterWrite = passage.isBroken();
-        if (endAfterWrite && passage.events().length == 0) {
+        if (passage.isBroken() && passage.events().length == 0) {
             request.onAttemptFailed(this, AttemptOutcome.BROKEN);
         }
         return passage.events();
@@ -241,22 +230,21 @@
     private void onWritten(boolean last) {
         Result result;
         synchronized (request) {
-            boolean pastTimeout = clientWrite == ClientWrite.PENDING_PAST_TIMEOUT;
-            clientWrite = ClientWrite.NONE;
-            if (endAfterWrite) {
+            boolean pastTimeout = clientWrite.end();
+            if (stream.isBroken()) {
+                // it cannot go on behind what has been written
                 if (phase != Phase.ENDED) {
                     request.onAttemptFailed(this, AttemptOutcome.BROKEN);
                 }
                 return;
             }
             if (pastTimeout) {
-                lastHeardMs = proxy.nowMs();
+                timing.heard(proxy.nowMs());
                 if (phase != Phase.ENDED) {
                     request.armTimer();
                 }
             }
-            result = resultAfterWrite;
-            resultAfterWrite = null;
+            result = clientWrite.takeDeferred();
         }
         if (result != null) {
             onComplete(result);
@@ -273,8 +261,8 @@
             if (phase == Phase.ENDED) {
                 return;
             }
-            if (clientWrite != ClientWrite.NONE) {
-                resultAfterWrite = result;
+            if (clientWrite.isPending()) {
+                clientWrite.defer(result);
                 return;
             }
             long nowMs = proxy.nowMs();
@@ -293,8 +281,8 @@
     /** A reused connection that was reset at once had been closed by the engine before: that is no fault of the engine. */
     private void noteIfForgotten(long nowMs) {
         boolean reused = connection != null && connection.isReused();
-        if (head == null && reused && nowMs - sentMs < FORGOTTEN_RESET_MS) {
-            firstByteMs = LoadBalancer.STALE_MS;
+        if (head == null && reused && timing.wasSentWithin(FORGOTTEN_RESET_MS, nowMs)) {
+            timing.connectionWasStale();
             proxy.connections().noteForgotten(connection);
         }
     }
@@ -320,16 +308,17 @@
 
     private Runnable completeBuffered(long nowMs) {
         releaseConnection();
-        return request.onAnswered(this, nowMs) ? request.bufferedAnswer(this) : null;
+        return request.onAnswered(this, nowMs) ? bufferedAnswer() : null;
     }
 
     private Runnable completeStream(long nowMs) {
-        if (relay.hasPartialEvent() || !request.isCommitted()) {
+        if (!stream.isWhole(request.isCommitted())) {
             request.onAttemptFailed(this, AttemptOutcome.BROKEN);
             return null;
         }
         releaseConnection();
-        return request.onAnswered(this, nowMs) ? request.client()::endStream : null;
+        boolean answers = request.onAnswered(this, nowMs);
+        return answers ? stream.heldEvents().map(this::heldAnswer).orElse(request.client()::endStream) : null;
     }
 
     private void releaseConnection() {
@@ -340,7 +329,7 @@
     /** Frees what the attempt holds. Afterwards nothing that the engine still sends has any effect. */
     void end(AttemptOutcome outcome, long nowMs) {
         phase = Phase.ENDED;
-        proxy.loadBalancer().onAttemptEnded(engine.id(), selection, outcome, firstByteMs, nowMs);
+        proxy.loadBalancer().onAttemptEnded(engine.id(), selection, outcome, timing.firstByteMs(), nowMs);
         if (connection != null) {
             // closed before the exchange is aborted, so that nothing of it can be sent any more
             PooledConnection held = connection;
@@ -354,20 +343,22 @@
 
     /** True if the attempt may time out by itself now. */
     boolean hasOwnTimeout() {
-        return scope.hasOwnTimeout() && clientWrite != ClientWrite.PENDING_PAST_TIMEOUT;
+        return scope.hasOwnTimeout() && !clientWrite.isPastTimeout();
     }
 
     /** When it times out by itself: a stream by silence, anything else as a whole. */
     long timeoutAtMs() {
-        return kind != null && isStream() ? lastHeardMs + request.limits().silenceMs() : scope.deadlineMs();
+        return kind != null && isStream()
+                ? timing.lastHeardMs() + request.limits().silenceMs()
+                : scope.deadlineMs();
     }
 
     /** Its time is over: ends it, or leaves that until the client has taken what is being written. */
     void onTimeout() {
-        if (clientWrite == ClientWrite.NONE) {
-            request.onAttemptFailed(this, AttemptOutcome.ATTEMPT_TIMEOUT);
+        if (clientWrite.isPending()) {
+            clientWrite.deferTimeout();
         } else {
-            clientWrite = ClientWrite.PENDING_PAST_TIMEOUT;
+            request.onAttemptFailed(this, AttemptOutcome.ATTEMPT_TIMEOUT);
         }
     }
 
@@ -384,14 +375,24 @@
     }
 
     boolean wasSent() {
-        return sentMs != NOT_YET;
+        return timing.wasSent();
+    }
+
+    /** True if events were received that are not passed on yet. */
+    boolean holdsEvents() {
+        return stream != null && stream.heldEvents().isPresent();
     }
 
-    Response head() {
-        return head;
+    /** Sets the head of an answer that was held; returns what writes it. */
+    Runnable bufferedAnswer() {
+        byte[] body = buffered.toByteArray();
+        request.client().setHead(head, body.length, proxy.isLeaving());
+        return () -> request.client().writeBody(body);
     }
 
-    byte[] bufferedBody() {
-        return buffered.toByteArray();
+    /** Sets the head of a stream that was held until it was whole; returns what writes it. */
+    private Runnable heldAnswer(byte[] events) {
+        request.client().setStreamHead(head, proxy.isLeaving());
+        return () -> request.client().writeBody(events);
     }
 }
--- a/src/main/java/ringspindle/proxy/ProxiedRequest.java
+++ b/src/main/java/ringspindle/proxy/ProxiedRequest.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.io.EofException;
-import org.eclipse.jetty.util.thread.Scheduler;
 import ringspindle.api.Outcome;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.retry.Action;
@@ -23,7 +22,7 @@
  * <p>This object is the lock of the request and of its attempts. The answer is written by whoever made the action's one
  * transition to an end, so that a client never gets two.
  */
-final class ProxiedRequest {
+final class ProxiedRequest implements ActiveRequests.Cancellable {
     /** Default: what the way back takes, kept from the client's deadline. */
     private static final int RETURN_MS = 15;
 
@@ -61,7 +60,7 @@
     private int sent;
 
     private long retryAfterMs = RETRY_AFTER_MS;
-    private Scheduler.Task timer;
+    private final RequestTimer timer;
 
     ProxiedRequest(ProxyHandler proxy, AdmittedRequest admitted, ClientResponse client) {
         this.proxy = proxy;
@@ -72,6 +71,7 @@
         action = Action.open(proxy.nextActionId(), nowMs, timeLimitMs, proxy);
         policy = admitted.retryPolicy();
         limits = new RequestTimeLimits(admitted);
+        timer = new RequestTimer(proxy, this::onTimer);
         position = StreamPosition.after(admitted.headers().get(Headers.LAST_EVENT_ID));
         proxy.ledger().onAdmitted(action.id(), admitted.rulesRevision(), admitted.className(), policy.repeatable());
     }
@@ -194,6 +194,10 @@
             waitForCapacity(nowMs);
             return;
         }
+        if (decision == RetryDecision.FALLBACK && attempt.holdsEvents()) {
+            giveUp(nowMs);
+            return;
+        }
         carryOut(decision, nowMs);
     }
 
@@ -203,7 +207,7 @@
         if (decision == RetryDecision.FAIL && action.complete(nowMs)) {
             // the engine's own failure is its answer
             end();
-            return bufferedAnswer(attempt);
+            return attempt.bufferedAnswer();
         }
         carryOut(decision, nowMs);
         return null;
@@ -219,13 +223,6 @@
         return true;
     }
 
-    /** Sets the head of an answer that was held; returns what writes it. */
-    Runnable bufferedAnswer(ProxiedAttempt attempt) {
-        byte[] body = attempt.bufferedBody();
-        client.setHead(attempt.head(), body.length, proxy.isLeaving());
-        return () -> client.writeBody(body);
-    }
-
     // ---- ends
 
     /** Ends an attempt, frees what it held, and returns what is to follow. */
@@ -290,7 +287,7 @@
 
     private void endWithoutAnswer(CancelCause cause, Outcome outcome, long nowMs) {
         if (action.isResponseCommitted()) {
-            breakOff(nowMs);
+            breakOff(cause, nowMs);
         } else if (action.cancel(cause, nowMs)) {
             abandonAttempt(nowMs);
             end();
@@ -300,13 +297,23 @@
 
     private void breakOff(long nowMs) {
         boolean overdue = nowMs >= action.deadlineMs();
-        if (action.cancel(overdue ? CancelCause.OVERALL_DEADLINE : CancelCause.GIVEN_UP, nowMs)) {
+        breakOff(overdue ? CancelCause.OVERALL_DEADLINE : CancelCause.GIVEN_UP, nowMs);
+    }
+
+    private void breakOff(CancelCause cause, long nowMs) {
+        if (action.cancel(cause, nowMs)) {
             abandonAttempt(nowMs);
             end();
             client.breakOff(new IOException("the answer is not whole"));
         }
     }
 
+    @Override
+    public synchronized void onNodeEnds() {
+        Outcome outcome = action.mayHaveRun() ? Outcome.BROKEN : Outcome.LEAVING;
+        endWithoutAnswer(CancelCause.NODE_ENDS, outcome, proxy.nowMs());
+    }
+
     /** The client's connection has ended, or what is written there fails. */
     void onClientGone() {
         synchronized (this) {
@@ -328,31 +335,19 @@
 
     private void end() {
         phase = Phase.ENDED;
-        disarmTimer();
+        timer.clear();
     }
 
     // ---- time
 
     /** Sets the timer to the next thing that is due. */
     void armTimer() {
-        disarmTimer();
-        long nextMs = action.deadlineMs();
-        if (current != null && current.hasOwnTimeout()) {
-            nextMs = Math.min(nextMs, current.timeoutAtMs());
-        }
-        timer = proxy.schedule(this::onTimer, Math.max(1, nextMs - proxy.nowMs()));
-    }
-
-    private void disarmTimer() {
-        if (timer != null) {
-            timer.cancel();
-            timer = null;
-        }
+        boolean attemptMayTimeOut = current != null && current.hasOwnTimeout();
+        timer.set(attemptMayTimeOut ? Math.min(action.deadlineMs(), current.timeoutAtMs()) : action.deadlineMs());
     }
 
     private synchronized void onTimer() {
         long nowMs = proxy.nowMs();
-        timer = null;
         if (phase == Phase.ENDED || action.state() != Action.State.ACTIVE) {
             return;
         }
--- a/src/main/java/ringspindle/proxy/Proxy.java
+++ b/src/main/java/ringspindle/proxy/Proxy.java
@@ -35,6 +35,9 @@
     /** True while new clients are welcome. */
     boolean isReady();
 
+    /** True while requests are taken, also by a node that is shutting down. */
+    boolean takesRequests();
+
     /** Asks ejected engines for their health, as far as that is due. */
     void probeEngines();
 
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
@@ -11,7 +10,6 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -23,7 +21,6 @@
 import ringspindle.api.Outcome;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.NodeConfig;
-import ringspindle.experiment.Assignment;
 import ringspindle.experiment.ExperimentTable;
 import ringspindle.experiment.OutcomeTable;
 import ringspindle.loadbalancing.LoadBalancer;
@@ -47,8 +44,9 @@
 
     private static final String READINESS_PATH = "/ringspindle/readiness";
     private static final int QUEUE_PERIOD_MS = 20;
-    /** Default: about how long a node that has just started takes until it holds what is in force. */
-    private static final int NOT_READY_MS = 1000;
+
+    /** Default: about how long a data node takes to come back; what clients that only the last one could serve are told. */
+    private static final int RESTART_MS = 800;
 
     private final NodeConfig node;
     private final LoadBalancer loadBalancer;
@@ -70,7 +68,11 @@
     private volatile ServingRules rules;
     private volatile FleetConfig config;
     private volatile boolean confirmed;
+    private final RequestAdmission admission;
+    private volatile Knowledge knowledge = () -> "";
     private volatile Departure departure;
+    private volatile boolean accepting = true;
+    private volatile boolean lastServing;
 
     /**
      * A proxy that does not listen yet.
@@ -94,6 +96,7 @@
         engineClient = EngineHttpClient.start(pool, scheduler);
         connections = new EngineConnectionPool(engineClient, clock);
         engineRequests = new EngineRequestFactory(engineClient);
+        admission = new RequestAdmission(this, active, experiments, () -> knowledge.describe());
         prober = new EngineHealthProber(engineClient, loadBalancer, clock);
         server = ProxyServer.create(
                 node.frontend().orElseThrow(), node.readiness().orElse(null), this, pool, scheduler);
@@ -108,6 +111,11 @@
         server.start();
     }
 
+    /** Says what answers rest on, for log lines; before {@link #open}. */
+    public void explainBy(Knowledge nodeKnowledge) {
+        knowledge = nodeKnowledge;
+    }
+
     /** Serves figures at that address; before {@link #open}. */
     public void serveMetrics(NodeId address, Metrics metrics) {
         server.serveMetrics(address, metrics);
@@ -156,7 +164,12 @@
 
     @Override
     public boolean isReady() {
-        return confirmed && config != null && !isLeaving();
+        return configurationInForce() != null && !isLeaving();
+    }
+
+    @Override
+    public boolean takesRequests() {
+        return accepting && configurationInForce() != null;
     }
 
     @Override
@@ -187,8 +200,17 @@
         departure = new Departure(clock.nowMs(), endMs);
     }
 
+    /**
+     * Whether this node, which leaves, is the last of its region to take requests. The last one also takes what may last longer
+     * than itself, and passes a stream of that kind on only when it is whole: an answer that has begun must not be cut.
+     */
+    public void serveAsLast(boolean last) {
+        lastServing = last;
+    }
+
     /** Stops accepting connections, once clients had time to hear of it. */
     public void stopAccepting() {
+        accepting = false;
         server.stopAccepting();
     }
 
@@ -216,7 +238,15 @@
         return queue.size();
     }
 
-    /** Ends all that is under way. */
+    /**
+     * Takes no request any more and gives those under way their final answer: a refusal where nothing has run, else a
+     * failure; a stream that has begun is broken off. Returns how many there were.
+     */
+    public long endAll() {
+        return active.closeAndEndAll();
+    }
+
+    /** Closes connections and listeners; the end of a process does so by itself. */
     public void close() {
         server.close();
         LifeCycles.stopQuietly(engineClient);
@@ -244,10 +274,40 @@
         return clock.nowMs();
     }
 
+    MonotonicClock clock() {
+        return clock;
+    }
+
+    /** The configuration in force, null while none is known to be. */
+    FleetConfig configurationInForce() {
+        return confirmed ? config : null;
+    }
+
+    /** The serving rules in force, null while there are none. */
+    ServingRules rules() {
+        return rules;
+    }
+
     boolean isLeaving() {
         return departure != null;
     }
 
+    /** True if this node leaves and may have ended before a request that comes now has. */
+    boolean mayBeOutlivedBy(long receivedMs, long timeLimitMs) {
+        Departure leaving = departure;
+        return leaving != null && leaving.mayBeOutlivedBy(receivedMs, timeLimitMs);
+    }
+
+    /** True if this node leaves and is the last of its region to take requests. */
+    boolean servesAsLast() {
+        return lastServing;
+    }
+
+    /** What a client is told that is refused as this node leaves. */
+    int retryAfterLeavingMs() {
+        return lastServing ? RESTART_MS : 0;
+    }
+
     long nextRandom() {
         return ThreadLocalRandom.current().nextLong();
     }
@@ -285,7 +345,7 @@
 
     @Override
     public void onActionEnded(TerminalEvent event) {
-        active.end();
+        active.end(event.actionId());
         ledger.onEnded(event);
         experiments.onEnded(event, clock.nowMs());
         String end = event.state() + (event.cause() == null ? "" : " " + event.cause());
@@ -309,7 +369,7 @@
     public boolean handle(Request request, Response response, Callback callback) {
         ClientResponse client = new ClientResponse(request, response, callback);
         if (server.isFromClient(request)) {
-            handleClient(request, client);
+            admission.handle(request, client);
         } else if (request.getHttpURI().getPath().equals(READINESS_PATH)) {
             response.setStatus(isReady() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503);
             response.write(true, BufferUtil.EMPTY_BUFFER, callback);
@@ -318,82 +378,4 @@
         }
         return true;
     }
-
-    private void handleClient(Request request, ClientResponse client) {
-        long receivedMs = clock.nowMs();
-        FleetConfig current = config;
-        if (current == null || !confirmed) {
-            client.respond(Outcome.NOT_READY, NOT_READY_MS, isLeaving());
-            return;
-        }
-        String host = request.getHeaders().get(HttpHeader.HOST);
-        FleetConfig.Route route = current.find(host, request.getHttpURI().getPath());
-        if (route == null) {
-            client.respond(Outcome.NO_MAPPING, 0, isLeaving());
-            return;
-        }
-        String attemptId = request.getHeaders().get(Headers.ATTEMPT_ID);
-        if (attemptId == null || attemptId.isEmpty()) {
-            client.respond(Outcome.MALFORMED, 0, isLeaving());
-            return;
-        }
-        long timeLimitMs;
-        try {
-            timeLimitMs =
-                    RequestTimeLimits.timeLimitMs(route, request.getHeaders().get(Headers.DEADLINE_MS));
-        } catch (NumberFormatException notANumber) {
-            client.respond(Outcome.MALFORMED, 0, isLeaving());
-            return;
-        }
-        Departure leaving = departure;
-        if (leaving != null && leaving.mayBeOutlivedBy(receivedMs, timeLimitMs)) {
-            client.respond(Outcome.LEAVING, 0, true);
-            return;
-        }
-        Arrival arrival = new Arrival(request, client, route, attemptId, receivedMs, timeLimitMs);
-        readBody(arrival, current.limits().bodyBytes());
-    }
-
-    private void readBody(Arrival arrival, int bytesMax) {
-        ClientResponse client = arrival.client();
-        BodyDeadline deadline = new BodyDeadline(() -> client.respond(Outcome.NO_TIME, 0, true));
-        new BoundedBody(
-                        arrival.request(),
-                        bytesMax,
-                        body -> {
-                            if (deadline.meet()) {
-                                admit(arrival, body);
-                            }
-                        },
-                        failure -> {
-                            if (deadline.meet()) {
-                                client.breakOff(failure);
-                            }
-                        })
-                .run();
-        if (!deadline.isMet()) {
-            deadline.set(schedule(deadline::pass, Math.max(1, arrival.timeLimitMs())));
-        }
-    }
-
-    /** The body has come in time; null if it is too large. */
-    private void admit(Arrival arrival, byte[] body) {
-        if (body == null) {
-            arrival.client().respond(Outcome.TOO_LARGE, 0, isLeaving());
-            return;
-        }
-        long nowMs = clock.nowMs();
-        String service = RouteSplit.service(arrival.route(), arrival.attemptId());
-        String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
-        Optional<Assignment> assignment = experiments.assign(arrival.route(), promptPrefix, nowMs);
-        if (!active.begin()) {
-            arrival.client().respond(Outcome.LEAVING, 0, true);
-            return;
-        }
-        loadBalancer.onRequestReceived(service, nowMs);
-        AdmittedRequest admitted = new AdmittedRequest(arrival, body, service, rules, assignment);
-        ProxiedRequest proxied = new ProxiedRequest(this, admitted, arrival.client());
-        experiments.begin(proxied.actionId(), admitted, arrival.client(), clock);
-        proxied.begin();
-    }
 }
--- /dev/null
+++ b/src/main/java/ringspindle/proxy/RequestAdmission.java
@@ -0,0 +1,134 @@
+package ringspindle.proxy;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LazyArgs;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Request;
+import ringspindle.api.Outcome;
+import ringspindle.config.FleetConfig;
+import ringspindle.experiment.Assignment;
+import ringspindle.logging.LogField;
+
+/**
+ * Takes clients' requests: matches them to routes, checks what their heads say, reads their bodies, and begins those that may
+ * run. Thread safe; without state of its own.
+ */
+final class RequestAdmission {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+    /** Default: about how long a node that has just started takes until it holds what is in force. */
+    private static final int NOT_READY_MS = 1000;
+
+    private final ProxyHandler proxy;
+    private final ActiveRequests active;
+    private final ExperimentOutcomes experiments;
+    private final Knowledge knowledge;
+
+    /**
+     * Admission to that proxy.
+     *
+     * @param knowledge what a refusal for want of a route rests on
+     */
+    RequestAdmission(ProxyHandler proxy, ActiveRequests active, ExperimentOutcomes experiments, Knowledge knowledge) {
+        this.proxy = proxy;
+        this.active = active;
+        this.experiments = experiments;
+        this.knowledge = knowledge;
+    }
+
+    /** A request's head has come. */
+    void handle(Request request, ClientResponse client) {
+        long receivedMs = proxy.nowMs();
+        FleetConfig current = proxy.configurationInForce();
+        if (current == null) {
+            client.respond(Outcome.NOT_READY, NOT_READY_MS, proxy.isLeaving());
+            return;
+        }
+        String host = request.getHeaders().get(HttpHeader.HOST);
+        FleetConfig.Route route = current.find(host, request.getHttpURI().getPath());
+        if (route == null) {
+            logNoMapping(request, current);
+            client.respond(Outcome.NO_MAPPING, 0, proxy.isLeaving());
+            return;
+        }
+        String attemptId = request.getHeaders().get(Headers.ATTEMPT_ID);
+        if (attemptId == null || attemptId.isEmpty()) {
+            client.respond(Outcome.MALFORMED, 0, proxy.isLeaving());
+            return;
+        }
+        long timeLimitMs;
+        try {
+            timeLimitMs =
+                    RequestTimeLimits.timeLimitMs(route, request.getHeaders().get(Headers.DEADLINE_MS));
+        } catch (NumberFormatException notANumber) {
+            client.respond(Outcome.MALFORMED, 0, proxy.isLeaving());
+            return;
+        }
+        boolean mayOutliveNode = proxy.mayBeOutlivedBy(receivedMs, timeLimitMs);
+        if (mayOutliveNode && !proxy.servesAsLast()) {
+            refuseAsLeaving(client);
+            return;
+        }
+        Arrival arrival = new Arrival(request, client, route, attemptId, receivedMs, timeLimitMs, mayOutliveNode);
+        readBody(arrival, current.limits().bodyBytes());
+    }
+
+    private void refuseAsLeaving(ClientResponse client) {
+        client.respond(Outcome.LEAVING, proxy.retryAfterLeavingMs(), true);
+    }
+
+    /** A proper request may be refused so only as long as no newer configuration allows it: says what the answer rests on. */
+    private void logNoMapping(Request request, FleetConfig current) {
+        LOG.atInfo()
+                .atMostEvery(1, TimeUnit.SECONDS)
+                .with(LogField.REQUEST, request.getHeaders().get(Headers.ATTEMPT_ID))
+                .with(LogField.REVISION, current.revision())
+                .log("no mapping for a request: %s", LazyArgs.lazy(knowledge::describe));
+    }
+
+    private void readBody(Arrival arrival, int bytesMax) {
+        ClientResponse client = arrival.client();
+        BodyDeadline deadline = new BodyDeadline(() -> client.respond(Outcome.NO_TIME, 0, true));
+        new BoundedBody(
+                        arrival.request(),
+                        bytesMax,
+                        body -> {
+                            if (deadline.meet()) {
+                                admit(arrival, body);
+                            }
+                        },
+                        failure -> {
+                            if (deadline.meet()) {
+                                client.breakOff(failure);
+                            }
+                        })
+                .run();
+        if (!deadline.isMet()) {
+            deadline.set(proxy.schedule(deadline::pass, Math.max(1, arrival.timeLimitMs())));
+        }
+    }
+
+    /** The body has come in time; null if it is too large. */
+    private void admit(Arrival arrival, byte[] body) {
+        if (body == null) {
+            arrival.client().respond(Outcome.TOO_LARGE, 0, proxy.isLeaving());
+            return;
+        }
+        long nowMs = proxy.nowMs();
+        String service = RouteSplit.service(arrival.route(), arrival.attemptId());
+        String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
+        Optional<Assignment> assignment = experiments.assign(arrival.route(), promptPrefix, nowMs);
+        if (!active.begin()) {
+            refuseAsLeaving(arrival.client());
+            return;
+        }
+        proxy.loadBalancer().onRequestReceived(service, nowMs);
+        AdmittedRequest admitted = new AdmittedRequest(arrival, body, service, proxy.rules(), assignment);
+        ProxiedRequest proxied = new ProxiedRequest(proxy, admitted, arrival.client());
+        experiments.begin(proxied.actionId(), admitted, arrival.client(), proxy.clock());
+        active.track(proxied.actionId(), proxied);
+        proxied.begin();
+    }
+}
--- a/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
+++ b/src/test/java/ringspindle/controlplane/DataNodeDirectoryTest.java
@@ -46,11 +46,14 @@
 
     /** A data node as that control node tells of it; its address ends with its number. */
     private void dataNode(int number, String region, boolean ready, NodeId via) {
+        dataNode(number, region, ready ? NodeFlags.READY : NodeFlags.NONE, via);
+    }
+
+    private void dataNode(int number, String region, NodeFlags flags, NodeId via) {
         NodeId node = NodeId.of("10.1.0." + number + ":7000");
         Hello hello = new Hello(
                 node, 1, NodeKind.DATA, NodeId.of("10.1.0." + number + ":80").bits(), "d", "z" + region, region);
         long version = versions.merge(node.toString(), 1L, Long::sum);
-        NodeFlags flags = ready ? NodeFlags.READY : NodeFlags.NONE;
         facts.merge(List.of(
                 new Fact(FactKind.NODE, node.toString(), 1, version, new DataNodeFact(flags, via, hello).value())));
     }
@@ -96,6 +99,21 @@
         assertEquals(List.of(address(3)), addresses("b", NO_HOMES));
     }
 
+    @Test
+    void whereAllShutDownTheOneThatServesLongestIsNamedAndNeverAbroad() {
+        NodeFlags leaving = NodeFlags.LEAVING.and(NodeFlags.STILL_SERVING);
+        dataNode(1, "a", leaving, OTHER);
+        dataNode(2, "a", leaving, OTHER);
+        dataNode(3, "a", NodeFlags.LEAVING, OTHER);
+        dataNode(4, "c", leaving, OTHER);
+        assertEquals(List.of(address(2)), addresses("a", Set.of("a", "b")));
+        assertEquals(List.of(address(2)), addresses("b", Set.of("a", "b")));
+        assertEquals(List.of(address(4)), addresses("c", Set.of("a", "b")), "its own region is always allowed");
+        assertEquals(List.of(), addresses("b", NO_HOMES), "no last resort abroad");
+        dataNode(5, "b", true, OTHER);
+        assertEquals(List.of(address(5)), addresses("a", Set.of("a", "b")), "who does not leave goes first");
+    }
+
     @Test
     void whereNothingIsKnownOfTheHostOnlyTheClientsOwnRegionIsNamed() {
         dataNode(1, "a", true, OTHER);
--- a/src/test/java/ringspindle/controlplane/ResolutionHistoryTest.java
+++ b/src/test/java/ringspindle/controlplane/ResolutionHistoryTest.java
@@ -43,6 +43,10 @@
             "none.example", List.of(Set.of("a"), Set.of("b")),
             "free.example", List.of());
 
+    /** What data nodes say of themselves. */
+    private static final List<NodeFlags> FLAGS =
+            List.of(NodeFlags.READY, NodeFlags.NONE, NodeFlags.LEAVING, NodeFlags.LEAVING.and(NodeFlags.STILL_SERVING));
+
     private final List<String> violations = new ArrayList<>();
 
     /** One control node and what it has been told; a restart makes a new one. */
@@ -120,7 +124,7 @@
             clock[0] += random.nextInt(800);
             version++;
             Hello hello = dataNode(1 + random.nextInt(NODES_A_REGION * REGIONS.size()));
-            NodeFlags flags = random.nextInt(3) == 0 ? NodeFlags.READY : NodeFlags.NONE;
+            NodeFlags flags = FLAGS.get(random.nextInt(FLAGS.size()));
             switch (random.nextInt(8)) {
                 case 0 -> node = new Node(clock);
                 case 1 -> inTouch = !inTouch;
--- a/src/test/java/ringspindle/dataplane/HollowDataNode.java
+++ b/src/test/java/ringspindle/dataplane/HollowDataNode.java
@@ -93,6 +93,11 @@
         return confirmed && revision >= 0;
     }
 
+    @Override
+    public boolean takesRequests() {
+        return isReady();
+    }
+
     @Override
     public void probeEngines() {
         loadBalancer.dueHealthProbes(0);
--- a/src/test/java/ringspindle/protocol/KindCodesTest.java
+++ b/src/test/java/ringspindle/protocol/KindCodesTest.java
@@ -47,6 +47,7 @@
         assertEquals(0, NodeFlags.NONE.bits());
         assertEquals(1, NodeFlags.READY.bits());
         assertEquals(2, NodeFlags.LEAVING.bits());
+        assertEquals(16, NodeFlags.STILL_SERVING.bits());
         assertEquals(4, NodeFlags.QUORATE.bits());
         assertEquals(8, NodeFlags.RELEARNING.bits());
         assertSame(NodeFlags.of(5), NodeFlags.READY.and(NodeFlags.QUORATE));
--- a/src/test/java/ringspindle/proxy/ActiveRequestsTest.java
+++ b/src/test/java/ringspindle/proxy/ActiveRequestsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -19,13 +21,26 @@
         assertTrue(active.begin());
         assertFalse(active.closeIfNone());
         assertEquals(1, active.count());
-        active.end();
+        active.end("a");
         assertTrue(active.closeIfNone());
         assertTrue(active.closeIfNone(), "it stays closed");
         assertFalse(active.begin());
         assertEquals(0, active.count());
     }
 
+    @Test
+    void endOfTheNodeReachesEachRequestThatBeganAndNoneBeginsAfterIt() {
+        List<String> ended = new ArrayList<>();
+        assertTrue(active.begin());
+        active.track("a", () -> ended.add("a"));
+        assertTrue(active.begin(), "begun, and not yet tracked when the node ends");
+        assertEquals(2, active.closeAndEndAll());
+        assertEquals(List.of("a"), ended);
+        active.track("b", () -> ended.add("b"));
+        assertEquals(List.of("a", "b"), ended);
+        assertFalse(active.begin());
+    }
+
     @Test
     void ofABeginningAndAClosingAtOnceOneGoesFirst() throws Exception {
         for (int round = 0; round < ROUNDS; round++) {
--- a/src/test/java/ringspindle/proxy/LimitsTest.java
+++ b/src/test/java/ringspindle/proxy/LimitsTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -165,6 +167,35 @@
         assertEquals(2, e.seen.size());
     }
 
+    /** Nobody else can take it: a stream that may last longer than the node comes whole, or as a failure that looks like one. */
+    @Test
+    void lastNodeOfARegionTakesStreamsThatItMayNotOutliveAndPassesThemOnWhole() throws Exception {
+        CountDownLatch more = new CountDownLatch(1);
+        StandInEngine e = engine("i-1", "z", (seen, out, socket) -> {
+            StandInEngine.say(out, StandInEngine.streamHead(seen) + StandInEngine.chunk("id: 0\ndata: x\n\n"));
+            if (seen.line().contains("broken")) {
+                socket.close();
+            } else {
+                more.await();
+                StandInEngine.say(out, StandInEngine.chunk("id: 1\ndata: y\n\n") + "0\r\n\r\n");
+            }
+        });
+        front.leave(clock.nowMs() + 7300);
+        front.serveAsLast(true);
+        onMs += 5500;
+        Socket stream = send("/long/x", "t1", "", "");
+        e.seen.take();
+        String broken = all(send("/long/broken", "t2", "", ""));
+        assertTrue(broken.startsWith("HTTP/1.1 502") && !broken.contains("data: x"), broken);
+        stream.setSoTimeout(1);
+        assertThrows(SocketTimeoutException.class, () -> stream.getInputStream().read());
+        stream.setSoTimeout(20_000);
+        more.countDown();
+        String whole = all(stream);
+        assertTrue(whole.startsWith("HTTP/1.1 200") && whole.contains("data: x\n\nid: 1\ndata: y"), whole);
+        assertTrue(whole.contains("Connection: close"), whole);
+    }
+
     /** Clients use open connections until the process is gone: what comes as it ends is refused, or keeps it from ending. */
     @Test
     void requestOnAnOpenConnectionIsNotTakenOnceTheNodeEnds() throws Exception {
@@ -203,4 +234,22 @@
         }
         assertEquals(0, e.seen.size());
     }
+
+    /** At the end of the grace time whoever waits gets a whole answer, and nobody is taken any more. */
+    @Test
+    void requestsUnderWayAtTheEndOfTheNodeAreAnswered() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        StandInEngine e = engine("i-1", "z", (seen, out, socket) -> never.await());
+        Socket held = send("/card/x", "t1", "", "");
+        Socket stream = send("/short/x", "t2", "", "");
+        e.seen.take();
+        e.seen.take();
+        assertEquals(2, front.endAll());
+        assertTrue(until(held, "BROKEN\"}").startsWith("HTTP/1.1 502"));
+        assertTrue(until(stream, "BROKEN\"}").startsWith("HTTP/1.1 502"));
+        String refused = all(send("/card/x", "t3", "", ""));
+        assertTrue(refused.startsWith("HTTP/1.1 503") && refused.contains("LEAVING"), refused);
+        assertEquals(0, e.seen.size());
+        never.countDown();
+    }
 }
