Where a route may be served is one type in Route too; tests build requests for an engine by name

SelectionRequests had two lists of nine and ten parameters; it is a builder, evaluated in the same order, so that SelectionSequenceTest's recorded choices stay as they were.

--- a/src/main/java/ringspindle/config/AllowedRegions.java
+++ b/src/main/java/ringspindle/config/AllowedRegions.java
@@ -1,5 +1,6 @@
 package ringspindle.config;
 
+import com.google.common.collect.Sets;
 import java.util.Set;
 
 /**
@@ -21,6 +22,22 @@
     /** True if a region is known to be allowed. */
     boolean allows(String region);
 
+    /** True if only some regions may serve it: there are homes. */
+    default boolean isRestricted() {
+        return this instanceof Only;
+    }
+
+    /** The regions that both allow; {@code ofRoute.and(ofTenant)}. */
+    default AllowedRegions and(AllowedRegions other) {
+        if (this instanceof Unknown || other instanceof Any) {
+            return this;
+        }
+        if (other instanceof Unknown || this instanceof Any) {
+            return other;
+        }
+        return new Only(Set.copyOf(Sets.intersection(((Only) this).regions(), ((Only) other).regions())));
+    }
+
     /** Nothing is known, so no region is known to be allowed. */
     record Unknown() implements AllowedRegions {
         @Override
--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -7,11 +7,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import ringspindle.config.Validated.Invalid;
 import ringspindle.config.Validated.Valid;
 
@@ -35,7 +33,7 @@
      * @param resumable whether a broken stream may be resumed on another engine
      * @param sticky whether requests with the same key go to the same engine
      * @param tokenGapMs the longest pause between events, in milliseconds, that keeps an answer in time
-     * @param homes the only regions that may serve it, empty for all
+     * @param allowedRegions the regions that may serve it
      */
     public record Route(
             String name,
@@ -50,12 +48,7 @@
             boolean resumable,
             boolean sticky,
             int tokenGapMs,
-            Set<String> homes) {
-        /** The regions that may serve it. */
-        public AllowedRegions allowedRegions() {
-            return homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(homes);
-        }
-
+            AllowedRegions allowedRegions) {
         /** True if a request may safely run more than once. */
         public boolean repeatable() {
             return kind == Kind.IDEMPOTENT || resumable;
@@ -197,18 +190,7 @@
         if (routes.isEmpty()) {
             return AllowedRegions.UNKNOWN;
         }
-        Set<String> common = null;
-        for (Route route : routes) {
-            if (route.homes().isEmpty()) {
-                continue;
-            }
-            if (common == null) {
-                common = new HashSet<>(route.homes());
-            } else {
-                common.retainAll(route.homes());
-            }
-        }
-        return common == null ? AllowedRegions.ANY : new AllowedRegions.Only(Set.copyOf(common));
+        return routes.stream().map(Route::allowedRegions).reduce(AllowedRegions.ANY, AllowedRegions::and);
     }
 
     /** The routes of a host, longest prefix first. */
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -17,7 +17,6 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import ringspindle.config.FleetConfig.Kind;
 import ringspindle.config.FleetConfig.Limits;
 import ringspindle.config.FleetConfig.Route;
@@ -109,7 +108,7 @@
                 json.getBoolean("resumable", false),
                 json.getBoolean("sticky", false),
                 integer(json, "tokenGapMs", DEFAULT_TOKEN_GAP_MS),
-                homes(json, name));
+                allowedRegions(json, name));
     }
 
     private String uniqueName(JsonObject json, Set<String> names) {
@@ -144,20 +143,20 @@
         return List.copyOf(targets);
     }
 
-    /** The homes of a route. What cannot be read must not pass for leave to serve it anywhere. */
-    private Set<String> homes(JsonObject route, String routeName) {
+    /** Where a route may be served. What cannot be read must not pass for leave to serve it anywhere. */
+    private AllowedRegions allowedRegions(JsonObject route, String routeName) {
         JsonValue value = route.get(HOME_REGIONS);
         if (value == null) {
-            return Set.of();
+            return AllowedRegions.ANY;
         }
         if (value instanceof JsonArray array && array.stream().allMatch(JsonString.class::isInstance)) {
-            Set<String> homes = new TreeSet<>();
+            Set<String> homes = new HashSet<>();
             array.getValuesAs(JsonString.class).forEach(region -> homes.add(region.getString()));
-            return Set.copyOf(homes);
+            return homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(Set.copyOf(homes));
         }
         String key = HOME_REGIONS + " of route " + routeName;
         errors.add(new ConfigError.InvalidValue(key, value.toString(), "a list of names of regions"));
-        return Set.of();
+        return AllowedRegions.UNKNOWN;
     }
 
     private static Kind kind(JsonObject route) {
--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -70,7 +70,7 @@
                 request.getHttpURI().getPath(),
                 header(Headers.MODEL, ""),
                 promptTokens,
-                !route.homes().isEmpty());
+                route.allowedRegions().isRestricted());
     }
 
     Request request() {
--- a/src/test/java/ringspindle/loadbalancing/LoadBalancerTest.java
+++ b/src/test/java/ringspindle/loadbalancing/LoadBalancerTest.java
@@ -199,7 +199,12 @@
                 loadBalancer.updateEngine("i-" + i, LoadBalancers.engine(i % 2 == 0 ? "a1" : "b1", i, 0, false), 1, 0);
             }
             where.add(LoadBalancers.id(loadBalancer.select(
-                    SelectionRequests.of("s", Set.of(), 4711, 13_000, 3000, 100, Set.of(), -1, n), 10)));
+                    SelectionRequests.of("s")
+                            .prompt(4711, 13_000, 3000)
+                            .output(100)
+                            .random(n)
+                            .build(),
+                    10)));
         }
         assertEquals(1, where.size(), where.toString());
     }
@@ -218,7 +223,11 @@
         Map<String, Integer> out = new TreeMap<>();
         Random random = new Random(5);
         for (int i = 0; i < n; i++) {
-            SelectionRequest a = SelectionRequests.of("s", Set.of(), 0, 0, 100, 50, Set.of(), -1, random.nextLong());
+            SelectionRequest a = SelectionRequests.of("s")
+                    .prompt(0, 0, 100)
+                    .output(50)
+                    .random(random.nextLong())
+                    .build();
             String id = LoadBalancers.id(loadBalancer.select(a, nowMs));
             out.merge(id, 1, Integer::sum);
             loadBalancer.onAttemptEnded(id, a, AttemptOutcome.PARENT_ENDED, -1, nowMs);
@@ -295,7 +304,11 @@
         LoadBalancer loadBalancer = LoadBalancers.create("a1", "a");
         loadBalancer.updateEngine("i-a", LoadBalancers.engine("a1", 1, 0, false), 1, 0);
         loadBalancer.updateEngine("i-b", LoadBalancers.engine("b1", 2, 0, false), 1, 0);
-        SelectionRequest digest = SelectionRequests.of("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
+        SelectionRequest digest = SelectionRequests.of("s")
+                .prompt(4712, 13_000, 3000)
+                .output(100)
+                .random(1)
+                .build();
         loadBalancer.setHeartbeatMissing("i-a", true, 10);
         assertEquals(Map.of("i-b", 50), choices(loadBalancer, 50, 20));
         loadBalancer.setHeartbeatMissing("i-a", false, 30);
@@ -340,7 +353,11 @@
     void reportHoldsWhatWasSeenLatelyAndWhatRuns() {
         LoadBalancer loadBalancer = LoadBalancers.create("a1", "a");
         loadBalancer.updateEngine("i-a", LoadBalancers.engine("a1", 1, 0, false), 1, 0);
-        SelectionRequest digest = SelectionRequests.of("s", Set.of(), 4712, 13_000, 3000, 100, Set.of(), -1, 1);
+        SelectionRequest digest = SelectionRequests.of("s")
+                .prompt(4712, 13_000, 3000)
+                .output(100)
+                .random(1)
+                .build();
         loadBalancer.select(digest, 100);
         loadBalancer.select(LoadBalancers.anyRequest(), 100);
         loadBalancer.onAttemptEnded("i-a", LoadBalancers.anyRequest(), AttemptOutcome.ANSWERED, 120, 200);
--- a/src/test/java/ringspindle/loadbalancing/LoadBalancers.java
+++ b/src/test/java/ringspindle/loadbalancing/LoadBalancers.java
@@ -44,7 +44,14 @@
     }
 
     static SelectionRequest request(Set<String> homes, Set<String> excluded, long weights) {
-        return SelectionRequests.of("s", homes, 0, 0, 100, 50, excluded, weights, 5);
+        return SelectionRequests.of("s")
+                .homes(homes)
+                .prompt(0, 0, 100)
+                .output(50)
+                .excluding(excluded)
+                .weights(weights)
+                .random(5)
+                .build();
     }
 
     /** A request that any engine may serve. */
--- a/src/test/java/ringspindle/loadbalancing/RoutingPreferenceTest.java
+++ b/src/test/java/ringspindle/loadbalancing/RoutingPreferenceTest.java
@@ -25,7 +25,12 @@
 /** What a serving rule says of the choice of an engine: it orders and narrows, and never widens. */
 class RoutingPreferenceTest {
     private static SelectionRequest request(RoutingPreference preference, long affinity) {
-        return SelectionRequests.of("s", Set.of(), affinity, 13_000, 3000, 100, Set.of(), -1, 7, preference);
+        return SelectionRequests.of("s")
+                .prompt(affinity, 13_000, 3000)
+                .output(100)
+                .random(7)
+                .preference(preference)
+                .build();
     }
 
     private static FallbackTarget step(FallbackTarget.Scope to, int waitMs) {
@@ -172,17 +177,14 @@
             RoutingPreference preference = new RoutingPreference(
                     random.nextInt(2) * 0.5, 1 + random.nextInt(3), steps, steps, random.nextInt(500));
             String got = LoadBalancers.id(loadBalancer.select(
-                    SelectionRequests.of(
-                            "s",
-                            homes,
-                            random.nextInt(2) * 4711L,
-                            13_000,
-                            3000,
-                            100,
-                            Set.of("i-6"),
-                            -1,
-                            round,
-                            preference),
+                    SelectionRequests.of("s")
+                            .homes(homes)
+                            .prompt(random.nextInt(2) * 4711L, 13_000, 3000)
+                            .output(100)
+                            .excluding(Set.of("i-6"))
+                            .random(round)
+                            .preference(preference)
+                            .build(),
                     10));
             assertFalse(out.contains(got) || got.equals("i-6"), "round " + round + ": " + got + " of " + out);
         }
--- a/src/test/java/ringspindle/loadbalancing/SelectionRequests.java
+++ b/src/test/java/ringspindle/loadbalancing/SelectionRequests.java
@@ -6,55 +6,89 @@
 import ringspindle.loadbalancing.LoadBalancer.SelectionRequest;
 import ringspindle.routing.CostWeights;
 
-/** Requests for an engine as tests make them: compared by the ordinary weights. */
+/**
+ * Requests for an engine as tests make them: any region may serve them, by any weights, and no serving rule applies.
+ *
+ * <pre>{@code
+ * SelectionRequests.of("s").prompt(4711, 13_000, 3000).output(100).build();
+ * }</pre>
+ */
 public final class SelectionRequests {
-    private SelectionRequests() {}
-
-    /** A request to which no serving rule applies; without homes any region may serve it. */
-    public static SelectionRequest of(
-            String service,
-            Set<String> homes,
-            long affinityKey,
-            int sharedPrefixTokens,
-            int uncachedTokens,
-            int outputTokens,
-            Set<String> excludedEngineIds,
-            long weightsVersion,
-            long random) {
-        return of(
-                service,
-                homes,
-                affinityKey,
-                sharedPrefixTokens,
-                uncachedTokens,
-                outputTokens,
-                excludedEngineIds,
-                weightsVersion,
-                random,
-                null);
-    }
-
-    /** A request to which a serving rule applies that says this, null for none. */
-    public static SelectionRequest of(
-            String service,
-            Set<String> homes,
-            long affinityKey,
-            int sharedPrefixTokens,
-            int uncachedTokens,
-            int outputTokens,
-            Set<String> excludedEngineIds,
-            long weightsVersion,
-            long random,
-            RoutingPreference preference) {
+    private final String service;
+    private AllowedRegions allowed = AllowedRegions.ANY;
+    private long affinityKey;
+    private int sharedTokens;
+    private int ownTokens;
+    private int outputTokens;
+    private Set<String> excluded = Set.of();
+    private long weights = -1;
+    private long random = 1;
+    private RoutingPreference preference;
+
+    private SelectionRequests(String service) {
+        this.service = service;
+    }
+
+    /** A request to that service. */
+    public static SelectionRequests of(String service) {
+        return new SelectionRequests(service);
+    }
+
+    /** The regions that may serve it; none for any. */
+    public SelectionRequests homes(Set<String> homes) {
+        allowed = homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(homes);
+        return this;
+    }
+
+    /** What its prompt shares with others under that key, 0 for none, and what is its own. */
+    public SelectionRequests prompt(long key, int shared, int own) {
+        affinityKey = key;
+        sharedTokens = shared;
+        ownTokens = own;
+        return this;
+    }
+
+    /** Tokens of its answer. */
+    public SelectionRequests output(int tokens) {
+        outputTokens = tokens;
+        return this;
+    }
+
+    /** Engines that must not be chosen. */
+    public SelectionRequests excluding(Set<String> engineIds) {
+        excluded = engineIds;
+        return this;
+    }
+
+    /** The version of the weights that must serve it, negative for any. */
+    public SelectionRequests weights(long version) {
+        weights = version;
+        return this;
+    }
+
+    /** What ties are broken by. */
+    public SelectionRequests random(long value) {
+        random = value;
+        return this;
+    }
+
+    /** What a serving rule says, null for none. */
+    public SelectionRequests preference(RoutingPreference ofRule) {
+        preference = ofRule;
+        return this;
+    }
+
+    /** The request, compared by the ordinary weights of costs. */
+    public SelectionRequest build() {
         return new SelectionRequest(
                 service,
-                homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(homes),
+                allowed,
                 affinityKey,
-                sharedPrefixTokens,
-                uncachedTokens,
+                sharedTokens,
+                ownTokens,
                 outputTokens,
-                excludedEngineIds,
-                weightsVersion,
+                excluded,
+                weights,
                 random,
                 preference,
                 CostWeights.DEFAULT);
--- a/src/test/java/ringspindle/loadbalancing/SelectionSequence.java
+++ b/src/test/java/ringspindle/loadbalancing/SelectionSequence.java
@@ -210,17 +210,18 @@
         Set<String> allowed = random.nextInt(6) == 0 ? Set.of(oneOf(REGIONS)) : Set.of();
         Set<String> excluded = random.nextInt(5) == 0 ? Set.of(engineId(), "i-none") : Set.of();
         boolean shares = random.nextInt(2) == 0;
-        return SelectionRequests.of(
-                SERVICES[random.nextInt(10) == 0 ? 1 + random.nextInt(2) : 0],
-                allowed,
-                shares ? 1 + random.nextInt(5) * 7919L : 0,
-                shares ? 1000 + random.nextInt(20_000) : random.nextInt(200),
-                random.nextInt(8) == 0 ? 0 : random.nextInt(maxPromptTokens),
-                random.nextInt(400),
-                excluded,
-                random.nextInt(8) == 0 ? random.nextInt(3) : -1,
-                random.nextLong(),
-                random.nextInt(3) == 0 ? preference() : null);
+        return SelectionRequests.of(SERVICES[random.nextInt(10) == 0 ? 1 + random.nextInt(2) : 0])
+                .homes(allowed)
+                .prompt(
+                        shares ? 1 + random.nextInt(5) * 7919L : 0,
+                        shares ? 1000 + random.nextInt(20_000) : random.nextInt(200),
+                        random.nextInt(8) == 0 ? 0 : random.nextInt(maxPromptTokens))
+                .output(random.nextInt(400))
+                .excluding(excluded)
+                .weights(random.nextInt(8) == 0 ? random.nextInt(3) : -1)
+                .random(random.nextLong())
+                .preference(random.nextInt(3) == 0 ? preference() : null)
+                .build();
     }
 
     private RoutingPreference preference() {
--- a/src/test/java/ringspindle/replication/RolloutTraffic.java
+++ b/src/test/java/ringspindle/replication/RolloutTraffic.java
@@ -53,8 +53,14 @@
             return;
         }
         long weights = request.weights.isEmpty() ? -1 : request.weights.get(0);
-        SelectionRequest ask =
-                SelectionRequests.of("s", request.homes, 0, 0, 200, 50, tried, weights, simulation.random.nextLong());
+        SelectionRequest ask = SelectionRequests.of("s")
+                .homes(request.homes)
+                .prompt(0, 0, 200)
+                .output(50)
+                .excluding(tried)
+                .weights(weights)
+                .random(simulation.random.nextLong())
+                .build();
         Selection selection = picker.select(ask, simulation.nowMs());
         if (!(selection instanceof SelectedEngine chosen)) {
             if (request.pieces.isEmpty() && !action.mayHaveRun()) {
--- a/src/test/java/ringspindle/scale/HollowFleet.java
+++ b/src/test/java/ringspindle/scale/HollowFleet.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Properties;
 import java.util.Random;
-import java.util.Set;
 import ringspindle.api.Outcome;
 import ringspindle.config.NodeConfig;
 import ringspindle.config.Validated;
@@ -231,8 +230,11 @@
     }
 
     private void request(HollowDataNode d) {
-        LoadBalancer.SelectionRequest ask =
-                SelectionRequests.of("llm", Set.of(), 0, 92, 291, 40, Set.of(), -1, luck.nextLong());
+        LoadBalancer.SelectionRequest ask = SelectionRequests.of("llm")
+                .prompt(0, 92, 291)
+                .output(40)
+                .random(luck.nextLong())
+                .build();
         NodeId id = dataIds.get(datas.indexOf(d));
         net.charge(id, () -> {
             if (d.loadBalancer().select(ask, net.nowMs()) instanceof LoadBalancer.SelectedEngine c) {
--- a/src/test/java/ringspindle/scale/RestartTest.java
+++ b/src/test/java/ringspindle/scale/RestartTest.java
@@ -62,7 +62,11 @@
 
     /** One request runs on, from now. */
     private void request() {
-        LoadBalancer.SelectionRequest ask = SelectionRequests.of("s", Set.of(), 0, 92, 291, 40, Set.of(), -1, 1);
+        LoadBalancer.SelectionRequest ask = SelectionRequests.of("s")
+                .prompt(0, 92, 291)
+                .output(40)
+                .random(1)
+                .build();
         LoadBalancer.SelectedEngine chosen = assertInstanceOf(
                 LoadBalancer.SelectedEngine.class, data.loadBalancer().select(ask, net.nowMs()));
         data.loadBalancer().onRequestSent(chosen.id(), net.nowMs());
