Signals are handled before the logger and the parser of arguments are loaded

Cause: a SIGHUP before the handlers stand ends the process with 129; most of the time that our own code took until then went into static state of the class with main (the logger and 350 classes with it). Change: Main installs the handlers and has no state; Program is what Main was. A machine that inherits an ignored SIGHUP leaves it ignored: the handler is registered and never called (tried); -Xrs ends at SIGHUP just so (tried).

--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -1,83 +1,18 @@
 package ringspindle;
 
-import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
-import com.google.common.flogger.FluentLogger;
-import java.nio.file.Path;
-import java.util.LinkedHashMap;
-import java.util.Map;
-import java.util.logging.Level;
-import ringspindle.cli.Cli;
-import ringspindle.cli.CommandLine;
 import ringspindle.cli.ExitCode;
-import ringspindle.cli.SelfTest;
-import ringspindle.config.NodeConfig;
-import ringspindle.config.Settings;
-import ringspindle.config.Validated;
-import ringspindle.config.Validated.Invalid;
-import ringspindle.config.Validated.Valid;
-import ringspindle.controlplane.ControlPlane;
-import ringspindle.dataplane.DataPlane;
-import ringspindle.logging.JsonLogFormatter;
-import ringspindle.logging.LogField;
 
-/** The program: {@code data-plane}, {@code control-plane}, and the operator's command line. */
+/**
+ * Where the program begins. A daemon handles signals before any other class of it is loaded: until then a SIGHUP ends the
+ * process, and what {@link Program} needs takes a good part of a start. So there is no logger and no state here.
+ */
 public final class Main {
-    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    /** The command that runs a data node. */
+    static final String DATA_PLANE = "data-plane";
+    /** The command that runs a control node. */
+    static final String CONTROL_PLANE = "control-plane";
 
-    private static final String DATA_PLANE = "data-plane";
-    private static final String CONTROL_PLANE = "control-plane";
-    private static final String SELF_TEST = "selftest";
-
-    private static final int MS_PER_S = 1000;
-
-    /** Options that come before a command. */
-    private static final class GlobalOptions {
-        @Parameter(
-                names = {"--help", "-h"},
-                help = true,
-                description = "this text")
-        private boolean help;
-    }
-
-    /** Options of a daemon. */
-    private static final class DaemonOptions {
-        @Parameter(
-                names = "--settings",
-                description = "the settings file (default: the file named by RINGSPINDLE_SETTINGS)")
-        private String settings = System.getenv("RINGSPINDLE_SETTINGS");
-
-        @Parameter(names = "--log", description = "log level: FINE, INFO, WARNING")
-        private String level = "INFO";
-
-        @Parameter(
-                names = {"--help", "-h"},
-                help = true,
-                description = "this text")
-        private boolean help;
-    }
-
-    private final GlobalOptions global = new GlobalOptions();
-    private final DaemonOptions dataPlane = new DaemonOptions();
-    private final DaemonOptions controlPlane = new DaemonOptions();
-    private final DaemonOptions selfTest = new DaemonOptions();
-    private final Cli cli = new Cli(System.out, System.err);
-    private final CommandLine line = new CommandLine(global, commands());
-
-    private final DaemonSignals signals;
-
-    private Main(DaemonSignals signals) {
-        this.signals = signals;
-    }
-
-    private Map<String, Object> commands() {
-        Map<String, Object> commands = new LinkedHashMap<>();
-        commands.put(DATA_PLANE, dataPlane);
-        commands.put(CONTROL_PLANE, controlPlane);
-        commands.put(SELF_TEST, selfTest);
-        commands.putAll(cli.options());
-        return commands;
-    }
+    private Main() {}
 
     /** Runs the command that the arguments name, for example {@code control-plane --settings node.conf}. */
     public static void main(String[] args) {
@@ -85,7 +20,7 @@
         if (namesDaemon(args)) {
             signals.install();
         }
-        System.exit(new Main(signals).parseAndExecute(args).value());
+        System.exit(new Program(signals).parseAndExecute(args).value());
     }
 
     private static boolean namesDaemon(String[] args) {
@@ -94,91 +29,6 @@
 
     /** Runs the command that the arguments name; a daemon's runs until it is terminated. */
     public static ExitCode run(String[] args) {
-        return new Main(new DaemonSignals()).parseAndExecute(args);
-    }
-
-    private ExitCode parseAndExecute(String[] args) {
-        try {
-            line.parse(args);
-            String command = line.command();
-            if (global.help) {
-                line.printUsage();
-                return ExitCode.OK;
-            }
-            if (command == null) {
-                throw new ParameterException("no command given");
-            }
-            if (dataPlane.help || controlPlane.help || selfTest.help || cli.wantsHelp(command)) {
-                line.printCommandUsage();
-                return ExitCode.OK;
-            }
-            return execute(command);
-        } catch (ParameterException misuse) {
-            System.err.println(misuse.getMessage());
-            System.err.println(line.usageLine());
-            return ExitCode.USAGE;
-        }
-    }
-
-    private ExitCode execute(String command) {
-        return switch (command) {
-            case DATA_PLANE -> runDaemon(command, dataPlane);
-            case CONTROL_PLANE -> runDaemon(command, controlPlane);
-            case SELF_TEST -> {
-                JsonLogFormatter.install(Level.INFO);
-                yield SelfTest.run();
-            }
-            default -> {
-                JsonLogFormatter.install(Level.SEVERE);
-                yield cli.run(command);
-            }
-        };
-    }
-
-    private ExitCode runDaemon(String command, DaemonOptions options) {
-        installLog(options.level);
-        if (options.settings == null || options.settings.isEmpty()) {
-            throw new ParameterException("no settings file: give --settings or RINGSPINDLE_SETTINGS");
-        }
-        Path file = Path.of(options.settings);
-        Validated<NodeConfig> read = NodeConfig.read(file);
-        if (read instanceof Invalid<NodeConfig> invalid) {
-            invalid.errors().forEach(error -> LOG.atSevere().log("settings: %s", error.text()));
-            return ExitCode.USAGE;
-        }
-        Settings settings = new Settings(((Valid<NodeConfig>) read).value());
-        signals.install();
-        signals.onReload(() -> reload(settings, file));
-        ShutdownDeadline.start(
-                signals.terminated(), () -> (long) (settings.now().graceS() * MS_PER_S));
-        try {
-            if (command.equals(DATA_PLANE)) {
-                DataPlane.run(settings, signals.terminated());
-            } else {
-                ControlPlane.run(settings, signals.terminated());
-            }
-            return ExitCode.OK;
-        } catch (Exception failure) {
-            LOG.atSevere().withCause(failure).log("%s fails", command);
-            return ExitCode.FAILED;
-        }
-    }
-
-    private static void installLog(String level) {
-        try {
-            JsonLogFormatter.install(Level.parse(level));
-        } catch (IllegalArgumentException unknown) {
-            throw new ParameterException("unknown log level " + level);
-        }
-    }
-
-    private static void reload(Settings settings, Path file) {
-        Settings.Reload reload = settings.reload(NodeConfig.read(file));
-        if (reload.errors().isEmpty()) {
-            LOG.atInfo()
-                    .with(LogField.SETTINGS, reload.taken())
-                    .log("settings read again and in force; after a restart: %s", reload.restart());
-        }
-        reload.errors().forEach(error -> LOG.atWarning().log("settings, kept as they were: %s", error.text()));
+        return new Program(new DaemonSignals()).parseAndExecute(args);
     }
 }
