--- a/src/main/java/ringspindle/Program.java
+++ b/src/main/java/ringspindle/Program.java
@@ -16,7 +16,7 @@
 import ringspindle.config.Validated;
 import ringspindle.config.Validated.Invalid;
 import ringspindle.config.Validated.Valid;
-import ringspindle.controlplane.ControlPlane;
+import ringspindle.controlplane.server.ControlPlane;
 import ringspindle.dataplane.DataPlane;
 import ringspindle.logging.JsonLogFormatter;
 import ringspindle.logging.LogField;
--- a/src/main/java/ringspindle/cli/SelfTest.java
+++ b/src/main/java/ringspindle/cli/SelfTest.java
@@ -19,7 +19,7 @@
 import ringspindle.config.NodeConfig;
 import ringspindle.config.Settings;
 import ringspindle.config.Validated.Valid;
-import ringspindle.controlplane.ControlPlane;
+import ringspindle.controlplane.server.ControlPlane;
 import ringspindle.dataplane.DataPlane;
 
 /**
--- a/src/main/java/ringspindle/controlplane/CommittedFacts.java
+++ b/src/main/java/ringspindle/controlplane/CommittedFacts.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
+import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.Message.Mark;
--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import ringspindle.config.NodeConfig;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.NodeContext;
+import ringspindle.controlplane.server.ControlApiHandler;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -23,9 +26,9 @@
  * <p>The lock of the driver comes before that of the fleet: whoever holds the fleet's lock takes no other. Messages come
  * in through {@link MessageDispatcher}, calls from outside through {@link ControlApiHandler}.
  */
-final class ControlNode {
+public final class ControlNode {
     /** Milliseconds between two ticks. */
-    static final int TICK_MS = 100;
+    public static final int TICK_MS = 100;
 
     private volatile NodeConfig config;
     private final Storage storage;
@@ -44,7 +47,7 @@
      *
      * @param reports asks engines what they still run, while a roll-out goes on
      */
-    ControlNode(NodeConfig config, NodeEnvironment environment, Storage storage, EngineReportClient reports)
+    public ControlNode(NodeConfig config, NodeEnvironment environment, Storage storage, EngineReportClient reports)
             throws Exception {
         this.config = config;
         this.storage = storage;
@@ -96,7 +99,7 @@
     }
 
     /** Opens disk and mesh; whoever starts it calls {@link #tick} every {@link #TICK_MS}. */
-    void start() throws Exception {
+    public void start() throws Exception {
         synchronized (fleet.lock) {
             fleet.facts().merge(storage.cachedEngines());
         }
@@ -105,75 +108,75 @@
     }
 
     /** Does the periodic work that is due; called by one thread at a time. */
-    void tick() {
+    public void tick() {
         tasks.tick();
     }
 
     /** Settings changed while running. */
-    void settings(NodeConfig changed) {
+    public void settings(NodeConfig changed) {
         config = changed;
         fleet.settings(changed);
     }
 
     /** Says that this node leaves; {@link #handedOver} tells when it may end. */
-    void leave() {
+    public void leave() {
         serving.leave();
     }
 
     /** True once the others go on without this node and hold all that is committed here. */
-    boolean handedOver() {
+    public boolean handedOver() {
         ReplicationDriver.Status status = replication.status();
         return ShutdownHandover.done(context.me(), status.view(), status.sequence(), queries.holders());
     }
 
     /** What this node waits for before it serves. */
-    ServingState.Awaited awaited() {
+    public ServingState.Awaited awaited() {
         long nowMs = context.nowMs();
         return serving.awaited(replication.phase(nowMs), nowMs);
     }
 
     /** True while a first start still waits for voters. */
-    boolean founding() {
+    public boolean founding() {
         return replication.founding(context.nowMs());
     }
 
     /** Steady time of this node, in ms. */
-    long nowMs() {
+    public long nowMs() {
         return context.nowMs();
     }
 
     /** The settings in force. */
-    NodeConfig config() {
+    public NodeConfig config() {
         return config;
     }
 
     /** This node's identity among nodes. */
-    NodeId me() {
+    public NodeId me() {
         return context.me();
     }
 
     /** Whether this node may serve. */
-    ServingState serving() {
+    public ServingState serving() {
         return serving;
     }
 
     /** The replicated state and calls to it. */
-    ReplicationDriver replication() {
+    public ReplicationDriver replication() {
         return replication;
     }
 
     /** What this node knows of the fleet. */
-    FleetState fleet() {
+    public FleetState fleet() {
         return fleet;
     }
 
     /** Engines that register here. */
-    EngineRegistry engines() {
+    public EngineRegistry engines() {
         return engines;
     }
 
     /** Questions about the fleet. */
-    FleetQueries queries() {
+    public FleetQueries queries() {
         return queries;
     }
 }
--- a/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
+++ b/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.TreeSet;
 import ringspindle.config.NodeConfig;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Heartbeat;
--- a/src/main/java/ringspindle/controlplane/DiskStorage.java
+++ b/src/main/java/ringspindle/controlplane/DiskStorage.java
@@ -17,12 +17,13 @@
 import ringspindle.storage.Disk;
 
 /** Two slots and a log in a folder, and the engines beside them. */
-final class DiskStorage implements Storage {
+public final class DiskStorage implements Storage {
     private final Disk disk;
     private final EngineCacheFile engines;
     private GroupCommitWriter writer;
 
-    DiskStorage(Path folder, Executor pool) {
+    /** Keeps data in that folder; writes on a thread of that executor. */
+    public DiskStorage(Path folder, Executor pool) {
         disk = Disk.open(folder, DiskStorage::known);
         engines = new EngineCacheFile(folder.resolve("engines"), pool);
     }
--- a/src/main/java/ringspindle/controlplane/EngineRegistry.java
+++ b/src/main/java/ringspindle/controlplane/EngineRegistry.java
@@ -3,6 +3,8 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.util.List;
+import ringspindle.controlplane.fleet.FleetFacts;
+import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.protocol.Codec;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Engine;
@@ -11,7 +13,7 @@
 import ringspindle.rollout.RolloutPlanner;
 
 /** Engines as they register here and as facts of the fleet. Thread safe; without state of its own. */
-final class EngineRegistry {
+public final class EngineRegistry {
     private final FleetState fleet;
     private final ServingState serving;
     private final ReplicationDriver replication;
@@ -28,7 +30,7 @@
      * @param sequence the number of the heartbeat, which rises while the engine lives
      * @return false if this node cannot vouch for it now
      */
-    boolean heartbeat(String id, Engine engine, long sequence) {
+    public boolean heartbeat(String id, Engine engine, long sequence) {
         synchronized (fleet.lock) {
             if (!serving.quorate()) {
                 return false;
@@ -39,7 +41,7 @@
     }
 
     /** Notes how many requests an engine still runs or queues, for operators who follow a roll-out. */
-    void reported(String id, int active, int queued) {
+    public void reported(String id, int active, int queued) {
         View view = replication.view();
         if (view == null) {
             return;
@@ -57,7 +59,7 @@
     }
 
     /** The engines of a service, for roll-outs. */
-    List<RolloutPlanner.Member> members(String service) {
+    public List<RolloutPlanner.Member> members(String service) {
         synchronized (fleet.lock) {
             return fleet.facts().rolloutMembers(service);
         }
--- a/src/main/java/ringspindle/controlplane/EngineReportClient.java
+++ b/src/main/java/ringspindle/controlplane/EngineReportClient.java
@@ -20,14 +20,14 @@
  * Asks engines how many requests they still run. The HTTP client is started when first needed, as most nodes never are.
  * Thread safe.
  */
-final class EngineReportClient {
+public final class EngineReportClient {
     private static final String PATH = "/ringspindle/report";
     private static final int TIMEOUT_MS = 800;
     private static final int BODY_MAX = 64 << 10;
 
     /** Where reports go. */
     @FunctionalInterface
-    interface Listener {
+    public interface Listener {
         /** An engine said how many requests it runs and queues; called by threads of the pool. */
         void reported(String id, int active, int queued);
     }
@@ -38,13 +38,14 @@
     /** Null until first needed; guarded by this. */
     private HttpClient client;
 
-    EngineReportClient(Executor pool, Scheduler scheduler) {
+    /** Asks on those threads; nobody hears the answers until {@link #listener} is called. */
+    public EngineReportClient(Executor pool, Scheduler scheduler) {
         this.pool = pool;
         this.scheduler = scheduler;
     }
 
     /** Sets who hears of reports; {@code reports.listener(engines::reported)}. */
-    EngineReportClient listener(Listener newListener) {
+    public EngineReportClient listener(Listener newListener) {
         listener = newListener;
         return this;
     }
--- a/src/main/java/ringspindle/controlplane/ExperimentTask.java
+++ b/src/main/java/ringspindle/controlplane/ExperimentTask.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.experiment.Experiment;
 import ringspindle.experiment.ExperimentWatch;
 import ringspindle.experiment.JudgeOrder;
--- a/src/main/java/ringspindle/controlplane/FactHandler.java
+++ b/src/main/java/ringspindle/controlplane/FactHandler.java
@@ -1,5 +1,6 @@
 package ringspindle.controlplane;
 
+import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.membership.FactValidator;
 import ringspindle.protocol.Message.Digest;
 import ringspindle.protocol.Message.News;
--- a/src/main/java/ringspindle/controlplane/FleetQueries.java
+++ b/src/main/java/ringspindle/controlplane/FleetQueries.java
@@ -4,6 +4,11 @@
 import java.util.List;
 import java.util.Map;
 import ringspindle.config.NodeConfig;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.FrontendResolver;
+import ringspindle.controlplane.fleet.LedgerReportStore;
+import ringspindle.controlplane.fleet.NodeContext;
+import ringspindle.controlplane.fleet.Resolution;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.Proximity;
 import ringspindle.membership.SessionTable;
@@ -16,7 +21,7 @@
 import ringspindle.telemetry.LoadSummary;
 
 /** What engines, clients and operators ask of the fleet. Thread safe; without state of its own. */
-final class FleetQueries {
+public final class FleetQueries {
     /**
      * A session, as operators see it.
      *
@@ -24,7 +29,7 @@
      * @param linked both sides heard each other lately
      * @param ready the peer says that it takes requests
      */
-    record Session(Hello hello, boolean linked, boolean ready) {}
+    public record Session(Hello hello, boolean linked, boolean ready) {}
 
     private final NodeContext context;
     private final FleetState fleet;
@@ -41,7 +46,7 @@
      *
      * @param host the host that the client asks for
      */
-    Resolution resolve(String host, String region, String zone) {
+    public Resolution resolve(String host, String region, String zone) {
         synchronized (fleet.lock) {
             long nowMs = context.nowMs();
             fleet.sessions().advance(nowMs);
@@ -60,7 +65,7 @@
     }
 
     /** How many answers of the directory this node has given, by scope. */
-    Map<String, Long> resolutions() {
+    public Map<String, Long> resolutions() {
         synchronized (fleet.lock) {
             return fleet.resolutions().counts();
         }
@@ -70,7 +75,7 @@
      * The address of the control node that an engine of a zone should call: one in its zone, else in its region; empty if
      * this node will do.
      */
-    String nearestControlNode(String zone) {
+    public String nearestControlNode(String zone) {
         NodeConfig settings = context.config();
         String region = settings.regionOf(zone);
         if (zone.equals(settings.zone())) {
@@ -92,7 +97,7 @@
     }
 
     /** What control nodes in touch last said that they hold. */
-    List<ShutdownHandover.Holder> holders() {
+    public List<ShutdownHandover.Holder> holders() {
         List<ShutdownHandover.Holder> holders = new ArrayList<>();
         synchronized (fleet.lock) {
             fleet.sessions().advance(context.nowMs());
@@ -108,7 +113,7 @@
     }
 
     /** All sessions of this node. */
-    List<Session> sessions() {
+    public List<Session> sessions() {
         List<Session> sessions = new ArrayList<>();
         synchronized (fleet.lock) {
             for (SessionTable.Peer peer : fleet.sessions().peers()) {
@@ -120,35 +125,35 @@
     }
 
     /** Data nodes as known here, and whether their facts still hold. */
-    Map<DataNodeFact, Boolean> dataNodes() {
+    public Map<DataNodeFact, Boolean> dataNodes() {
         synchronized (fleet.lock) {
             return fleet.dataNodes().all(context.nowMs());
         }
     }
 
     /** How many data nodes take requests, as known here. */
-    int readyDataNodes() {
+    public int readyDataNodes() {
         synchronized (fleet.lock) {
             return fleet.dataNodes().readyCount();
         }
     }
 
     /** The newest request ledgers of the data nodes that report here, by node. */
-    Map<NodeId, List<LedgerReportStore.Entry>> ledgerReports() {
+    public Map<NodeId, List<LedgerReportStore.Entry>> ledgerReports() {
         synchronized (fleet.lock) {
             return fleet.ledgerReports().all();
         }
     }
 
     /** The load as this node last summed it. */
-    LoadSummary load() {
+    public LoadSummary load() {
         synchronized (fleet.lock) {
             return fleet.loads().total();
         }
     }
 
     /** Milliseconds since a fact last changed, as this node saw it; of engines since they were last heard. */
-    long ageMs(FactKind kind, String key) {
+    public long ageMs(FactKind kind, String key) {
         synchronized (fleet.lock) {
             return fleet.facts().ageMs(kind, key);
         }
--- a/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
+++ b/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
@@ -1,5 +1,7 @@
 package ringspindle.controlplane;
 
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Message.Digest;
 import ringspindle.protocol.Message.Heartbeat;
--- a/src/main/java/ringspindle/controlplane/LoadHandler.java
+++ b/src/main/java/ringspindle/controlplane/LoadHandler.java
@@ -1,5 +1,6 @@
 package ringspindle.controlplane;
 
+import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.protocol.Message.Load;
--- a/src/main/java/ringspindle/controlplane/PeerConnectivity.java
+++ b/src/main/java/ringspindle/controlplane/PeerConnectivity.java
@@ -3,6 +3,8 @@
 import java.util.Collection;
 import java.util.Set;
 import ringspindle.consensus.Connectivity;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
--- a/src/main/java/ringspindle/controlplane/PendingCalls.java
+++ b/src/main/java/ringspindle/controlplane/PendingCalls.java
@@ -20,7 +20,7 @@
 
     /** Told the outcome of a call. */
     @FunctionalInterface
-    interface Callback {
+    public interface Callback {
         /** The call is over; {@code body} is what was asked for, or a text that says why it failed. */
         void completed(Outcome outcome, byte[] body);
     }
--- a/src/main/java/ringspindle/controlplane/ReplicationDriver.java
+++ b/src/main/java/ringspindle/controlplane/ReplicationDriver.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import ringspindle.api.Outcome;
 import ringspindle.consensus.Connectivity;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.logging.LogField;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.State;
@@ -20,7 +22,7 @@
  * sent after they released the lock could overtake each other. None of the three runs foreign code on the calling thread:
  * they only queue. The lock of {@link FleetState} may be taken while this one is held, never the other way round.
  */
-final class ReplicationDriver {
+public final class ReplicationDriver {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final byte[] NO_BODY = {};
 
@@ -31,7 +33,7 @@
     }
 
     /** How far the replicated state of this node is. */
-    enum Phase {
+    public enum Phase {
         /** What was promised before a disk was lost is being relearned. */
         RELEARNING,
         /** A first start still waits for voters. */
@@ -47,14 +49,14 @@
      * @param committed the committed state, null while unknown
      * @param blank this node can neither vote nor hold state
      */
-    record Status(View view, State committed, boolean blank) {
+    public record Status(View view, State committed, boolean blank) {
         /** The view's epoch, 0 without a view. */
-        long epoch() {
+        public long epoch() {
             return view == null ? 0 : view.epoch();
         }
 
         /** The sequence number of the committed state, -1 without one. */
-        long sequence() {
+        public long sequence() {
             return committed == null ? -1 : committed.seq();
         }
     }
@@ -114,7 +116,7 @@
      * @param base the revision that the call builds on
      * @param callback told the outcome, once
      */
-    void call(CallKind kind, long base, String argument, byte[] body, PendingCalls.Callback callback) {
+    public void call(CallKind kind, long base, String argument, byte[] body, PendingCalls.Callback callback) {
         long arrivedMs = context.nowMs();
         synchronized (lock) {
             long nowMs = context.nowMs();
@@ -150,7 +152,7 @@
     }
 
     /** View and committed state, read together. */
-    Status status() {
+    public Status status() {
         synchronized (lock) {
             return new Status(state.view(), state.committed(), state.relearning());
         }
@@ -174,14 +176,14 @@
     }
 
     /** The committed state, null while unknown. */
-    State committed() {
+    public State committed() {
         synchronized (lock) {
             return state.committed();
         }
     }
 
     /** The newest view, null if unknown. */
-    View view() {
+    public View view() {
         synchronized (lock) {
             return state.view();
         }
--- a/src/main/java/ringspindle/controlplane/RolloutTask.java
+++ b/src/main/java/ringspindle/controlplane/RolloutTask.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.util.List;
+import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.View;
 import ringspindle.protocol.NodeId;
--- a/src/main/java/ringspindle/controlplane/ServingState.java
+++ b/src/main/java/ringspindle/controlplane/ServingState.java
@@ -7,9 +7,9 @@
  * taken. What is known counts only as long as the quorum is proven, so a thread that runs before the first tick after a
  * pause sees at once that it has run out.
  */
-final class ServingState {
+public final class ServingState {
     /** What a control node waits for before it serves; operators read these names. */
-    enum Awaited {
+    public enum Awaited {
         NOTHING,
         RELEARNING,
         MAJORITY,
@@ -50,22 +50,22 @@
     }
 
     /** True while this node is proven to hear of all that is committed, and does not leave. */
-    boolean quorate() {
+    public boolean quorate() {
         return hearsCommits && !leaving() && quorum.upToDate(clock.nowMs());
     }
 
     /** True while a majority is proven to be in touch: calls are passed on. */
-    boolean inTouch() {
+    public boolean inTouch() {
         return quorum.inTouch(clock.nowMs());
     }
 
     /** True while a majority is proven to know of no newer view: facts of this node may be handed out. */
-    boolean upToDate() {
+    public boolean upToDate() {
         return quorum.upToDate(clock.nowMs());
     }
 
     /** Milliseconds since a majority was last proven, below 0 for never. */
-    long provenAgoMs() {
+    public long provenAgoMs() {
         return quorum.ageMs(clock.nowMs());
     }
 
--- a/src/main/java/ringspindle/controlplane/ShutdownHandover.java
+++ b/src/main/java/ringspindle/controlplane/ShutdownHandover.java
@@ -6,7 +6,7 @@
 import ringspindle.protocol.NodeId;
 
 /** Whether a control node that leaves may end: the others must hold all that it holds. Pure. */
-final class ShutdownHandover {
+public final class ShutdownHandover {
 
     /**
      * What another control node last said of itself.
@@ -15,7 +15,7 @@
      * @param seq the sequence number of the newest committed state that it holds
      * @param blank it can neither vote nor hold state
      */
-    record Holder(NodeId node, long epoch, long seq, boolean blank) {}
+    public record Holder(NodeId node, long epoch, long seq, boolean blank) {}
 
     private ShutdownHandover() {}
 
--- a/src/main/java/ringspindle/controlplane/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/fleet/DataNodeDirectory.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -22,7 +22,7 @@
  * Data nodes as facts: told by the control node that holds the session, and good while that node is in touch. Owns when other
  * control nodes were last in touch; guarded by the fleet's lock.
  */
-final class DataNodeDirectory {
+public final class DataNodeDirectory {
     /** A data node's fact holds for so long after it changed, whoever told it. */
     private static final int CHANGED_HOLDS_MS = 3000;
     /** It holds for so long after the control node that told it was last in touch. */
@@ -46,7 +46,7 @@
     }
 
     /** A node's session is told once; told anew if it changes, or if whoever told it is out of touch. */
-    void heard(SessionTable.Peer peer, Heartbeat heartbeat) {
+    public void heard(SessionTable.Peer peer, Heartbeat heartbeat) {
         Fact known = known(peer);
         DataNodeFact told = known == null ? null : DataNodeFact.of(known.value());
         boolean same = told != null
@@ -63,7 +63,7 @@
     }
 
     /** The session of a data node is gone. If it has one with another control node in touch, that one speaks of it. */
-    void closed(SessionTable.Peer peer) {
+    public void closed(SessionTable.Peer peer) {
         if (isToldElsewhere(peer)) {
             return;
         }
@@ -142,7 +142,7 @@
     }
 
     /** Notes which control nodes are in touch: what one has told of data nodes does not outlast it by much. */
-    void tick(long nowMs) {
+    public void tick(long nowMs) {
         for (SessionTable.Peer peer : sessions.peers()) {
             NodeId node = peer.hello().node();
             if (peer.hello().kind() == NodeKind.CONTROL && sessions.linked(me, node)) {
@@ -174,7 +174,7 @@
     }
 
     /** Data nodes as known here, and whether their facts still hold. */
-    Map<DataNodeFact, Boolean> all(long nowMs) {
+    public Map<DataNodeFact, Boolean> all(long nowMs) {
         Map<DataNodeFact, Boolean> dataNodes = new LinkedHashMap<>();
         for (Fact fact : facts.store().all(FactKind.NODE)) {
             DataNodeFact dataNode = DataNodeFact.of(fact.value());
@@ -184,7 +184,7 @@
     }
 
     /** Data nodes as known here, for log lines: each with what it says and whether that counts. */
-    String describe(boolean inTouch, long nowMs) {
+    public String describe(boolean inTouch, long nowMs) {
         StringJoiner described = new StringJoiner(", ");
         for (Fact fact : facts.store().all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
@@ -205,7 +205,7 @@
     }
 
     /** How many data nodes take requests, as known here. */
-    int readyCount() {
+    public int readyCount() {
         return nodesWhere(DataNodeFact::ready, (fact, node) -> true).size();
     }
 
--- a/src/main/java/ringspindle/controlplane/FactDissemination.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FactDissemination.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.List;
 import java.util.Set;
@@ -17,7 +17,7 @@
  * Spreads facts to peers: to control nodes all, to data nodes what they use. Owns which data nodes were told that they know
  * all; guarded by the fleet's lock.
  */
-final class FactDissemination {
+public final class FactDissemination {
     private static final int BATCH_MAX = 512;
 
     private final Mesh mesh;
@@ -32,13 +32,13 @@
     }
 
     /** A new session: its peer is told everything. */
-    void opened(NodeId peer) {
+    public void opened(NodeId peer) {
         facts.store().resetPeer(peer);
         filled.remove(peer);
     }
 
     /** A session is gone. */
-    void closed(NodeId peer) {
+    public void closed(NodeId peer) {
         facts.store().removePeer(peer);
     }
 
@@ -48,7 +48,7 @@
     }
 
     /** Answers a peer's digest with the facts that differ. */
-    void repair(NodeId from, Digest digest, boolean quorate) {
+    public void repair(NodeId from, Digest digest, boolean quorate) {
         SessionTable.Peer peer = sessions.peer(from);
         List<Fact> differing = facts.store().differing(digest.ranges());
         if (peer != null && mayTell(peer, quorate) && !differing.isEmpty()) {
@@ -61,7 +61,7 @@
      *
      * @param merged all that is committed here is among the facts, so that a data node may be told that it knows all
      */
-    void push(boolean quorate, boolean merged) {
+    public void push(boolean quorate, boolean merged) {
         for (SessionTable.Peer peer : sessions.peers()) {
             if (!mayTell(peer, quorate)) {
                 continue;
--- a/src/main/java/ringspindle/controlplane/FleetFacts.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FleetFacts.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
@@ -22,7 +22,7 @@
  * The facts that a control node knows of the fleet, and when it learnt each; the presence of engines among them. Guarded by
  * the fleet's lock.
  */
-final class FleetFacts {
+public final class FleetFacts {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** Engines silent for so long are forgotten. */
     private static final int FORGET_MS = 600_000;
@@ -50,7 +50,7 @@
     }
 
     /** The facts themselves; merge through {@link #merge}, so that it is noted when they were learnt. */
-    FactStore store() {
+    public FactStore store() {
         return store;
     }
 
@@ -60,7 +60,7 @@
     }
 
     /** Takes facts that are newer than those known. */
-    void merge(List<Fact> facts) {
+    public void merge(List<Fact> facts) {
         long nowMs = clock.nowMs();
         for (Fact fact : store.merge(facts)) {
             seenMs.put(seenKey(fact.kind(), fact.key()), nowMs);
@@ -104,7 +104,7 @@
     }
 
     /** Milliseconds since a fact last changed, as this node saw it; of engines since they were last heard. */
-    long ageMs(FactKind kind, String key) {
+    public long ageMs(FactKind kind, String key) {
         if (kind == FactKind.ENGINE) {
             return presence.ageMs(key, clock.nowMs());
         }
@@ -113,20 +113,20 @@
     }
 
     /** The version of what a head says under its view: it comes after all that is known to have been said under it. */
-    long nextVersion(FactKind kind, String key, long epoch) {
+    public long nextVersion(FactKind kind, String key, long epoch) {
         Fact known = store.get(kind, key);
         return known == null || known.life() != epoch ? 1 : known.version() + 1;
     }
 
     /** An engine's heartbeat, spread only if it says something new. */
-    void heartbeat(String id, Engine engine, long sequence) {
+    public void heartbeat(String id, Engine engine, long sequence) {
         if (presence.onHeartbeat(id, engine, sequence, clock.nowMs())) {
             merge(List.of(new Fact(FactKind.ENGINE, id, 0, sequence, Codec.encode(engine))));
         }
     }
 
     /** Engines of this region that fell silent or are heard again become facts. */
-    void judgeEngines(long nowMs) {
+    public void judgeEngines(long nowMs) {
         for (EnginePresence.Change change : presence.detectChanges(this::inThisRegion, nowMs)) {
             LOG.atInfo()
                     .with(LogField.ENGINE, change.id())
@@ -168,7 +168,7 @@
     }
 
     /** The engines of a service, for roll-outs. */
-    List<RolloutPlanner.Member> rolloutMembers(String service) {
+    public List<RolloutPlanner.Member> rolloutMembers(String service) {
         List<RolloutPlanner.Member> members = new ArrayList<>();
         long nowMs = clock.nowMs();
         for (Fact fact : store.all(FactKind.ENGINE)) {
--- a/src/main/java/ringspindle/controlplane/FleetState.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FleetState.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.function.Function;
 import ringspindle.config.NodeConfig;
@@ -17,9 +17,9 @@
  * connection, and what a peer has been sent is marked in the same step. Sending only queues. No other lock may be taken
  * while this one is held.
  */
-final class FleetState {
+public final class FleetState {
     /** Guards everything here. */
-    final Object lock = new Object();
+    public final Object lock = new Object();
 
     private final SessionTable sessions;
     private final FleetFacts facts;
@@ -33,7 +33,8 @@
     private final LedgerReportStore ledgerReports = new LedgerReportStore();
     private final OutcomeCollector outcomes = new OutcomeCollector();
 
-    FleetState(NodeContext context, Hello self) {
+    /** Knows nothing of other nodes yet; the greeting is that of this node. */
+    public FleetState(NodeContext context, Hello self) {
         NodeId me = context.me();
         NodeConfig config = context.config();
         Mesh mesh = context.mesh();
@@ -48,7 +49,7 @@
     }
 
     /** Settings changed while running. */
-    void settings(NodeConfig config) {
+    public void settings(NodeConfig config) {
         synchronized (lock) {
             facts.settings(config);
             loads.settings(config);
@@ -56,74 +57,74 @@
     }
 
     /** Reads facts; takes the lock itself. */
-    <T> T read(Function<FactStore, T> reader) {
+    public <T> T read(Function<FactStore, T> reader) {
         synchronized (lock) {
             return reader.apply(facts.store());
         }
     }
 
     /** Sessions with peers; the lock is held. */
-    SessionTable sessions() {
+    public SessionTable sessions() {
         assert Thread.holdsLock(lock);
         return sessions;
     }
 
     /** Facts and when they were learnt; the lock is held. */
-    FleetFacts facts() {
+    public FleetFacts facts() {
         assert Thread.holdsLock(lock);
         return facts;
     }
 
     /** Regions that may serve a host; the lock is held. */
-    HomeRegions homeRegions() {
+    public HomeRegions homeRegions() {
         assert Thread.holdsLock(lock);
         return homeRegions;
     }
 
     /** Which data nodes a client is told of; the lock is held. */
-    FrontendResolver frontends() {
+    public FrontendResolver frontends() {
         assert Thread.holdsLock(lock);
         return frontends;
     }
 
     /** What clients were answered that asked where to go; the lock is held. */
-    ResolutionLog resolutions() {
+    public ResolutionLog resolutions() {
         assert Thread.holdsLock(lock);
         return resolutions;
     }
 
     /** Data nodes; the lock is held. */
-    DataNodeDirectory dataNodes() {
+    public DataNodeDirectory dataNodes() {
         assert Thread.holdsLock(lock);
         return dataNodes;
     }
 
     /** Load of engines and regions; the lock is held. */
-    LoadAggregator loads() {
+    public LoadAggregator loads() {
         assert Thread.holdsLock(lock);
         return loads;
     }
 
     /** What peers have been sent; the lock is held. */
-    FactDissemination dissemination() {
+    public FactDissemination dissemination() {
         assert Thread.holdsLock(lock);
         return dissemination;
     }
 
     /** Shares of the budgets; the lock is held. */
-    QuotaLeaseIssuer leases() {
+    public QuotaLeaseIssuer leases() {
         assert Thread.holdsLock(lock);
         return leases;
     }
 
     /** What became of requests that take part in experiments; the lock is held. */
-    OutcomeCollector outcomes() {
+    public OutcomeCollector outcomes() {
         assert Thread.holdsLock(lock);
         return outcomes;
     }
 
     /** The data nodes' request ledgers; the lock is held. */
-    LedgerReportStore ledgerReports() {
+    public LedgerReportStore ledgerReports() {
         assert Thread.holdsLock(lock);
         return ledgerReports;
     }
--- a/src/main/java/ringspindle/controlplane/FrontendResolver.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FrontendResolver.java
@@ -1,10 +1,10 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.List;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 import ringspindle.config.AllowedRegions;
-import ringspindle.controlplane.Resolution.Scope;
+import ringspindle.controlplane.fleet.Resolution.Scope;
 import ringspindle.membership.LastServing;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
@@ -14,7 +14,7 @@
  * the host that it asks for is known to be allowed: the node that it is led to gets the bodies of its requests. Without state;
  * guarded by the owner of the directory.
  */
-final class FrontendResolver {
+public final class FrontendResolver {
     private static final int ADDRESSES_MAX = 64;
 
     private final DataNodeDirectory dataNodes;
@@ -33,7 +33,8 @@
      *     told may be old. What is known of the configuration may be old too, so that clients are led to homes by it, and
      *     nowhere for want of homes
      */
-    Resolution resolve(String region, String zone, Supplier<AllowedRegions> allowed, boolean inTouch, long nowMs) {
+    public Resolution resolve(
+            String region, String zone, Supplier<AllowedRegions> allowed, boolean inTouch, long nowMs) {
         if (!inTouch) {
             List<String> atHome = addressesAtHome(region, allowed.get(), nowMs);
             if (!atHome.isEmpty()) {
--- a/src/main/java/ringspindle/controlplane/HomeRegions.java
+++ b/src/main/java/ringspindle/controlplane/fleet/HomeRegions.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import ringspindle.config.AllowedRegions;
 import ringspindle.config.FleetConfig;
@@ -11,7 +11,7 @@
  * Which regions may serve all requests of a host, by the newest configuration that this node knows. The configuration is read
  * only when somebody asks, and once a version. Guarded by its owner.
  */
-final class HomeRegions {
+public final class HomeRegions {
     private static final String CONFIGURATION = "";
 
     private final FactStore facts;
@@ -23,7 +23,7 @@
     }
 
     /** The regions that may serve a host; unknown without a configuration, or if it has no route of that host. */
-    AllowedRegions of(String host) {
+    public AllowedRegions of(String host) {
         Fact newest = facts.get(FactKind.CONFIG, CONFIGURATION);
         if (newest == null) {
             return AllowedRegions.UNKNOWN;
--- a/src/main/java/ringspindle/controlplane/LedgerReportStore.java
+++ b/src/main/java/ringspindle/controlplane/fleet/LedgerReportStore.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -12,7 +12,7 @@
  * The newest request ledger of each incarnation of each data node that reports here. Incarnations are in the order in which
  * they were first heard: their numbers come from the time of day, which may go back. Guarded by the fleet's lock.
  */
-final class LedgerReportStore {
+public final class LedgerReportStore {
     private static final int INCARNATIONS_MAX = 4;
     private static final int NODES_MAX = 10_000;
 
@@ -21,12 +21,12 @@
      *
      * @param newest the incarnation is the newest of its node
      */
-    record Entry(LedgerReport report, boolean newest) {}
+    public record Entry(LedgerReport report, boolean newest) {}
 
     private final Map<NodeId, LinkedHashMap<Long, LedgerReport>> reportsByNode = new LinkedHashMap<>();
 
     /** Keeps a report unless a newer one of the same incarnation is there; the oldest make room. */
-    void put(NodeId node, LedgerReport report) {
+    public void put(NodeId node, LedgerReport report) {
         LinkedHashMap<Long, LedgerReport> reports =
                 reportsByNode.computeIfAbsent(node, unseen -> new LinkedHashMap<>());
         LedgerReport known = reports.get(report.life());
@@ -44,7 +44,7 @@
     }
 
     /** All reports, by node; of each node the oldest incarnation first. */
-    Map<NodeId, List<Entry>> all() {
+    public Map<NodeId, List<Entry>> all() {
         Map<NodeId, List<Entry>> entriesByNode = new TreeMap<>();
         reportsByNode.forEach((node, reports) -> {
             List<Entry> entries = new ArrayList<>();
--- a/src/main/java/ringspindle/controlplane/LoadAggregator.java
+++ b/src/main/java/ringspindle/controlplane/fleet/LoadAggregator.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
@@ -25,7 +25,7 @@
  * Sums what data nodes saw of engines: what reports here, over the region, and by service over all regions. Guarded by the
  * fleet's lock.
  */
-final class LoadAggregator {
+public final class LoadAggregator {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** A report counts for so long. */
     private static final int REPORT_TTL_MS = 2000;
@@ -63,18 +63,18 @@
     }
 
     /** A session says which incarnation of its node counts from now on. */
-    void opened(Hello peer) {
+    public void opened(Hello peer) {
         sources.onSessionOpened(peer.node(), peer.life());
         peers.onSessionOpened(peer.node(), peer.life());
     }
 
     /** The session of a data node is gone: what it said here counts no more. */
-    void closed(NodeId peer) {
+    public void closed(NodeId peer) {
         sources.onSessionClosed(peer);
     }
 
     /** A report came; it counts only if it is of the incarnation that the session stands for. */
-    void reported(NodeId from, Report report, long nowMs) {
+    public void reported(NodeId from, Report report, long nowMs) {
         SessionTable.Peer peer = sessions.peer(from);
         if (peer == null || peer.hello().life() != report.life()) {
             return;
@@ -96,7 +96,7 @@
     }
 
     /** Another region's sums came. */
-    void heard(Load load, long nowMs) {
+    public void heard(Load load, long nowMs) {
         for (RegionLoad reported : load.regions()) {
             String other = reported.region();
             if (!other.equals(region)) {
@@ -113,7 +113,7 @@
     }
 
     /** Sums go to the region's other control nodes, back to data nodes, and by service to other regions. */
-    void send(long nowMs) {
+    public void send(long nowMs) {
         LoadSummary own = sources.sum(nowMs);
         total = own.merge(peers.sum(nowMs));
         sequence++;
@@ -166,7 +166,7 @@
     }
 
     /** The sums as this node last made them. */
-    LoadSummary total() {
+    public LoadSummary total() {
         return total;
     }
 }
--- a/src/main/java/ringspindle/controlplane/NodeContext.java
+++ b/src/main/java/ringspindle/controlplane/fleet/NodeContext.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
@@ -15,14 +15,14 @@
  * @param mesh connections to other nodes; sending only queues
  * @param pool runs what must not hold up the caller
  */
-record NodeContext(NodeId me, Supplier<NodeConfig> settings, MonotonicClock clock, Mesh mesh, Executor pool) {
+public record NodeContext(NodeId me, Supplier<NodeConfig> settings, MonotonicClock clock, Mesh mesh, Executor pool) {
     /** The settings in force. */
-    NodeConfig config() {
+    public NodeConfig config() {
         return settings.get();
     }
 
     /** The time in milliseconds. */
-    long nowMs() {
+    public long nowMs() {
         return clock.nowMs();
     }
 }
--- a/src/main/java/ringspindle/controlplane/QuotaLeaseIssuer.java
+++ b/src/main/java/ringspindle/controlplane/fleet/QuotaLeaseIssuer.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.List;
 import ringspindle.protocol.Codec;
@@ -12,7 +12,7 @@
  * Grants every data node its share of the budgets, as a lease: the singleton role of the head of the view. Guarded by the
  * fleet's lock.
  */
-final class QuotaLeaseIssuer {
+public final class QuotaLeaseIssuer {
     private static final int TTL_MS = 3000;
     /** What another head granted has run out so long after this node took the role over. */
     private static final int TAKEOVER_MS = TTL_MS + 500;
@@ -41,7 +41,7 @@
      * @param view the newest view, null if unknown
      * @param quorate only then this node may act as the head
      */
-    void tick(View view, boolean quorate, long ticks, long nowMs) {
+    public void tick(View view, boolean quorate, long ticks, long nowMs) {
         if (view == null || !quorate || !view.head().equals(me)) {
             return;
         }
--- a/src/main/java/ringspindle/controlplane/Resolution.java
+++ b/src/main/java/ringspindle/controlplane/fleet/Resolution.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import java.util.List;
 
@@ -8,7 +8,7 @@
  * @param scope how the data nodes were found
  * @param addresses where they take requests, empty if {@link Scope#NOWHERE}
  */
-record Resolution(Scope scope, List<String> addresses) {
+public record Resolution(Scope scope, List<String> addresses) {
     /** No data node can be named. */
     static final Resolution NOWHERE = new Resolution(Scope.NOWHERE, List.of());
 
--- a/src/main/java/ringspindle/controlplane/ResolutionLog.java
+++ b/src/main/java/ringspindle/controlplane/fleet/ResolutionLog.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import com.google.common.flogger.FluentLogger;
 import java.util.EnumMap;
@@ -9,14 +9,14 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
-import ringspindle.controlplane.Resolution.Scope;
+import ringspindle.controlplane.fleet.Resolution.Scope;
 import ringspindle.logging.LogField;
 
 /**
  * Counts answers of the directory by scope. Logs the first answer of each scope that is not near the clients of a region, and
  * the first near one after such answers. Guarded by its owner.
  */
-final class ResolutionLog {
+public final class ResolutionLog {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** Regions are named by clients; what is remembered of them is bounded. */
     private static final int REGIONS_MAX = 256;
@@ -33,7 +33,7 @@
      * @param region the client's region
      * @param basis what the answer rests on; asked for only if a line is logged
      */
-    void answered(String region, Scope scope, Supplier<String> basis) {
+    public void answered(String region, Scope scope, Supplier<String> basis) {
         counts.merge(scope, 1L, Long::sum);
         if (NEAR.contains(scope)) {
             if (logged.remove(region) != null) {
@@ -59,7 +59,7 @@
     }
 
     /** How many answers of each scope this node has given; scopes that never occurred are 0. */
-    Map<String, Long> counts() {
+    public Map<String, Long> counts() {
         Map<String, Long> byScope = new TreeMap<>();
         for (Scope scope : Scope.values()) {
             byScope.put(scope.name().toLowerCase(Locale.ROOT), counts.getOrDefault(scope, 0L));
--- a/src/main/java/ringspindle/controlplane/package-info.java
+++ b/src/main/java/ringspindle/controlplane/package-info.java
@@ -1,15 +1,14 @@
 /**
  * The control plane's program: the node that engines, operators and clients call, and that tells data nodes what is in force.
  *
- * <p>{@link ringspindle.controlplane.ControlPlane} starts it, {@code ControlNode} wires it. Parts have one concern each:
+ * <p>{@code ControlNode} wires it; its program and HTTP interface are in {@code server}, what it learns from other nodes and tells
+ * them is in {@code fleet}. Parts have one concern each:
  *
  * <ul>
  *   <li>{@code ReplicationDriver} feeds the replicated state, with {@code PendingCalls} and {@code Storage}.
- *   <li>{@code FleetState} holds what is learnt from other nodes: sessions, facts, load, leases and reports.
  *   <li>{@code MessageDispatcher} takes messages and passes each to the handler of its family.
  *   <li>{@code ControlNodeTasks} runs what is periodic; {@code HeadDuties} drives roll-outs and experiments.
  *   <li>{@code ServingState} and {@code QuorumTracker} say whether this node may serve.
- *   <li>{@code ControlApiHandler} answers HTTP calls, with a class a resource and a class an operators' page.
  * </ul>
  *
  * <p>Locks: {@code ReplicationDriver} and {@code FleetState} have one each. The first may be held when the second is taken,
--- a/src/main/java/ringspindle/controlplane/ApiExchange.java
+++ b/src/main/java/ringspindle/controlplane/server/ApiExchange.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/src/main/java/ringspindle/controlplane/ApiResource.java
+++ b/src/main/java/ringspindle/controlplane/server/ApiResource.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 /** Answers the HTTP calls of one resource. Thread safe. */
 interface ApiResource {
--- a/src/main/java/ringspindle/controlplane/ConfigurationResource.java
+++ b/src/main/java/ringspindle/controlplane/server/ConfigurationResource.java
@@ -1,8 +1,9 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import java.util.OptionalLong;
 import ringspindle.api.Outcome;
 import ringspindle.config.FleetConfig;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.replication.CallKind;
 
 /** Reads and changes the fleet's configuration. */
--- a/src/main/java/ringspindle/controlplane/ControlApiHandler.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlApiHandler.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import java.util.EnumMap;
 import java.util.Map;
@@ -8,13 +8,16 @@
 import org.eclipse.jetty.util.Callback;
 import ringspindle.api.Operation;
 import ringspindle.api.Outcome;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.ServingState;
 
 /** The HTTP calls of engines, operators and clients on a control node: each goes to the class of its resource. */
-final class ControlApiHandler extends Handler.Abstract {
+public final class ControlApiHandler extends Handler.Abstract {
     private final ServingState serving;
     private final Map<Operation, ApiResource> resources = new EnumMap<>(Operation.class);
 
-    ControlApiHandler(ControlNode node) {
+    /** Answers calls from what that node knows. */
+    public ControlApiHandler(ControlNode node) {
         // resources pass calls on and are told the outcome later: none of them waits
         super(InvocationType.NON_BLOCKING);
         serving = node.serving();
--- a/src/main/java/ringspindle/controlplane/ControlPlane.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlPlane.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
@@ -14,6 +14,9 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import ringspindle.config.NodeConfig;
 import ringspindle.config.Settings;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.DiskStorage;
+import ringspindle.controlplane.EngineReportClient;
 import ringspindle.logging.LogField;
 import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
--- a/src/main/java/ringspindle/controlplane/ControlPlaneMetrics.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlPlaneMetrics.java
@@ -1,7 +1,10 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import java.util.Map;
 import java.util.TreeMap;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.FleetQueries;
+import ringspindle.controlplane.ReplicationDriver;
 import ringspindle.metrics.Metrics;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.State;
--- a/src/main/java/ringspindle/controlplane/EnginesPage.java
+++ b/src/main/java/ringspindle/controlplane/server/EnginesPage.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -7,6 +7,7 @@
 import jakarta.json.JsonObjectBuilder;
 import jakarta.json.spi.JsonProvider;
 import java.util.ArrayList;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.protocol.Codec;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Engine;
@@ -16,7 +17,7 @@
 import ringspindle.telemetry.LoadSummary;
 
 /** The page on which a control node shows operators the engines. Tools read it: names and order are fixed. */
-final class EnginesPage {
+public final class EnginesPage {
     private static final JsonProvider JSON = JsonProvider.provider();
     /** What an engine in turn of a roll-out still runs is shown for so long after it was told. */
     private static final int TURN_TTL_MS = 3000;
@@ -24,7 +25,7 @@
     private EnginesPage() {}
 
     /** The page as it is now. */
-    static JsonObject of(ControlNode node) {
+    public static JsonObject of(ControlNode node) {
         LoadSummary load = node.queries().load();
         JsonArrayBuilder engines = JSON.createArrayBuilder();
         for (Fact fact : node.fleet().read(store -> new ArrayList<>(store.all(FactKind.ENGINE)))) {
--- a/src/main/java/ringspindle/controlplane/EvacuationResource.java
+++ b/src/main/java/ringspindle/controlplane/server/EvacuationResource.java
@@ -1,6 +1,7 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import ringspindle.api.Outcome;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.replication.CallKind;
 
 /** Takes zones out of service and back. */
--- a/src/main/java/ringspindle/controlplane/ExperimentResource.java
+++ b/src/main/java/ringspindle/controlplane/server/ExperimentResource.java
@@ -1,5 +1,6 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
+import ringspindle.controlplane.ControlNode;
 import ringspindle.experiment.ExperimentDocument;
 import ringspindle.replication.CallKind;
 
--- a/src/main/java/ringspindle/controlplane/ExperimentsPage.java
+++ b/src/main/java/ringspindle/controlplane/server/ExperimentsPage.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -9,6 +9,7 @@
 import jakarta.json.spi.JsonProvider;
 import java.io.StringReader;
 import java.util.ArrayList;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.experiment.Comparison;
 import ringspindle.experiment.Experiment;
 import ringspindle.experiment.Judge;
--- a/src/main/java/ringspindle/controlplane/InstanceResource.java
+++ b/src/main/java/ringspindle/controlplane/server/InstanceResource.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -9,6 +9,7 @@
 import ringspindle.api.Outcome;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.logging.LogField;
 import ringspindle.protocol.Message.Engine;
 import ringspindle.protocol.NodeId;
--- a/src/main/java/ringspindle/controlplane/LedgerPage.java
+++ b/src/main/java/ringspindle/controlplane/server/LedgerPage.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -8,6 +8,8 @@
 import jakarta.json.spi.JsonProvider;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.FleetQueries;
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.protocol.Message.LedgerRow;
 import ringspindle.protocol.Message.Mark;
@@ -21,13 +23,13 @@
  * The page on which a control node shows operators what data nodes that report to it say of their requests and rules, and
  * which data nodes there are. Tools read it: names and order are fixed.
  */
-final class LedgerPage {
+public final class LedgerPage {
     private static final JsonProvider JSON = JsonProvider.provider();
 
     private LedgerPage() {}
 
     /** The page as it is now. */
-    static JsonObject of(ControlNode node) {
+    public static JsonObject of(ControlNode node) {
         State state = node.replication().committed();
         ServingRules rules = rules(state);
         return JSON.createObjectBuilder()
--- a/src/main/java/ringspindle/controlplane/ResolutionResource.java
+++ b/src/main/java/ringspindle/controlplane/server/ResolutionResource.java
@@ -1,9 +1,10 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import jakarta.json.JsonArrayBuilder;
 import jakarta.json.spi.JsonProvider;
 import java.util.List;
 import ringspindle.api.Outcome;
+import ringspindle.controlplane.ControlNode;
 
 /** Tells clients the addresses of data nodes. */
 final class ResolutionResource implements ApiResource {
--- a/src/main/java/ringspindle/controlplane/RolloutResource.java
+++ b/src/main/java/ringspindle/controlplane/server/RolloutResource.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -9,6 +9,7 @@
 import ringspindle.api.Outcome;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.replication.CallKind;
 import ringspindle.rollout.RolloutPlanner;
 
--- a/src/main/java/ringspindle/controlplane/RolloutsPage.java
+++ b/src/main/java/ringspindle/controlplane/server/RolloutsPage.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -8,17 +8,18 @@
 import jakarta.json.spi.JsonProvider;
 import java.io.StringReader;
 import java.util.ArrayList;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Fact;
 
 /** The page on which a control node shows operators the roll-outs. Tools read it: names and order are fixed. */
-final class RolloutsPage {
+public final class RolloutsPage {
     private static final JsonProvider JSON = JsonProvider.provider();
 
     private RolloutsPage() {}
 
     /** The page as it is now. */
-    static JsonObject of(ControlNode node) {
+    public static JsonObject of(ControlNode node) {
         JsonArrayBuilder rollouts = JSON.createArrayBuilder();
         for (Fact fact : node.fleet().read(store -> new ArrayList<>(store.all(FactKind.ROLLOUT)))) {
             try (JsonReader reader = JSON.createReader(new StringReader(new String(fact.value(), UTF_8)))) {
--- a/src/main/java/ringspindle/controlplane/RulesResource.java
+++ b/src/main/java/ringspindle/controlplane/server/RulesResource.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
@@ -8,6 +8,7 @@
 import ringspindle.api.Outcome;
 import ringspindle.config.ConfigError;
 import ringspindle.config.Validated;
+import ringspindle.controlplane.ControlNode;
 import ringspindle.replication.CallKind;
 import ringspindle.routing.ServingRules;
 import ringspindle.routing.ServingRulesValidator;
--- a/src/main/java/ringspindle/controlplane/StatusPage.java
+++ b/src/main/java/ringspindle/controlplane/server/StatusPage.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.server;
 
 import jakarta.json.JsonArrayBuilder;
 import jakarta.json.JsonObject;
@@ -6,6 +6,10 @@
 import jakarta.json.spi.JsonProvider;
 import java.util.ArrayList;
 import java.util.List;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.FleetQueries;
+import ringspindle.controlplane.ServingState;
+import ringspindle.controlplane.ShutdownHandover;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Fact;
@@ -19,13 +23,13 @@
 import ringspindle.replication.MarkKind;
 
 /** The page on which a control node shows operators how it is. Tools read it: names and order are fixed. */
-final class StatusPage {
+public final class StatusPage {
     private static final JsonProvider JSON = JsonProvider.provider();
 
     private StatusPage() {}
 
     /** The page as it is now. */
-    static JsonObject of(ControlNode node) {
+    public static JsonObject of(ControlNode node) {
         ServingState serving = node.serving();
         JsonObjectBuilder page = JSON.createObjectBuilder()
                 .add("node", node.config().name())
--- a/src/test/java/ringspindle/ArchitectureTest.java
+++ b/src/test/java/ringspindle/ArchitectureTest.java
@@ -158,6 +158,25 @@
         slices().matching(ROOT + ".(*)..").should().beFreeOfCycles().check(CLASSES);
     }
 
+    /** The rooms of the control plane: the program and its interface use the node, and the node what it learns of the fleet. */
+    @Test
+    void roomsOfTheControlPlaneFormNoCycles() {
+        noClasses()
+                .that()
+                .resideInAnyPackage("ringspindle.controlplane", "ringspindle.controlplane.fleet")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("ringspindle.controlplane.server")
+                .check(CLASSES);
+        noClasses()
+                .that()
+                .resideInAPackage("ringspindle.controlplane.fleet")
+                .should()
+                .dependOnClassesThat()
+                .resideInAPackage("ringspindle.controlplane")
+                .check(CLASSES);
+    }
+
     @Test
     void stateMachinesReadNoClock() {
         noClasses()
--- a/src/test/java/ringspindle/controlplane/ControlNodeSettings.java
+++ b/src/test/java/ringspindle/controlplane/ControlNodeSettings.java
@@ -6,10 +6,11 @@
 import ringspindle.config.Validated;
 
 /** Settings of one control node in region a, of a fleet with a zone in each of the regions a, b and c. */
-final class ControlNodeSettings {
+public final class ControlNodeSettings {
     private ControlNodeSettings() {}
 
-    static NodeConfig create() {
+    /** The settings. */
+    public static NodeConfig create() {
         Properties settings = new Properties();
         settings.putAll(Map.of("node.name", "c", "node.ip", "10.0.0.1", "node.zone", "za", "node.region", "a"));
         settings.putAll(
--- a/src/test/java/ringspindle/controlplane/LedgerReportStoreTest.java
+++ b/src/test/java/ringspindle/controlplane/fleet/LedgerReportStoreTest.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/ringspindle/controlplane/QuotaLeaseIssuerTest.java
+++ b/src/test/java/ringspindle/controlplane/fleet/QuotaLeaseIssuerTest.java
@@ -1,10 +1,11 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import ringspindle.controlplane.ControlNodeSettings;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Codec;
--- a/src/test/java/ringspindle/controlplane/ResolutionHistoryTest.java
+++ b/src/test/java/ringspindle/controlplane/fleet/ResolutionHistoryTest.java
@@ -1,4 +1,4 @@
-package ringspindle.controlplane;
+package ringspindle.controlplane.fleet;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Validated;
+import ringspindle.controlplane.ControlNodeSettings;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
