The last data node of a region serves on until clients know of another

Cause: once another node was back the last one refused at once with Retry-After of 10 ms, and closed 0.7 s later, while clients that had been told only its address came to it still.

--- a/src/main/java/ringspindle/controlplane/fleet/Resolution.java
+++ b/src/main/java/ringspindle/controlplane/fleet/Resolution.java
@@ -13,7 +13,7 @@
     static final Resolution NOWHERE = new Resolution(Scope.NOWHERE, List.of());
 
     /** How near to the client the named data nodes are; the nearest that has any is chosen. */
-    enum Scope {
+    public enum Scope {
         /** In the client's zone. */
         ZONE,
         /** In the client's region. */
--- a/src/main/java/ringspindle/dataplane/DeparturePlan.java
+++ b/src/main/java/ringspindle/dataplane/DeparturePlan.java
@@ -16,7 +16,7 @@
     /** Default: until peers, and by them the directory, know that this node leaves. */
     static final int ANNOUNCED_MS = 700;
     /** Default: once another node takes requests again, until clients have heard of it. */
-    static final int RELIEVED_MS = 700;
+    static final int RELIEVED_MS = 1500;
     /** Default: kept from the end for the requests that are under way by then. */
     static final int RESERVED_MS = 1500;
 
@@ -45,7 +45,10 @@
             return true;
         }
         return switch (coverage) {
-            case NO_OTHERS -> elapsedMs >= ADDRESSED_MS;
+            case NO_OTHERS -> {
+                stayed = true;
+                yield elapsedMs >= ADDRESSED_MS;
+            }
             case OTHERS_READY -> elapsedMs >= ADDRESSED_MS && isRelieved(nowMs);
             case ANOTHER_STAYS -> elapsedMs >= ANNOUNCED_MS;
             case THIS_NODE_STAYS -> {
@@ -56,6 +59,11 @@
         };
     }
 
+    /** True once this node was the last of its region or its only one: clients that know of no other go on using it. */
+    boolean hasStayed() {
+        return stayed;
+    }
+
     private boolean isRelieved(long nowMs) {
         if (!stayed) {
             return true;
--- a/src/main/java/ringspindle/dataplane/GracefulShutdown.java
+++ b/src/main/java/ringspindle/dataplane/GracefulShutdown.java
@@ -64,7 +64,7 @@
     private void awaitDeparture(DeparturePlan plan) throws InterruptedException {
         RegionCoverage coverage = node.coverage();
         while (!plan.isOver(clock.nowMs(), coverage)) {
-            proxy.serveAsLast(coverage == RegionCoverage.THIS_NODE_STAYS);
+            proxy.serveAsLast(plan.hasStayed());
             Thread.sleep(STEP_MS);
             coverage = node.coverage();
         }
