Replicated counters: tallies count on either side of a partition, each id once

Change: package counter, a state machine of its own beside the agreed state: increments by the store that accepted them, on disk before they are sent, confirmed once three disks hold them (two may be lost), or those in touch during a partition; vectors are compared, ids forgotten 15 minutes after all members hold them. CounterDriver, CounterResource, the command tallies, metrics, events. Control nodes say by a flag of their heartbeats that they take these messages. RecordLog replaces the three methods of Storage, so that the counters have slots and a log of their own.

--- a/src/main/java/ringspindle/api/Operation.java
+++ b/src/main/java/ringspindle/api/Operation.java
@@ -18,7 +18,10 @@
     ROLLOUTS("GET", "rollouts", ""),
     ROLLOUT("POST", "rollouts", "service"),
     EXPERIMENTS("GET", "experiments", ""),
-    EXPERIMENT("POST", "experiments", "name");
+    EXPERIMENT("POST", "experiments", "name"),
+    COUNTERS("GET", "tallies", ""),
+    COUNTER_GET("GET", "tallies", "id"),
+    COUNTER_ADD("POST", "tallies", "id");
 
     /** What all paths start with. */
     public static final String BASE = "/ringspindle/";
--- a/src/main/java/ringspindle/api/Outcome.java
+++ b/src/main/java/ringspindle/api/Outcome.java
@@ -33,7 +33,11 @@
     /** It may have run; the engine broke off or answered out of order. */
     BROKEN(502, false),
     /** It may have run; there is no time left. */
-    OVERDUE(504, false);
+    OVERDUE(504, false),
+    /** What is kept has reached its bound; nothing was done. */
+    STORE_FULL(503, true),
+    /** It may be done later, or was: not as many replicas hold it yet as it takes. */
+    UNCONFIRMED(504, false);
 
     private final int status;
     private final boolean notRun;
--- a/src/main/java/ringspindle/cli/Cli.java
+++ b/src/main/java/ringspindle/cli/Cli.java
@@ -28,6 +28,7 @@
         commands.put("rollout", new RolloutCommand());
         commands.put("rules", new RulesCommand());
         commands.put("ledger", new LedgerCommand());
+        commands.put("tallies", new CounterCommand());
         commands.put("experiment", new ExperimentCommand());
     }
 
--- a/src/main/java/ringspindle/cli/LedgerSurvey.java
+++ b/src/main/java/ringspindle/cli/LedgerSurvey.java
@@ -1,6 +1,5 @@
 package ringspindle.cli;
 
-import jakarta.json.JsonObject;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -22,7 +21,7 @@
         }
         FleetLedger ledger = new FleetLedger();
         Set<String> unreached = new TreeSet<>();
-        for (String node : controlNodes(client, accepted.json())) {
+        for (String node : ControlNodes.known(client, accepted.json())) {
             if (client.callOnce(node, Operation.LEDGER) instanceof ControlPlaneReply.Accepted report) {
                 ledger.add(report.json());
             } else {
@@ -32,18 +31,6 @@
         return Optional.of(new LedgerSurvey(ledger, unreached));
     }
 
-    /** Those given on the command line, and those that have sessions. */
-    private static Set<String> controlNodes(ControlPlaneClient client, JsonObject status) {
-        Set<String> nodes = new TreeSet<>(client.nodes());
-        for (JsonObject session : status.getJsonArray("sessions").getValuesAs(JsonObject.class)) {
-            String control = session.getString("control", "");
-            if (!control.isEmpty()) {
-                nodes.add(control);
-            }
-        }
-        return nodes;
-    }
-
     /** The control nodes that were not reached, in one field. */
     String unreachedList() {
         return String.join(", ", unreached);
--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -1,5 +1,6 @@
 package ringspindle.controlplane;
 
+import java.io.IOException;
 import java.util.List;
 import ringspindle.config.NodeConfig;
 import ringspindle.controlplane.fleet.FleetState;
@@ -18,6 +19,7 @@
  *
  * <ul>
  *   <li>{@link ReplicationDriver}: the replicated state and calls to it; a lock of its own.
+ *   <li>{@link CounterDriver}: the replicated counters and calls to them; a lock of its own, under which no other is taken.
  *   <li>{@link FleetState}: sessions, facts, load, leases and reports; {@link FleetState#lock}.
  *   <li>{@link QuorumTracker} and {@link ServingState}: whether this node may serve; written by the tick, read without a lock.
  *   <li>{@link ControlNodeTasks}: the periodic work; one thread.
@@ -30,6 +32,9 @@
     /** Milliseconds between two ticks. */
     public static final int TICK_MS = 100;
 
+    /** Set in the number of every store of counters, so that none is 0. */
+    private static final long STORE_BIT = 1;
+
     private volatile NodeConfig config;
     private final Storage storage;
     private final NodeContext context;
@@ -37,6 +42,7 @@
     private final ServingState serving;
     private final FleetState fleet;
     private final ReplicationDriver replication;
+    private final CounterDriver counters;
     private final EngineRegistry engines;
     private final FleetQueries queries;
     private final MessageDispatcher dispatcher;
@@ -60,24 +66,49 @@
         serving = new ServingState(context.clock(), quorum);
         fleet = new FleetState(context, self);
         CommittedFacts committedFacts = new CommittedFacts(context.pool(), fleet, serving);
-        ReplicatedState state = ReplicatedState.create(
-                me,
-                seeds(config),
-                config.bootstrap(),
-                storage.load(),
-                environment.random().getAsLong(),
-                ReplicationDriver.votersWanted(config.lossesBorne()));
-        replication = new ReplicationDriver(context, state, calls, storage, quorum, committedFacts);
+        ReplicatedState state = replicatedState(me, environment);
+        replication = new ReplicationDriver(context, state, calls, storage.replication(), quorum, committedFacts);
+        counters = new CounterDriver(
+                context, storage.counters(), environment.random().getAsLong() | STORE_BIT);
         engines = new EngineRegistry(fleet, serving, replication);
         queries = new FleetQueries(context, fleet, quorum);
         HeartbeatExchange heartbeats = new HeartbeatExchange(context, fleet, replication, serving);
-        dispatcher = new MessageDispatcher(
-                context, fleet, replication, heartbeats, new FactHandler(fleet, serving), new LoadHandler(fleet));
+        dispatcher = dispatcher(heartbeats);
         HeadDuties headDuties = new HeadDuties(
                 new RolloutTask(me, fleet, engines, replication, reports),
                 new ExperimentTask(context, environment.incarnation(), fleet, replication));
         tasks = new ControlNodeTasks(
-                context, storage, fleet, replication, quorum, serving, heartbeats, committedFacts, headDuties);
+                context,
+                storage,
+                fleet,
+                replication,
+                counters,
+                quorum,
+                serving,
+                heartbeats,
+                committedFacts,
+                headDuties);
+    }
+
+    private ReplicatedState replicatedState(NodeId me, NodeEnvironment environment) throws IOException {
+        return ReplicatedState.create(
+                me,
+                seeds(config),
+                config.bootstrap(),
+                storage.replication().load(),
+                environment.random().getAsLong(),
+                ReplicationDriver.votersWanted(config.lossesBorne()));
+    }
+
+    private MessageDispatcher dispatcher(HeartbeatExchange heartbeats) {
+        return new MessageDispatcher(
+                context,
+                fleet,
+                replication,
+                counters,
+                heartbeats,
+                new FactHandler(fleet, serving),
+                new LoadHandler(fleet));
     }
 
     private static Hello greeting(NodeId me, NodeConfig settings, long incarnation) {
@@ -104,6 +135,7 @@
             fleet.facts().merge(storage.cachedEngines());
         }
         replication.open();
+        counters.open();
         context.mesh().open(dispatcher);
     }
 
@@ -121,6 +153,7 @@
     /** Says that this node leaves; {@link #handedOver} tells when it may end. */
     public void leave() {
         serving.leave();
+        counters.leave();
     }
 
     /** True once the others go on without this node and hold all that is committed here. */
@@ -165,6 +198,11 @@
         return replication;
     }
 
+    /** The replicated counters and calls to them. */
+    public CounterDriver counters() {
+        return counters;
+    }
+
     /** What this node knows of the fleet. */
     public FleetState fleet() {
         return fleet;
--- a/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
+++ b/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
@@ -41,6 +41,7 @@
     private final Storage storage;
     private final FleetState fleet;
     private final ReplicationDriver replication;
+    private final CounterDriver counters;
     private final QuorumTracker quorum;
     private final ServingState serving;
     private final HeartbeatExchange heartbeats;
@@ -53,6 +54,7 @@
             Storage storage,
             FleetState fleet,
             ReplicationDriver replication,
+            CounterDriver counters,
             QuorumTracker quorum,
             ServingState serving,
             HeartbeatExchange heartbeats,
@@ -62,6 +64,7 @@
         this.storage = storage;
         this.fleet = fleet;
         this.replication = replication;
+        this.counters = counters;
         this.quorum = quorum;
         this.serving = serving;
         this.heartbeats = heartbeats;
@@ -75,6 +78,7 @@
         ticks++;
         Survey survey = survey(nowMs);
         View view = replicate(survey.live(), nowMs);
+        counters.tick(survey.live(), view, nowMs);
         dial(survey.known(), view);
         survey.heartbeatTo().forEach(heartbeats::send);
         headDuties.tick(view, serving.quorate(), hearsEngines(nowMs), ticks, nowMs);
--- a/src/main/java/ringspindle/controlplane/GroupCommitWriter.java
+++ b/src/main/java/ringspindle/controlplane/GroupCommitWriter.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.LongConsumer;
 import ringspindle.protocol.Message;
+import ringspindle.protocol.Message.CounterAdds;
 import ringspindle.protocol.Message.Entry;
 import ringspindle.protocol.Message.State;
-import ringspindle.replication.ReplicatedState.Out.Store;
 import ringspindle.storage.Disk;
 import ringspindle.transport.FatalErrors;
 
@@ -19,8 +19,6 @@
  * written again, so a refused write does not repeat those before it.
  */
 final class GroupCommitWriter implements Runnable {
-    /** Token of a snapshot that was asked for to start the log anew; nobody waits for it. */
-    static final long COMPACTION = -1;
     /** While the disk takes snapshots, the log is at most this long, and one record. */
     static final long LOG_MAX = 4 << 20;
 
@@ -29,13 +27,13 @@
     private static final int SMALL_RECORD = 512;
 
     private final Disk disk;
-    private final BlockingQueue<Store> queue = new LinkedBlockingQueue<>();
-    private final List<Store> backlog = new ArrayList<>();
+    private final BlockingQueue<RecordLog.Write> queue = new LinkedBlockingQueue<>();
+    private final List<RecordLog.Write> backlog = new ArrayList<>();
     private final LongConsumer stored;
     private final Runnable compact;
     private boolean compacting;
 
-    /** {@code compact} takes a snapshot of what counts, with token {@link #COMPACTION}, in order with the other records. */
+    /** {@code compact} takes a snapshot of what counts, with token {@link RecordLog#COMPACTION}, in order with the other records. */
     GroupCommitWriter(Disk disk, LongConsumer stored, Runnable compact) {
         this.disk = disk;
         this.stored = stored;
@@ -43,7 +41,7 @@
     }
 
     /** Queues records; never waits for the disk. */
-    void add(Store records) {
+    void add(RecordLog.Write records) {
         queue.add(records);
     }
 
@@ -69,14 +67,14 @@
     boolean writeNext() {
         queue.drainTo(backlog);
         int snapshot = lastSnapshot();
-        List<Store> group = List.copyOf(snapshot >= 0 ? backlog.subList(0, snapshot + 1) : appendable());
+        List<RecordLog.Write> group = List.copyOf(snapshot >= 0 ? backlog.subList(0, snapshot + 1) : appendable());
         try {
             if (snapshot >= 0) {
                 disk.snapshot(backlog.get(snapshot).records());
                 compacting = false;
             } else {
                 disk.append(group.stream()
-                        .flatMap(store -> store.records().stream())
+                        .flatMap(write -> write.records().stream())
                         .toList());
             }
         } catch (IOException refused) {
@@ -85,7 +83,9 @@
             return false;
         }
         backlog.subList(0, group.size()).clear();
-        group.stream().filter(store -> store.token() != COMPACTION).forEach(store -> stored.accept(store.token()));
+        group.stream()
+                .filter(write -> write.token() != RecordLog.COMPACTION)
+                .forEach(write -> stored.accept(write.token()));
         if (disk.logBytes() > LOG_MAX) {
             compactOnce();
         }
@@ -96,7 +96,7 @@
         if (snapshot < 0) {
             // the log is full, or broken: a snapshot does without it
             compactOnce();
-        } else if (backlog.get(snapshot).token() == COMPACTION) {
+        } else if (backlog.get(snapshot).token() == RecordLog.COMPACTION) {
             // perhaps there is room for the records themselves
             backlog.remove(snapshot);
             compacting = false;
@@ -120,7 +120,7 @@
     }
 
     /** As many as fit the log, one at least. */
-    private List<Store> appendable() {
+    private List<RecordLog.Write> appendable() {
         long bytes = disk.logBytes();
         int count = 0;
         while (count < backlog.size() && (count == 0 || bytes + bytes(backlog.get(count)) <= LOG_MAX)) {
@@ -130,14 +130,17 @@
         return backlog.subList(0, count);
     }
 
-    private static long bytes(Store store) {
-        return store.records().stream().mapToLong(GroupCommitWriter::bytes).sum();
+    private static long bytes(RecordLog.Write write) {
+        return write.records().stream().mapToLong(GroupCommitWriter::bytes).sum();
     }
 
     private static long bytes(Message record) {
         if (record instanceof Entry e) {
             return (long) SMALL_RECORD + e.op().length;
         }
+        if (record instanceof CounterAdds adds) {
+            return (long) SMALL_RECORD * adds.items().size();
+        }
         return record instanceof State s ? SMALL_RECORD + s.config().length : SMALL_RECORD;
     }
 }
--- a/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
+++ b/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
@@ -44,7 +44,8 @@
     private NodeFlags flags(boolean blank) {
         return (serving.leaving() ? NodeFlags.LEAVING : NodeFlags.READY)
                 .and(NodeFlags.QUORATE.when(serving.quorate()))
-                .and(NodeFlags.RELEARNING.when(blank));
+                .and(NodeFlags.RELEARNING.when(blank))
+                .and(NodeFlags.COUNTERS);
     }
 
     /** A peer's heartbeat came. */
--- a/src/main/java/ringspindle/controlplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/controlplane/MessageDispatcher.java
@@ -4,6 +4,9 @@
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.Message;
+import ringspindle.protocol.Message.CounterAdds;
+import ringspindle.protocol.Message.CounterSnapshot;
+import ringspindle.protocol.Message.CounterVector;
 import ringspindle.protocol.Message.Digest;
 import ringspindle.protocol.Message.Heartbeat;
 import ringspindle.protocol.Message.Hello;
@@ -12,6 +15,7 @@
 import ringspindle.protocol.Message.News;
 import ringspindle.protocol.Message.Outcomes;
 import ringspindle.protocol.Message.Report;
+import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
 import ringspindle.transport.Mesh;
@@ -21,6 +25,7 @@
     private final NodeContext context;
     private final FleetState fleet;
     private final ReplicationDriver replication;
+    private final CounterDriver counters;
     private final HeartbeatExchange heartbeats;
     private final FactHandler facts;
     private final LoadHandler loads;
@@ -29,12 +34,14 @@
             NodeContext context,
             FleetState fleet,
             ReplicationDriver replication,
+            CounterDriver counters,
             HeartbeatExchange heartbeats,
             FactHandler facts,
             LoadHandler loads) {
         this.context = context;
         this.fleet = fleet;
         this.replication = replication;
+        this.counters = counters;
         this.heartbeats = heartbeats;
         this.facts = facts;
         this.loads = loads;
@@ -50,6 +57,7 @@
         }
         if (peer.kind() == NodeKind.CONTROL) {
             replication.opened(peer.node(), nowMs);
+            counters.connected(peer.node());
         }
         heartbeats.send(peer.node());
     }
@@ -59,6 +67,9 @@
         long nowMs = context.nowMs();
         if (message instanceof Heartbeat heartbeat) {
             heartbeats.received(from, heartbeat, nowMs);
+            if (heartbeat.flags().has(NodeFlags.COUNTERS)) {
+                counters.introduced(from, nowMs);
+            }
         } else if (message instanceof News news) {
             facts.received(from, news);
         } else if (message instanceof Report report) {
@@ -71,6 +82,10 @@
             loads.received(load, nowMs);
         } else if (message instanceof Digest digest) {
             facts.received(from, digest);
+        } else if (message instanceof CounterAdds
+                || message instanceof CounterVector
+                || message instanceof CounterSnapshot) {
+            counters.received(from, message, nowMs);
         } else {
             replication.received(from, message, nowMs);
         }
--- a/src/main/java/ringspindle/controlplane/ReplicationDriver.java
+++ b/src/main/java/ringspindle/controlplane/ReplicationDriver.java
@@ -74,7 +74,7 @@
     private final NodeContext context;
     private final ReplicatedState state;
     private final PendingCalls calls;
-    private final Storage storage;
+    private final RecordLog records;
     private final QuorumTracker quorum;
     private final CommitListener commits;
 
@@ -87,13 +87,13 @@
             NodeContext context,
             ReplicatedState state,
             PendingCalls calls,
-            Storage storage,
+            RecordLog records,
             QuorumTracker quorum,
             CommitListener commits) {
         this.context = context;
         this.state = state;
         this.calls = calls;
-        this.storage = storage;
+        this.records = records;
         this.quorum = quorum;
         this.commits = commits;
     }
@@ -105,7 +105,7 @@
 
     /** Opens the storage: from now on records are written. */
     void open() {
-        storage.open(this::stored, this::compact);
+        records.open(this::stored, this::compact);
     }
 
     /**
@@ -197,7 +197,7 @@
 
     private void compact() {
         synchronized (lock) {
-            storage.write(new ReplicatedState.Out.Store(GroupCommitWriter.COMPACTION, state.durable(), true));
+            records.write(new RecordLog.Write(RecordLog.COMPACTION, state.durable(), true));
         }
     }
 
@@ -207,7 +207,7 @@
             if (command instanceof ReplicatedState.Out.Send send) {
                 context.mesh().send(send.to(), send.message());
             } else if (command instanceof ReplicatedState.Out.Store store) {
-                storage.write(store);
+                records.write(new RecordLog.Write(store.token(), store.records(), store.snapshot()));
             } else if (command instanceof ReplicatedState.Out.Answer answer) {
                 calls.complete(answer);
             } else if (command instanceof ReplicatedState.Out.Committed newer) {
--- a/src/main/java/ringspindle/controlplane/Storage.java
+++ b/src/main/java/ringspindle/controlplane/Storage.java
@@ -1,31 +1,16 @@
 package ringspindle.controlplane;
 
-import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
-import java.util.function.LongConsumer;
-import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Fact;
-import ringspindle.replication.ReplicatedState;
 
-/** What a control node keeps across restarts. Thread safe after {@link #open}. */
+/** What a control node keeps across restarts. Thread safe. */
 interface Storage {
-    /**
-     * The records found, oldest first; called once.
-     *
-     * @throws IOException if the records cannot be read
-     */
-    List<Message> load() throws IOException;
+    /** Records of the replicated control state. */
+    RecordLog replication();
 
-    /**
-     * From now on records are written; {@code stored} hears of each token that is synced. {@code compact} is called when the
-     * log is long: it must {@link #write} a snapshot of what counts, with token {@link GroupCommitWriter#COMPACTION}, in order with
-     * all other records.
-     */
-    void open(LongConsumer stored, Runnable compact);
-
-    /** Queues records to be written and synced, after those queued before. */
-    void write(ReplicatedState.Out.Store records);
+    /** Records of the replicated counters. */
+    RecordLog counters();
 
     /** The engines last cached, a hint for the time right after a start; empty if there is none. */
     List<Fact> cachedEngines();
--- a/src/main/java/ringspindle/controlplane/server/ControlApiHandler.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlApiHandler.java
@@ -35,6 +35,10 @@
         RulesResource rules = new RulesResource(node);
         resources.put(Operation.RULES_GET, rules::get);
         resources.put(Operation.RULES_PUT, rules::put);
+        CounterResource counters = new CounterResource(node);
+        resources.put(Operation.COUNTER_GET, counters::get);
+        resources.put(Operation.COUNTER_ADD, counters::add);
+        resources.put(Operation.COUNTERS, exchange -> exchange.respond(CountersPage.of(node)));
         resources.put(Operation.ROLLOUT, new RolloutResource(node));
         resources.put(Operation.EXPERIMENT, new ExperimentResource(node));
         resources.put(Operation.EXPERIMENTS, ifUpToDate(exchange -> exchange.respond(ExperimentsPage.of(node))));
--- a/src/main/java/ringspindle/controlplane/server/ControlPlaneMetrics.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlPlaneMetrics.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.CounterDriver;
 import ringspindle.controlplane.FleetQueries;
 import ringspindle.controlplane.ReplicationDriver;
 import ringspindle.metrics.Metrics;
@@ -19,7 +20,7 @@
 
     static Metrics of(ControlNode node) {
         ReplicationDriver replication = node.replication();
-        return new Metrics()
+        return addCounters(new Metrics(), node.counters())
                 .gauge(
                         "ringspindle_quorate",
                         "1 while this node is proven to hear of all that is committed, else 0.",
@@ -58,6 +59,23 @@
                         .read(store -> store.all(FactKind.ENGINE).size()));
     }
 
+    private static Metrics addCounters(Metrics metrics, CounterDriver counters) {
+        return metrics.gauge(
+                        "ringspindle_counters_isolated",
+                        "1 while too few peers are in touch for the copies of an increment, else 0.",
+                        () -> counters.status().isolated() ? 1 : 0)
+                .gauge(
+                        "ringspindle_counters_not_everywhere",
+                        "Increments that the peer which lacks most has not said to hold.",
+                        () -> counters.status().notEverywhere())
+                .gauge(
+                        "ringspindle_counters_instances",
+                        "Ids of increments that are remembered.",
+                        () -> counters.status().instances())
+                .gauge("ringspindle_counters_unconfirmed", "Increments that wait for copies.", () -> counters.status()
+                        .unconfirmed());
+    }
+
     private static Map<String, Integer> members(View view) {
         return view == null
                 ? Map.of()
--- a/src/main/java/ringspindle/protocol/Codec.java
+++ b/src/main/java/ringspindle/protocol/Codec.java
@@ -31,7 +31,8 @@
                         ReplicationCodec.TEMPLATES,
                         OperationCodec.TEMPLATES,
                         GossipCodec.TEMPLATES,
-                        TelemetryCodec.TEMPLATES)
+                        TelemetryCodec.TEMPLATES,
+                        CounterCodec.TEMPLATES)
                 .<MessageTemplate<?>>flatMap(List::stream)
                 .toList();
         int highest = templates.stream().mapToInt(MessageTemplate::id).max().orElseThrow();
--- a/src/main/java/ringspindle/protocol/Message.java
+++ b/src/main/java/ringspindle/protocol/Message.java
@@ -323,4 +323,41 @@
 
     /** Sums on their way back: engines to data nodes of the region, regions to everyone. */
     record Load(long life, long seq, List<EngineLoad> engines, List<RegionLoad> regions) implements Message {}
+
+    /**
+     * One increment of a replicated counter.
+     *
+     * @param origin the store that accepted it
+     * @param sequence its number in that store, from 1 on without gaps
+     * @param counter the counter's name
+     * @param instance the increment's id, which counts once for a counter
+     */
+    record CounterAdd(long origin, long sequence, String counter, String instance, long amount) {}
+
+    /** Increments, in order for each of their stores. */
+    record CounterAdds(List<CounterAdd> items) implements Message {}
+
+    /** All increments of a store up to and with that number. */
+    record CounterPosition(long origin, long sequence) {}
+
+    /**
+     * Which increments the sender holds on disk.
+     *
+     * @param store the sender's store; a node whose disk was lost has another one
+     * @param full true if every store is listed of which the sender holds an increment
+     * @param joined true if the sender has taken what its peers held when it started
+     */
+    record CounterVector(long store, boolean full, boolean joined, List<CounterPosition> positions)
+            implements Message {}
+
+    /** The sum of a counter's increments whose ids are forgotten; a decimal number of any length. */
+    record CounterTotal(String counter, String total) {}
+
+    /**
+     * Counters without the increments that are remembered one by one.
+     *
+     * @param store the store that wrote it
+     * @param folded which increments the totals hold
+     */
+    record CounterSnapshot(long store, List<CounterPosition> folded, List<CounterTotal> totals) implements Message {}
 }
--- a/src/main/java/ringspindle/protocol/NodeFlags.java
+++ b/src/main/java/ringspindle/protocol/NodeFlags.java
@@ -27,6 +27,9 @@
     /** A data node that is shutting down and still takes requests. */
     public static final NodeFlags STILL_SERVING = of(16);
 
+    /** A control node that holds replicated counters and takes messages about them. */
+    public static final NodeFlags COUNTERS = of(32);
+
     private final int bits;
 
     private NodeFlags(int bits) {
--- a/src/test/java/ringspindle/ArchitectureTest.java
+++ b/src/test/java/ringspindle/ArchitectureTest.java
@@ -54,6 +54,7 @@
             Map.entry("consensus", Set.of("protocol")),
             Map.entry("routing", Set.of("config", "protocol", "retry")),
             Map.entry("experiment", Set.of("config", "protocol", "routing")),
+            Map.entry("counter", Set.of("api", "protocol")),
             Map.entry("replication", Set.of("api", "config", "consensus", "experiment", "protocol", "routing")),
             Map.entry("rollout", Set.of("replication")),
             Map.entry("membership", Set.of("protocol")),
@@ -95,6 +96,7 @@
                             "api",
                             "config",
                             "consensus",
+                            "counter",
                             "experiment",
                             "gossip",
                             "membership",
@@ -138,6 +140,7 @@
     private static final String[] STATE_MACHINES = {
         "ringspindle.replication..",
         "ringspindle.consensus..",
+        "ringspindle.counter..",
         "ringspindle.retry..",
         "ringspindle.rollout..",
         "ringspindle.experiment..",
--- a/src/test/java/ringspindle/cli/CliTest.java
+++ b/src/test/java/ringspindle/cli/CliTest.java
@@ -209,6 +209,24 @@
         assertEquals(ExitCode.USAGE, run("rules", "dance", "-c", node));
     }
 
+    @Test
+    void talliesShowWhereTotalsDifferAndEndBadlyWhileANodeIsCutOff() throws Exception {
+        String page =
+                "{\"sessions\":[],\"node\":\"c0\",\"joined\":true,\"isolated\":false,\"instances\":3,\"unconfirmed\":0,"
+                        + "\"totals\":{\"t1\":7,\"t2\":-12345678901234567890},"
+                        + "\"peers\":[{\"node\":\"a:1\",\"inTouch\":true,\"lacks\":2}]}";
+        String other = control(200, page.replace("\"c0\"", "\"c1\"").replace(":7,", ":8,"));
+        assertEquals(ExitCode.OK, run("tallies", "-c", control(200, page) + "," + other));
+        String printed = out.toString(UTF_8);
+        assertTrue(printed.contains("-12345678901234567890") && printed.contains("c0, c1"), printed);
+        assertTrue(printed.lines().filter(line -> line.startsWith("t1")).count() == 2, printed);
+        assertEquals(
+                ExitCode.FAILED,
+                run("tallies", "-c", control(200, page.replace("\"isolated\":false", "\"isolated\":true"))));
+        assertEquals(ExitCode.FAILED, run("tallies", "t1", "--json", "-c", control(200, page) + "," + "127.0.0.1:1"));
+        assertEquals(ExitCode.NOT_REACHED, run("tallies", "-c", control(503, "")));
+    }
+
     @Test
     void statusAndLedgerEndBadlyUnlessAllIsKnownAndWell() throws Exception {
         String node = "{\"node\":\"a:1\",\"name\":\"a\",\"zone\":\"z\",\"region\":\"r\",\"life\":1,\"inTouch\":true}";
--- a/src/test/java/ringspindle/controlplane/DiskStorageTest.java
+++ b/src/test/java/ringspindle/controlplane/DiskStorageTest.java
@@ -34,8 +34,11 @@
     void votesAndEntriesAreReadBack() throws Exception {
         write(VOTE);
         write(new Entry(1, 1, Codec.encode(new Op(1, 0, 0, 0, "", new byte[0]))));
-        assertEquals(VOTE, new DiskStorage(folder, Runnable::run).load().get(0));
-        assertEquals(2, new DiskStorage(folder, Runnable::run).load().size());
+        assertEquals(
+                VOTE,
+                new DiskStorage(folder, Runnable::run).replication().load().get(0));
+        assertEquals(
+                2, new DiskStorage(folder, Runnable::run).replication().load().size());
     }
 
     @Test
@@ -48,8 +51,10 @@
             disk.snapshot(List.of(VOTE));
             disk.append(List.of(unknown.get(i)));
             for (int start = 0; start < 2; start++) {
-                UnreadableStorageException x = assertThrows(
-                        UnreadableStorageException.class, () -> new DiskStorage(folder, Runnable::run).load());
+                UnreadableStorageException x =
+                        assertThrows(UnreadableStorageException.class, () -> new DiskStorage(folder, Runnable::run)
+                                .replication()
+                                .load());
                 assertEquals(Reason.UNKNOWN_RECORD, x.reason());
             }
         }
--- a/src/test/java/ringspindle/controlplane/GroupCommitWriterGroupsTest.java
+++ b/src/test/java/ringspindle/controlplane/GroupCommitWriterGroupsTest.java
@@ -14,7 +14,6 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Entry;
-import ringspindle.replication.ReplicatedState.Out.Store;
 import ringspindle.storage.Disk;
 
 /** Groups and images, step by step without a thread: nothing is written twice or out of order, and the log stays short. */
@@ -81,12 +80,12 @@
     }
 
     private void compact() {
-        thread.add(new Store(GroupCommitWriter.COMPACTION, List.of(new Entry(1, taken, new byte[0])), true));
+        thread.add(new RecordLog.Write(RecordLog.COMPACTION, List.of(new Entry(1, taken, new byte[0])), true));
     }
 
     private void take(int bytes) {
         taken++;
-        thread.add(new Store(taken, List.of(new Entry(1, taken, new byte[bytes])), false));
+        thread.add(new RecordLog.Write(taken, List.of(new Entry(1, taken, new byte[bytes])), false));
     }
 
     private List<Long> upTo(long last) {
@@ -140,7 +139,7 @@
             if (luck.nextInt(3) == 0) {
                 take(luck.nextInt(2 * MEGABYTE));
             }
-            thread.add(new Store(++taken, List.of(new Entry(1, taken, new byte[0])), luck.nextInt(10) == 0));
+            thread.add(new RecordLog.Write(++taken, List.of(new Entry(1, taken, new byte[0])), luck.nextInt(10) == 0));
             thread.writeNext();
             List<Long> kept = disk.sequence();
             assertEquals(kept.stream().distinct().sorted().toList(), kept);
--- a/src/test/java/ringspindle/controlplane/GroupCommitWriterTest.java
+++ b/src/test/java/ringspindle/controlplane/GroupCommitWriterTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.Timeout;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Synced;
-import ringspindle.replication.ReplicatedState.Out.Store;
 import ringspindle.storage.Disk;
 
 /** A disk that is full for a while: nothing is told to be stored that is not, nothing is lost, and it goes on by itself. */
@@ -67,13 +66,13 @@
                 },
                 () -> {});
         for (long token = 1; token <= 3; token++) {
-            t.add(new Store(token, List.of(new Synced(1, token)), false));
+            t.add(new RecordLog.Write(token, List.of(new Synced(1, token)), false));
         }
         Thread thread = new Thread(t);
         thread.setDaemon(true);
         thread.start();
         disk.refused.await();
-        t.add(new Store(4, List.of(new Synced(1, 4)), false));
+        t.add(new RecordLog.Write(4, List.of(new Synced(1, 4)), false));
         all.await();
         assertEquals(List.of(1L, 2L, 3L, 4L), stored);
         assertTrue(writtenThen.get(0) >= 3, "told before it was written: " + writtenThen);
--- a/src/test/java/ringspindle/controlplane/HollowControlNode.java
+++ b/src/test/java/ringspindle/controlplane/HollowControlNode.java
@@ -1,11 +1,8 @@
 package ringspindle.controlplane;
 
-import java.util.Collection;
-import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.LongConsumer;
 import org.eclipse.jetty.server.Handler;
 import ringspindle.api.Outcome;
 import ringspindle.config.NodeConfig;
@@ -14,19 +11,13 @@
 import ringspindle.controlplane.server.LedgerPage;
 import ringspindle.controlplane.server.RolloutsPage;
 import ringspindle.controlplane.server.StatusPage;
-import ringspindle.protocol.Codec;
-import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Engine;
-import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.NodeId;
 import ringspindle.replication.CallKind;
-import ringspindle.replication.ReplicatedState;
 import ringspindle.transport.NodeEnvironment;
 
 /** A real control node without sockets and disk: ticked, called and fed from outside. */
 public final class HollowControlNode {
-    private static final int SYNC_MS = 2;
-
     private final ControlNode control;
 
     /** A timer of whoever runs it. */
@@ -37,39 +28,7 @@
 
     /** Starts a control node with storage that only delays. */
     public HollowControlNode(NodeConfig config, NodeEnvironment means, Later later) throws Exception {
-        control = new ControlNode(
-                config,
-                means,
-                new Storage() {
-                    private LongConsumer stored;
-
-                    @Override
-                    public List<Message> load() {
-                        return List.of();
-                    }
-
-                    @Override
-                    public void open(LongConsumer then, Runnable compact) {
-                        stored = then;
-                    }
-
-                    @Override
-                    public void write(ReplicatedState.Out.Store s) {
-                        s.records().forEach(Codec::encode);
-                        later.at(SYNC_MS, () -> stored.accept(s.token()));
-                    }
-
-                    @Override
-                    public List<Fact> cachedEngines() {
-                        return List.of();
-                    }
-
-                    @Override
-                    public void cacheEngines(Collection<Fact> engines) {
-                        // a hint that nobody reads here
-                    }
-                },
-                null);
+        control = new ControlNode(config, means, new HollowStorage(later), null);
         control.start();
     }
 
--- a/src/test/java/ringspindle/controlplane/StoredDataTest.java
+++ b/src/test/java/ringspindle/controlplane/StoredDataTest.java
@@ -85,7 +85,7 @@
     }
 
     private List<Message> load() throws IOException {
-        return new DiskStorage(folder, Runnable::run).load();
+        return new DiskStorage(folder, Runnable::run).replication().load();
     }
 
     private static String config(long revision, int connections) {
--- a/src/test/java/ringspindle/protocol/GoldenBytesTest.java
+++ b/src/test/java/ringspindle/protocol/GoldenBytesTest.java
@@ -23,7 +23,7 @@
 class GoldenBytesTest {
     private static final String RESOURCE = "/golden-bytes-879a0b1.txt";
     private static final int TEMPLATE_OFFSET = 2;
-    private static final int TEMPLATES = 28;
+    private static final int TEMPLATES = 31;
 
     /** Lines {@code NAME=HEX}. */
     private static Map<String, String> recorded() throws IOException {
--- a/src/test/java/ringspindle/protocol/GoldenMessages.java
+++ b/src/test/java/ringspindle/protocol/GoldenMessages.java
@@ -1,6 +1,7 @@
 package ringspindle.protocol;
 
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,12 @@
 import ringspindle.protocol.Message.Call;
 import ringspindle.protocol.Message.Confirm;
 import ringspindle.protocol.Message.Confirmed;
+import ringspindle.protocol.Message.CounterAdd;
+import ringspindle.protocol.Message.CounterAdds;
+import ringspindle.protocol.Message.CounterPosition;
+import ringspindle.protocol.Message.CounterSnapshot;
+import ringspindle.protocol.Message.CounterTotal;
+import ringspindle.protocol.Message.CounterVector;
 import ringspindle.protocol.Message.Decided;
 import ringspindle.protocol.Message.Digest;
 import ringspindle.protocol.Message.Engine;
@@ -77,6 +84,7 @@
         golden.telemetry();
         golden.ledgers();
         golden.outcomes();
+        golden.counters();
         return golden.messages;
     }
 
@@ -101,6 +109,28 @@
         messages.put(name + ".smallest", smallest);
     }
 
+    private void counters() {
+        CounterAdd add = new CounterAdd(-7, 12, "t3", "5c0e7a21d94b36f8", 4);
+        CounterAdd longest = new CounterAdd(MAX, MAX, TEXT, LONG_TEXT, MIN);
+        add(
+                new CounterAdds(List.of(add, new CounterAdd(-7, 13, "t3", "5c0e", -1))),
+                new CounterAdds(Collections.nCopies(3, longest)),
+                new CounterAdds(List.of()));
+        CounterPosition position = new CounterPosition(-7, 12);
+        CounterPosition most = new CounterPosition(MAX, MAX);
+        add(
+                new CounterVector(-7, false, true, List.of(position)),
+                new CounterVector(MAX, true, true, Collections.nCopies(300, most)),
+                new CounterVector(MIN, false, false, List.of()));
+        add(
+                new CounterSnapshot(-7, List.of(position), List.of(new CounterTotal("t3", "1873"))),
+                new CounterSnapshot(
+                        MAX,
+                        Collections.nCopies(300, most),
+                        Collections.nCopies(3, new CounterTotal(LONG_TEXT, "-" + "9".repeat(40)))),
+                new CounterSnapshot(MIN, List.of(), List.of()));
+    }
+
     private void sessions() {
         add(
                 new Hello(A, 1764660000123L, 1, B.bits(), "node-1", "ahd-1", "ahd"),
