Counters: peers without a vote hold up forgetting for an hour; steps of a replica tested

Cause: a control node that takes increments and has no vote could be cut off while the voters forgot ids that it had accepted too; a full vector also made increments that were on their way be sent again. Change: who was heard within the hour counts as a member; only an acknowledgement without progress means that something is to be sent again.

--- a/src/main/java/ringspindle/counter/CounterReplica.java
+++ b/src/main/java/ringspindle/counter/CounterReplica.java
@@ -239,7 +239,7 @@
      * Time went on; called several times a second.
      *
      * @param linked control nodes in touch
-     * @param members control nodes that count, in touch or not, this one among them; empty if they are not known
+     * @param members control nodes that vote, in touch or not; empty if they are not known
      */
     public List<Out> tick(Set<NodeId> linked, Set<NodeId> members, long nowMs) {
         inTouch = Set.copyOf(linked);
@@ -260,6 +260,11 @@
         nextRetentionMs = nowMs + settings.retentionMs() / RETENTION_CHECKS;
         Set<NodeId> others = new TreeSet<>(members);
         others.remove(me);
+        peers.forEach((node, peer) -> {
+            if (peer.counts(nowMs)) {
+                others.add(node);
+            }
+        });
         state.forgetExpired(others, peers, settings.retentionMs(), nowMs);
     }
 
--- a/src/main/java/ringspindle/counter/PeerProgress.java
+++ b/src/main/java/ringspindle/counter/PeerProgress.java
@@ -10,6 +10,8 @@
 /** What one peer holds and has been sent, over the connection that stands. */
 final class PeerProgress {
     static final long NEVER_MS = Long.MIN_VALUE / 2;
+    /** A node that has no vote and was not heard for so long is gone for good. */
+    static final long GONE_MS = 60 * 60_000L;
 
     private final Map<Long, Long> known = new HashMap<>();
     private final Map<Long, Long> sent = new HashMap<>();
@@ -23,6 +25,7 @@
     private boolean joined;
     private long introducedMs = NEVER_MS;
     private long lastSentMs = NEVER_MS;
+    private long heardMs = NEVER_MS;
     private long vectorSentMs = NEVER_MS;
     private long vectorSentVersion;
 
@@ -57,6 +60,11 @@
         return introduced && joined;
     }
 
+    /** True if the peer was in touch so lately that it may hold increments of its own which nobody else knows. */
+    boolean counts(long nowMs) {
+        return introducedMs != NEVER_MS && nowMs - Math.max(introducedMs, heardMs) < GONE_MS;
+    }
+
     /** For how long the peer has taken messages over this connection, in milliseconds. */
     long introducedForMs(long nowMs) {
         return nowMs - introducedMs;
@@ -78,8 +86,9 @@
             sent.clear();
         }
         store = vector.store();
+        heardMs = nowMs;
         joined = vector.joined();
-        vector.positions().forEach(this::receive);
+        vector.positions().forEach(position -> receive(position, vector.full()));
         if (vector.full()) {
             told = true;
             full = Map.copyOf(known);
@@ -89,12 +98,12 @@
     }
 
     /** An answer without progress: what was sent did not fit behind what the peer holds, and is to be sent again. */
-    private void receive(CounterPosition position) {
-        long before = known(position.origin());
-        if (position.sequence() <= before) {
-            sent.remove(position.origin());
-        } else {
+    private void receive(CounterPosition position, boolean full) {
+        boolean progress = position.sequence() > known(position.origin());
+        if (progress) {
             known.put(position.origin(), position.sequence());
+        } else if (!full) {
+            sent.remove(position.origin());
         }
     }
 
