--- a/src/main/java/ringspindle/Program.java
+++ b/src/main/java/ringspindle/Program.java
@@ -27,8 +27,6 @@
 
     private static final String SELF_TEST = "selftest";
 
-    private static final int MS_PER_S = 1000;
-
     /** Options that come before a command. */
     private static final class GlobalOptions {
         @Parameter(
@@ -130,8 +128,7 @@
         Settings settings = new Settings(((Valid<NodeConfig>) read).value());
         signals.install();
         signals.onReload(() -> reload(settings, file));
-        ShutdownDeadline.start(
-                signals.terminated(), () -> (long) (settings.now().graceS() * MS_PER_S));
+        ShutdownDeadline.start(signals.terminated(), () -> settings.now().graceMs());
         try {
             if (command.equals(Main.DATA_PLANE)) {
                 DataPlane.run(settings, signals.terminated());
--- a/src/main/java/ringspindle/config/NodeConfig.java
+++ b/src/main/java/ringspindle/config/NodeConfig.java
@@ -71,6 +71,7 @@
         int evacuationMs,
         double ttlS,
         int lossesBorne) {
+    private static final int MS_PER_S = 1000;
 
     /** Reads and validates a settings file, in the format of Java's properties. */
     public static Validated<NodeConfig> read(Path file) {
@@ -93,6 +94,11 @@
         return regionOfZone.getOrDefault(zone, "");
     }
 
+    /** Milliseconds for the node's own shutdown. */
+    public long graceMs() {
+        return (long) (graceS * MS_PER_S);
+    }
+
     /** The regions there are, in order of their names. */
     public Set<String> regions() {
         return new TreeSet<>(regionOfZone.values());
--- a/src/main/java/ringspindle/controlplane/fleet/FrontendResolver.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FrontendResolver.java
@@ -50,8 +50,9 @@
         if (!nearest.isEmpty()) {
             return new Resolution(Scope.REGION, nearest);
         }
-        Resolution abroad = abroad(ready, allowed.get(), inTouch);
-        return abroad.addresses().isEmpty() ? lastServing(region, allowed.get(), inTouch, nowMs) : abroad;
+        AllowedRegions regions = allowed.get();
+        Resolution abroad = abroad(ready, regions, inTouch);
+        return abroad.addresses().isEmpty() ? lastServing(region, regions, inTouch, nowMs) : abroad;
     }
 
     /**
--- a/src/main/java/ringspindle/controlplane/fleet/package-info.java
+++ b/src/main/java/ringspindle/controlplane/fleet/package-info.java
@@ -8,6 +8,7 @@
  *   <li>{@code LoadAggregator}, {@code LedgerReportStore} and {@code QuotaLeaseIssuer}: reports, and shares of budgets.
  * </ul>
  *
- * <p>Used by {@code controlplane}; knows nothing of the replicated state and of HTTP.
+ * <p>Used by {@code controlplane}; knows nothing of HTTP, and of the replicated state only its
+ * record of a roll-out.
  */
 package ringspindle.controlplane.fleet;
--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -47,6 +47,6 @@
         proxy.open();
         LOG.atInfo().with(LogField.NODE, config.name()).log("data plane serves");
         term.await();
-        new GracefulShutdown(proxy, node, clock).run((long) (settings.now().graceS() * 1000));
+        new GracefulShutdown(proxy, node, clock).run(settings.now().graceMs());
     }
 }
--- a/src/main/java/ringspindle/proxy/EngineStream.java
+++ b/src/main/java/ringspindle/proxy/EngineStream.java
@@ -59,11 +59,16 @@
 
     /** The events that are kept and that the client does not have, if there are any; another run cannot go on behind them. */
     Optional<byte[]> heldEvents() {
-        return held == null || held.isEmpty() ? Optional.empty() : Optional.of(held.toByteArray());
+        return holdsEvents() ? Optional.of(held.toByteArray()) : Optional.empty();
+    }
+
+    /** True if there are events that are kept and that the client does not have. */
+    boolean holdsEvents() {
+        return held != null && !held.isEmpty();
     }
 
     /** True if it may end as complete here: it has events, and none of them in part. */
     boolean isWhole(boolean committed) {
-        return !relay.hasPartialEvent() && (committed || heldEvents().isPresent());
+        return !relay.hasPartialEvent() && (committed || holdsEvents());
     }
 }
--- a/src/main/java/ringspindle/proxy/ProxiedAttempt.java
+++ b/src/main/java/ringspindle/proxy/ProxiedAttempt.java
@@ -380,7 +380,7 @@
 
     /** True if events were received that are not passed on yet. */
     boolean holdsEvents() {
-        return stream != null && stream.heldEvents().isPresent();
+        return stream != null && stream.holdsEvents();
     }
 
     /** Sets the head of an answer that was held; returns what writes it. */
