--- a/src/test/java/ringspindle/counter/CounterReplicaTest.java
+++ b/src/test/java/ringspindle/counter/CounterReplicaTest.java
@@ -131,6 +131,20 @@
         assertEquals(4, b.total("t"));
     }
 
+    /** A node of an earlier version does not say that it takes these messages, and would close the connection over one. */
+    @Test
+    void nothingIsSentToAPeerThatDoesNotTakeTheseMessages() {
+        Node a = new Node(A, 1, true, List.of());
+        a.replica.connected(B);
+        assertEquals(Outcome.TAKEN, a.add(1, "t", "i", 4));
+        a.add(2, "t", "i", 4);
+        for (int i = 0; i < 50; i++) {
+            nowMs += 100;
+            a.tick(Set.of(B));
+        }
+        assertEquals(List.of(), a.sent);
+    }
+
     @Test
     void aStalledDiskRefusesWhatIsNewAndLeavesTheRestUnconfirmed() {
         Node a = new Node(A, 1, true, List.of());
