A control node without a majority dials all that it knows, so a removed voter comes back

It took itself for a voter and waited to be dialled; nobody dialled it, as it was neither a seed nor in the view. Change: only a voter that is in touch with a majority waits for lower addresses to dial it.

--- a/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
+++ b/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
@@ -148,7 +148,10 @@
         return new QuorumTracker.Contact(peer.contactMs(), newest.epoch(), blank);
     }
 
-    /** One connection for two nodes: the lower address dials, and whoever is not known as a voter yet. */
+    /**
+     * One connection for two nodes: the lower address dials. Whoever is not known as a voter dials too, and whoever is in touch
+     * with no majority: while it was away the others may have removed it from the view, and then none of them dials it.
+     */
     private void dial(Set<NodeId> known, View view) {
         if (view != null) {
             known.addAll(view.voters());
@@ -157,9 +160,9 @@
             return;
         }
         NodeId me = context.me();
-        boolean voter = view != null && view.voters().contains(me);
+        boolean isDialled = view != null && view.voters().contains(me) && quorum.inTouch(context.nowMs());
         for (NodeId node : known) {
-            boolean dials = me.compareTo(node) < 0 || !voter && !me.equals(node);
+            boolean dials = me.compareTo(node) < 0 || !isDialled && !me.equals(node);
             if (dials && !context.mesh().connected(node)) {
                 context.mesh().dial(node);
             }
--- a/src/test/java/ringspindle/controlplane/HollowControlNode.java
+++ b/src/test/java/ringspindle/controlplane/HollowControlNode.java
@@ -113,4 +113,15 @@
     public ringspindle.telemetry.LoadSummary total() {
         return control.queries().load();
     }
+
+    /** True while a majority is proven to be in touch. */
+    public boolean inTouch() {
+        return control.serving().inTouch();
+    }
+
+    /** True if that node votes in the newest view that is known here. */
+    public boolean votes(NodeId node) {
+        return control.replication().view() != null
+                && control.replication().view().voters().contains(node);
+    }
 }
