--- a/src/main/java/ringspindle/config/NodeConfig.java
+++ b/src/main/java/ringspindle/config/NodeConfig.java
@@ -27,6 +27,8 @@
  * @param registry endpoint for look-ups of data nodes, of a control node
  * @param metrics endpoint where the node tells its own figures
  * @param innerPort the port for other nodes
+ * @param bindIp the address at which this node listens for other nodes; another one than {@code ip} where they reach it
+ *     through a relay
  * @param seeds endpoints of control nodes to start from, at least one
  * @param regionOfZone the regions by their zones
  * @param memoryMb memory of the process in MiB
@@ -56,6 +58,7 @@
         Optional<NodeId> registry,
         Optional<NodeId> metrics,
         int innerPort,
+        String bindIp,
         List<NodeId> seeds,
         Map<String, String> regionOfZone,
         int memoryMb,
@@ -119,6 +122,7 @@
                 registry,
                 metrics,
                 innerPort,
+                bindIp,
                 next.seeds,
                 next.regionOfZone,
                 memoryMb,
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -25,7 +25,7 @@
     Validated<NodeConfig> read() {
         String ip = required("node.ip");
         int innerPort = innerPort();
-        checkIp(ip);
+        checkIp("node.ip", ip);
         List<NodeId> seeds = seeds();
         NodeConfig config = new NodeConfig(
                 required("node.name"),
@@ -40,6 +40,7 @@
                 endpoint("listen.registry"),
                 endpoint("listen.metrics"),
                 innerPort,
+                bindIp(ip),
                 seeds,
                 regionsByZone(),
                 integer("limit.memoryMb", 512),
@@ -58,17 +59,24 @@
         return errors.isEmpty() ? new Valid<>(config) : new Invalid<>(List.copyOf(errors));
     }
 
-    private void checkIp(String ip) {
+    private void checkIp(String key, String ip) {
         if (ip.isEmpty()) {
             return;
         }
         try {
             NodeId.of(ip + ":1");
         } catch (RuntimeException malformed) {
-            errors.add(new ConfigError.InvalidValue("node.ip", ip, "an IPv4 address"));
+            errors.add(new ConfigError.InvalidValue(key, ip, "an IPv4 address"));
         }
     }
 
+    /** Where to listen for other nodes: where they reach this node, unless the settings say otherwise. */
+    private String bindIp(String ip) {
+        String bind = text("listen.bind");
+        checkIp("listen.bind", bind);
+        return bind.isEmpty() ? ip : bind;
+    }
+
     /** The first of the ports that are given. */
     private int innerPort() {
         String[] ports = text("listen.inner").split(",", -1);
--- a/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
+++ b/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
@@ -8,6 +8,7 @@
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.SessionTable;
+import ringspindle.peering.ControlPeerDialer;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Heartbeat;
 import ringspindle.protocol.Message.View;
@@ -16,8 +17,8 @@
 import ringspindle.protocol.NodeKind;
 
 /**
- * The periodic work of a control node, one step after the other on every tick. Owns the count of ticks and nothing else;
- * called by one thread at a time.
+ * The periodic work of a control node, one step after the other on every tick. Owns the count of ticks and whom this node
+ * dials; called by one thread at a time.
  */
 final class ControlNodeTasks {
     private static final int DATA_HEARTBEAT_TICKS = 4;
@@ -32,10 +33,10 @@
      * What sessions say at the start of a tick.
      *
      * @param live control nodes in touch
-     * @param known control nodes by settings and by what peers hear of
+     * @param heard control nodes that peers hear
      * @param heartbeatTo whose heartbeat is due
      */
-    private record Survey(Set<NodeId> live, Set<NodeId> known, List<NodeId> heartbeatTo) {}
+    private record Survey(Set<NodeId> live, Set<NodeId> heard, List<NodeId> heartbeatTo) {}
 
     private final NodeContext context;
     private final Storage storage;
@@ -47,6 +48,7 @@
     private final HeartbeatExchange heartbeats;
     private final CommittedFacts committedFacts;
     private final HeadDuties headDuties;
+    private final ControlPeerDialer dialer;
     private long ticks;
 
     ControlNodeTasks(
@@ -70,6 +72,7 @@
         this.heartbeats = heartbeats;
         this.committedFacts = committedFacts;
         this.headDuties = headDuties;
+        dialer = new ControlPeerDialer(context.me());
     }
 
     /** Runs what is due. */
@@ -79,7 +82,7 @@
         Survey survey = survey(nowMs);
         View view = replicate(survey.live(), nowMs);
         counters.tick(survey.live(), view, nowMs);
-        dial(survey.known(), view);
+        dial(survey.heard(), view);
         survey.heartbeatTo().forEach(heartbeats::send);
         headDuties.tick(view, serving.quorate(), hearsEngines(nowMs), ticks, nowMs);
         synchronized (fleet.lock) {
@@ -100,10 +103,8 @@
     /** Drops silent peers and looks through the sessions. */
     private Survey survey(long nowMs) {
         Set<NodeId> live = new TreeSet<>();
-        Set<NodeId> known = new TreeSet<>();
+        Set<NodeId> heard = new TreeSet<>();
         List<NodeId> heartbeatTo = new ArrayList<>();
-        NodeConfig settings = context.config();
-        settings.seeds().forEach(seed -> known.add(seed.at(settings.innerPort())));
         synchronized (fleet.lock) {
             for (NodeId silent : fleet.sessions().peersToDrop(nowMs)) {
                 context.pool().execute(() -> context.mesh().drop(silent));
@@ -115,7 +116,7 @@
                     if (peer.linked()) {
                         live.add(node);
                     }
-                    known.addAll(peer.heartbeat().heard());
+                    heard.addAll(peer.heartbeat().heard());
                 }
                 int periodTicks = kind == NodeKind.DATA ? DATA_HEARTBEAT_TICKS : CONTROL_HEARTBEAT_TICKS;
                 if (due(periodTicks) || serving.leaving()) {
@@ -123,7 +124,7 @@
                 }
             }
         }
-        return new Survey(live, known, heartbeatTo);
+        return new Survey(live, heard, heartbeatTo);
     }
 
     /** Lets time go on for the replicated state, then renews the proof of a quorum; returns the newest view or null. */
@@ -148,25 +149,19 @@
         return new QuorumTracker.Contact(peer.contactMs(), newest.epoch(), blank);
     }
 
-    /**
-     * One connection for two nodes: the lower address dials. Whoever is not known as a voter dials too, and whoever is in touch
-     * with no majority: while it was away the others may have removed it from the view, and then none of them dials it.
-     */
-    private void dial(Set<NodeId> known, View view) {
-        if (view != null) {
-            known.addAll(view.voters());
-        }
+    /** Dials whom {@link ControlPeerDialer} names. */
+    private void dial(Set<NodeId> heard, View view) {
         if (!due(DIAL_TICKS)) {
             return;
         }
-        NodeId me = context.me();
-        boolean isDialled = view != null && view.voters().contains(me) && quorum.inTouch(context.nowMs());
-        for (NodeId node : known) {
-            boolean dials = me.compareTo(node) < 0 || !isDialled && !me.equals(node);
-            if (dials && !context.mesh().connected(node)) {
-                context.mesh().dial(node);
-            }
-        }
+        NodeConfig settings = context.config();
+        List<NodeId> seeds = settings.seeds().stream()
+                .map(seed -> seed.at(settings.innerPort()))
+                .toList();
+        List<NodeId> voters = view == null ? List.of() : view.voters();
+        long nowMs = context.nowMs();
+        ControlPeerDialer.Roster roster = new ControlPeerDialer.Roster(seeds, voters, heard, quorum.inTouch(nowMs));
+        dialer.due(roster, context.mesh()::connected, nowMs).forEach(context.mesh()::dial);
     }
 
     /** Judges engines and passes load on; the fleet's lock is held. */
--- a/src/main/java/ringspindle/controlplane/DiskStorage.java
+++ b/src/main/java/ringspindle/controlplane/DiskStorage.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.Function;
 import ringspindle.protocol.Codec;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.CounterAdds;
@@ -14,6 +15,7 @@
 import ringspindle.protocol.Message.State;
 import ringspindle.protocol.Message.Vote;
 import ringspindle.storage.Disk;
+import ringspindle.storage.StorageFolder;
 
 /** A folder with the records of the control state, those of the counters in a folder below it, and the engines beside them. */
 public final class DiskStorage implements Storage {
@@ -25,8 +27,14 @@
 
     /** Keeps data in that folder; engines are cached on a thread of that executor. */
     public DiskStorage(Path folder, Executor pool) {
-        replication = new DiskRecordLog(Disk.open(folder, DiskStorage::isOfControlState), "disk");
-        counters = new DiskRecordLog(Disk.open(folder.resolve(COUNTERS), DiskStorage::isOfCounters), "disk-counters");
+        this(folder, StorageFolder::of, pool);
+    }
+
+    /** Keeps records in folders that are opened with {@code folders}. */
+    DiskStorage(Path folder, Function<Path, StorageFolder> folders, Executor pool) {
+        replication = new DiskRecordLog(Disk.open(folders.apply(folder), DiskStorage::isOfControlState), "disk");
+        counters = new DiskRecordLog(
+                Disk.open(folders.apply(folder.resolve(COUNTERS)), DiskStorage::isOfCounters), "disk-counters");
         engines = new EngineCacheFile(folder.resolve("engines"), pool);
     }
 
--- a/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
+++ b/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
@@ -3,7 +3,6 @@
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.SessionTable;
-import ringspindle.protocol.Message.Digest;
 import ringspindle.protocol.Message.Heartbeat;
 import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
@@ -11,9 +10,6 @@
 
 /** Sends this node's heartbeats and handles those of peers. Thread safe; without state of its own. */
 final class HeartbeatExchange {
-    /** Every so many heartbeats that show other facts the two compare what they know. */
-    private static final int DIGEST_HEARTBEATS = 16;
-
     private final NodeContext context;
     private final FleetState fleet;
     private final ReplicationDriver replication;
@@ -45,7 +41,8 @@
         return (serving.leaving() ? NodeFlags.LEAVING : NodeFlags.READY)
                 .and(NodeFlags.QUORATE.when(serving.quorate()))
                 .and(NodeFlags.RELEARNING.when(blank))
-                .and(NodeFlags.COUNTERS);
+                .and(NodeFlags.COUNTERS)
+                .and(NodeFlags.FRAGMENTS);
     }
 
     /** A peer's heartbeat came. */
@@ -68,11 +65,6 @@
         if (peer.hello().kind() == NodeKind.DATA) {
             fleet.dataNodes().heard(peer, heartbeat);
         }
-        boolean differs = heartbeat.digest() != 0
-                && heartbeat.digest() != fleet.facts().store().digest();
-        if (differs && peer.received() % DIGEST_HEARTBEATS == 0) {
-            context.mesh()
-                    .send(peer.hello().node(), new Digest(fleet.facts().store().ranges()));
-        }
+        fleet.dissemination().heard(peer.hello().node(), heartbeat.digest());
     }
 }
--- a/src/main/java/ringspindle/controlplane/fleet/FactDissemination.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FactDissemination.java
@@ -3,8 +3,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import ringspindle.gossip.RepairTrigger;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
+import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Digest;
 import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.Message.Hello;
@@ -15,15 +17,18 @@
 
 /**
  * Spreads facts to peers: to control nodes all, to data nodes what they use. Owns which data nodes were told that they know
- * all; guarded by the fleet's lock.
+ * all, and which peers stay apart from this node; guarded by the fleet's lock.
  */
 public final class FactDissemination {
     private static final int BATCH_MAX = 512;
+    /** A peer with more than this on its way, in bytes, may differ just because of that: nothing is sent to it again. */
+    private static final int REPAIR_BACKLOG_MAX = 64 << 10;
 
     private final Mesh mesh;
     private final SessionTable sessions;
     private final FleetFacts facts;
     private final Set<NodeId> filled = new TreeSet<>();
+    private final RepairTrigger repairs = new RepairTrigger();
 
     FactDissemination(Mesh mesh, SessionTable sessions, FleetFacts facts) {
         this.mesh = mesh;
@@ -35,11 +40,20 @@
     public void opened(NodeId peer) {
         facts.store().resetPeer(peer);
         filled.remove(peer);
+        repairs.forget(peer);
     }
 
     /** A session is gone. */
     public void closed(NodeId peer) {
         facts.store().removePeer(peer);
+        repairs.forget(peer);
+    }
+
+    /** A peer's heartbeat carries the digest of what it knows: it is asked to compare if it stays apart from this node. */
+    public void heard(NodeId peer, long peerDigest) {
+        if (peerDigest != 0 && repairs.onHeartbeat(peer, facts.store().digest(), peerDigest)) {
+            mesh.send(peer, new Digest(facts.store().ranges()));
+        }
     }
 
     /** A data node acts on what it is told, so only a node that is proven to be up to date tells it anything. */
@@ -51,7 +65,8 @@
     public void repair(NodeId from, Digest digest, boolean quorate) {
         SessionTable.Peer peer = sessions.peer(from);
         List<Fact> differing = facts.store().differing(digest.ranges());
-        if (peer != null && mayTell(peer, quorate) && !differing.isEmpty()) {
+        boolean backlog = mesh.pendingBytes(from) > REPAIR_BACKLOG_MAX;
+        if (peer != null && mayTell(peer, quorate) && !backlog && !differing.isEmpty()) {
             mesh.send(from, new News(false, differing));
         }
     }
@@ -74,8 +89,12 @@
         }
     }
 
+    /**
+     * The configuration, by far the longest fact, is not among these: a control node has it from the chain, or asks for it when
+     * digests show that it has not.
+     */
     private void pushToControlNode(NodeId node) {
-        List<Fact> pending = facts.store().pending(node, BATCH_MAX);
+        List<Fact> pending = facts.store().pending(node, BATCH_MAX, fact -> fact.kind() != FactKind.CONFIG);
         if (!pending.isEmpty()) {
             mesh.send(node, new News(false, pending));
         }
--- a/src/main/java/ringspindle/controlplane/fleet/LoadAggregator.java
+++ b/src/main/java/ringspindle/controlplane/fleet/LoadAggregator.java
@@ -26,6 +26,11 @@
  * fleet's lock.
  */
 public final class LoadAggregator {
+    /** Sums of up to so many engines of a region go to its data nodes each time. */
+    private static final int ROWS_A_SEND = 250;
+    /** However many engines there are, sums go to data nodes at least once in so many times. */
+    private static final int SENDS_SKIPPED_MAX = 4;
+
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** A report counts for so long. */
     private static final int REPORT_TTL_MS = 2000;
@@ -120,7 +125,7 @@
         boolean speaks = sendToRegion(own, nowMs).equals(me);
         List<RegionLoad> ownRegion = LoadTotals.byService(total, facts.loadMembers(), region);
         Load toDataNodes = new Load(incarnation, sequence, LoadTotals.byEngine(total), allRegions(ownRegion, nowMs));
-        Set<NodeId> reporting = sources.sources(nowMs);
+        Set<NodeId> reporting = isDueToDataNodes(toDataNodes.engines().size()) ? sources.sources(nowMs) : Set.of();
         for (SessionTable.Peer peer : sessions.peers()) {
             Hello hello = peer.hello();
             if (hello.kind() == NodeKind.DATA && reporting.contains(hello.node())) {
@@ -133,6 +138,12 @@
         }
     }
 
+    /** Sums go to data nodes more rarely the longer they are, so that they take no more than a share of a link. */
+    private boolean isDueToDataNodes(int rows) {
+        long everySends = Math.min(SENDS_SKIPPED_MAX, 1 + rows / ROWS_A_SEND);
+        return sequence % everySends == 0;
+    }
+
     /** Notes this region's sums and returns those of all regions that still count. */
     private List<RegionLoad> allRegions(List<RegionLoad> ownRegion, long nowMs) {
         regionLoads.put(region, ownRegion);
--- a/src/main/java/ringspindle/controlplane/server/ControlPlane.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlPlane.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
+import java.util.function.BiFunction;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -49,14 +51,24 @@
      * @throws Exception if stored data cannot be read or ports cannot be opened
      */
     public static void run(Settings settings, CountDownLatch term) throws Exception {
+        run(settings, term, DiskStorage::new);
+    }
+
+    /**
+     * The same with storage of another kind.
+     *
+     * @param storage makes it from the folder of the settings and an executor
+     */
+    public static void run(Settings settings, CountDownLatch term, BiFunction<Path, Executor, DiskStorage> storage)
+            throws Exception {
         NodeConfig config = settings.now();
         Threads threads = Threads.start("cp", 16, 6);
         QueuedThreadPool pool = threads.pool();
         Scheduler scheduler = threads.scheduler();
         EngineReportClient reports = new EngineReportClient(pool, scheduler);
         Path folder = Path.of(config.dataPath().isEmpty() ? DEFAULT_FOLDER : config.dataPath());
-        ControlNode node =
-                new ControlNode(config, NodeEnvironment.real(threads), new DiskStorage(folder, pool), reports);
+        DiskStorage disk = storage.apply(folder, pool);
+        ControlNode node = new ControlNode(config, NodeEnvironment.real(threads, config.bindIp()), disk, reports);
         reports.listener(node.engines()::reported);
         Server server = server(config, pool, scheduler);
         server.setHandler(new ControlApiHandler(node));
--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -32,7 +32,7 @@
         Threads threads = Threads.start("dp", 20, 8);
         QueuedThreadPool pool = threads.pool();
         Scheduler scheduler = threads.scheduler();
-        NodeEnvironment environment = NodeEnvironment.real(threads);
+        NodeEnvironment environment = NodeEnvironment.real(threads, config.bindIp());
         MonotonicClock clock = environment.clock();
         LoadBalancer loadBalancer = LoadBalancer.create(config);
         ProxyHandler proxy = new ProxyHandler(config, loadBalancer, pool, scheduler, clock);
--- a/src/main/java/ringspindle/dataplane/HeartbeatSender.java
+++ b/src/main/java/ringspindle/dataplane/HeartbeatSender.java
@@ -45,6 +45,6 @@
                 ? NodeFlags.LEAVING.and(NodeFlags.STILL_SERVING.when(proxy.takesRequests()))
                 : NodeFlags.READY.when(proxy.isReady());
         long digest = gossip.facts().digest();
-        mesh.send(to, gossip.sessions().nextHeartbeat(to, flags, 0, 0, digest, clock.nowMs()));
+        mesh.send(to, gossip.sessions().nextHeartbeat(to, flags.and(NodeFlags.FRAGMENTS), 0, 0, digest, clock.nowMs()));
     }
 }
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -1,6 +1,7 @@
 package ringspindle.dataplane;
 
 import java.util.List;
+import ringspindle.gossip.RepairTrigger;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.membership.FactValidator;
 import ringspindle.membership.SessionTable;
@@ -23,8 +24,6 @@
  * {@link GossipState} held. Owns whether a control node has told all that is in force.
  */
 final class MessageDispatcher implements Mesh.Listener {
-    /** Every so many heartbeats that show other facts the two compare what they know. */
-    private static final int DIGEST_HEARTBEATS = 16;
     /** A fact that is known for longer than this and not in force is overdue. */
     private static final int OVERDUE_MS = 1000;
 
@@ -34,6 +33,7 @@
     private final HeartbeatSender heartbeats;
     private final PeerDialer dialer;
     private final UnappliedFacts unapplied;
+    private final RepairTrigger repairs = new RepairTrigger();
     private final LoadBalancer loadBalancer;
     private final Proxy proxy;
     /** A peer has told all that it knows. */
@@ -66,6 +66,7 @@
         synchronized (gossip.lock) {
             gossip.sessions().opened(peer, clock.nowMs());
             gossip.facts().resetPeer(peer.node());
+            repairs.forget(peer.node());
             if (peer.kind() == NodeKind.CONTROL) {
                 dialer.addControlNodes(List.of(peer.node()));
             }
@@ -99,6 +100,7 @@
             }
             gossip.sessions().closed(peer);
             gossip.facts().removePeer(peer);
+            repairs.forget(peer);
         }
     }
 
@@ -113,8 +115,7 @@
         if (peer != null && peer.serves()) {
             majorityHeardMs = nowMs;
         }
-        boolean differs = heartbeat.digest() != gossip.facts().digest();
-        if (peer != null && differs && peer.received() % DIGEST_HEARTBEATS == 0) {
+        if (peer != null && repairs.onHeartbeat(from, gossip.facts().digest(), heartbeat.digest())) {
             mesh.send(from, new Digest(gossip.facts().ranges()));
         }
     }
--- a/src/main/java/ringspindle/membership/HeartbeatSessionTable.java
+++ b/src/main/java/ringspindle/membership/HeartbeatSessionTable.java
@@ -44,7 +44,6 @@
         private final EchoedContact contact = new EchoedContact();
         private Heartbeat newest = NONE;
         private long receivedMs;
-        private long received;
         private long sentToDataNode;
 
         Session(Hello hello) {
@@ -61,7 +60,6 @@
         void receive(Heartbeat heartbeat) {
             newest = heartbeat;
             receivedMs = nowMs;
-            received++;
             contact.echoed(heartbeat.echo());
         }
 
@@ -103,11 +101,6 @@
         public long contactMs() {
             return contact.contactMs();
         }
-
-        @Override
-        public long received() {
-            return received;
-        }
     }
 
     private final NodeId self;
--- a/src/main/java/ringspindle/membership/SessionTable.java
+++ b/src/main/java/ringspindle/membership/SessionTable.java
@@ -30,9 +30,6 @@
         /** When the newest own heartbeat that the peer echoed was sent: it lived then or later. {@link #NEVER_MS} if none. */
         long contactMs();
 
-        /** How many heartbeats came over this connection. */
-        long received();
-
         /** True for a control node in touch that is in touch with a majority and does not leave. */
         default boolean serves() {
             NodeFlags flags = heartbeat().flags();
--- a/src/main/java/ringspindle/protocol/NodeFlags.java
+++ b/src/main/java/ringspindle/protocol/NodeFlags.java
@@ -29,6 +29,8 @@
 
     /** A control node that holds replicated counters and takes messages about them. */
     public static final NodeFlags COUNTERS = of(32);
+    /** The node puts messages together that come in fragments. */
+    public static final NodeFlags FRAGMENTS = of(64);
 
     private final int bits;
 
--- a/src/main/java/ringspindle/storage/Disk.java
+++ b/src/main/java/ringspindle/storage/Disk.java
@@ -32,7 +32,7 @@
 
     /** A disk in that folder, with records of any kind; {@code Disk.open(Path.of("/data/core"))}. */
     static Disk open(Path folder) {
-        return open(folder, record -> true);
+        return open(StorageFolder.of(folder), record -> true);
     }
 
     /**
@@ -41,7 +41,7 @@
      * @param known a load refuses records for which this is false or throws;
      *     {@code Disk.open(folder, record -> record instanceof Vote)}
      */
-    static Disk open(Path folder, Predicate<Message> known) {
-        return new SlotDisk(new NioFolder(folder), known);
+    static Disk open(StorageFolder folder, Predicate<Message> known) {
+        return new SlotDisk(folder, known);
     }
 }
--- a/src/main/java/ringspindle/storage/StorageFolder.java
+++ b/src/main/java/ringspindle/storage/StorageFolder.java
@@ -3,11 +3,17 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
 
-/** The file operations that {@link SlotDisk} needs, so that a test can decide what a loss of power leaves behind. */
-interface StorageFolder {
+/** The file operations that a {@link Disk} needs, so that a test can decide what a loss of power leaves behind. */
+public interface StorageFolder {
+    /** A folder of the file system; {@code StorageFolder.of(Path.of("/data/core"))}. */
+    static StorageFolder of(Path path) {
+        return new NioFolder(path);
+    }
+
     /** Makes the folder if it is missing. */
     void create() throws IOException;
 
--- a/src/main/java/ringspindle/transport/FrameConnection.java
+++ b/src/main/java/ringspindle/transport/FrameConnection.java
@@ -8,9 +8,11 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
+import ringspindle.peering.FrameDecoder;
 import ringspindle.protocol.Codec;
 import ringspindle.protocol.FrameException;
 import ringspindle.protocol.Message;
+import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
 
 /**
@@ -31,6 +33,9 @@
         /** The greeting of this node. */
         Message.Hello greeting();
 
+        /** The connection is open; the owner closes it if its peer does not greet in time. */
+        void opened(FrameConnection connection);
+
         /** The peer said who it is; the owner calls {@link FrameConnection#admit} or closes the connection. */
         void greeted(FrameConnection connection, Message.Hello peer);
 
@@ -69,11 +74,6 @@
         return dialled;
     }
 
-    /** The peer's greeting, null before it was admitted. */
-    Message.Hello peer() {
-        return peer;
-    }
-
     /** The peer's address, null before it was admitted. */
     NodeId peerNode() {
         Message.Hello known = peer;
@@ -85,16 +85,27 @@
         peer = admitted;
     }
 
-    /** Sends a message; closes the connection if too much waits for the peer. */
-    void send(Message message) {
-        writer.write(Codec.encode(message));
+    /**
+     * Sends a message; closes the connection if too much waits for the peer.
+     *
+     * @param body the message as bytes
+     */
+    void send(Message message, byte[] body) {
+        writer.write(message, body);
+    }
+
+    /** Bytes that the peer has not taken yet. */
+    int pendingBytes() {
+        return writer.pendingBytes();
     }
 
     @Override
     public void onOpen() {
         super.onOpen();
+        owner.opened(this);
         // first of all: whatever else another thread sends from here on, the peer must have the greeting before it
-        send(owner.greeting());
+        Message.Hello greeting = owner.greeting();
+        send(greeting, Codec.encode(greeting));
         fillInterested(reader);
     }
 
@@ -144,6 +155,10 @@
     private void receive(Message message) {
         NodeId from = peerNode();
         if (from != null) {
+            if (message instanceof Message.Heartbeat heartbeat
+                    && heartbeat.flags().has(NodeFlags.FRAGMENTS)) {
+                writer.allowFragments();
+            }
             owner.received(from, message);
         } else if (message instanceof Message.Hello greeting) {
             owner.greeted(this, greeting);
--- a/src/main/java/ringspindle/transport/FrameWriter.java
+++ b/src/main/java/ringspindle/transport/FrameWriter.java
@@ -1,16 +1,18 @@
 package ringspindle.transport;
 
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
+import java.util.List;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable.InvocationType;
+import ringspindle.peering.FrameQueue;
+import ringspindle.protocol.Message;
 
-/** Writes the frames of one connection in order; what comes while a write runs goes out with the next one. Thread safe. */
+/**
+ * Writes the frames of one connection, batch by batch in the order of {@link FrameQueue}; what comes while a write runs goes
+ * out with a later one. Thread safe.
+ */
 final class FrameWriter {
-    /** A peer that lets more than this pile up has its connection closed, in bytes. */
-    private static final int PENDING_MAX = 32 << 20;
-
     /** What a frame that was handed over leads to. */
     private enum Step {
         /** The write that runs goes on with it. */
@@ -24,8 +26,7 @@
     private final EndPoint endPoint;
     private final Runnable onFailure;
     private final Object lock = new Object();
-    private final ArrayDeque<ByteBuffer> pending = new ArrayDeque<>();
-    private int pendingBytes;
+    private final FrameQueue queue = new FrameQueue();
     private boolean writing;
 
     /**
@@ -36,13 +37,9 @@
         this.onFailure = onFailure;
     }
 
-    /** Sends a frame of that body. */
-    void write(byte[] body) {
-        ByteBuffer frame = ByteBuffer.allocate(FrameDecoder.LENGTH_BYTES + body.length)
-                .putInt(body.length)
-                .put(body)
-                .flip();
-        switch (add(frame)) {
+    /** Sends a message, whose bytes are the body. */
+    void write(Message message, byte[] body) {
+        switch (add(message, body)) {
             case WRITE -> writePending();
             case FAIL -> onFailure.run();
             case WAIT -> {
@@ -51,13 +48,25 @@
         }
     }
 
-    private Step add(ByteBuffer frame) {
+    /** The peer puts fragments together. */
+    void allowFragments() {
+        synchronized (lock) {
+            queue.allowFragments();
+        }
+    }
+
+    /** Bytes that the peer has not taken yet. */
+    int pendingBytes() {
+        synchronized (lock) {
+            return queue.bytes();
+        }
+    }
+
+    private Step add(Message message, byte[] body) {
         synchronized (lock) {
-            pendingBytes += frame.remaining();
-            if (pendingBytes > PENDING_MAX) {
+            if (!queue.add(message, body)) {
                 return Step.FAIL;
             }
-            pending.add(frame);
             Step step = writing ? Step.WAIT : Step.WRITE;
             writing = true;
             return step;
@@ -65,17 +74,15 @@
     }
 
     private void writePending() {
-        ByteBuffer[] batch;
+        List<ByteBuffer> batch;
         synchronized (lock) {
-            if (pending.isEmpty()) {
+            batch = queue.next();
+            if (batch.isEmpty()) {
                 writing = false;
                 return;
             }
-            batch = pending.toArray(new ByteBuffer[0]);
-            pending.clear();
-            pendingBytes = 0;
         }
-        endPoint.write(
-                Callback.from(InvocationType.NON_BLOCKING, this::writePending, failure -> onFailure.run()), batch);
+        Callback written = Callback.from(InvocationType.NON_BLOCKING, this::writePending, failure -> onFailure.run());
+        endPoint.write(written, batch.toArray(ByteBuffer[]::new));
     }
 }
--- a/src/main/java/ringspindle/transport/JettyMesh.java
+++ b/src/main/java/ringspindle/transport/JettyMesh.java
@@ -6,8 +6,6 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
@@ -25,6 +23,8 @@
 import org.eclipse.jetty.util.Promise;
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.eclipse.jetty.util.thread.ThreadPool;
+import ringspindle.peering.ConnectionTable;
+import ringspindle.protocol.Codec;
 import ringspindle.protocol.FrameException;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.NodeId;
@@ -44,23 +44,30 @@
     private static final int BUFFERS_A_SIZE = 64;
     private static final int BUFFER_BYTES_MAX = 1 << 20;
 
+    /** A message and its bytes, which nobody changes. */
+    private record Encoded(Message message, byte[] bytes) {}
+
     private final Message.Hello self;
+    private final String bindIp;
     private final Executor pool;
     private final Scheduler scheduler;
-    private final PeerConnections connections;
-    private final Set<NodeId> dialling = ConcurrentHashMap.newKeySet();
+    private final ConnectionTable<FrameConnection> connections;
     private final ClientConnector dialler = new PlainConnector();
     private final Map<FrameException.Reason, LongAdder> refused = new EnumMap<>(FrameException.Reason.class);
     private final FrameConnection.Owner owner = new ConnectionOwner();
+    /** The message that was sent last. */
+    private volatile Encoded lastEncoded;
+
     private Server server;
     private volatile Listener listener;
 
     /** {@code pool} is a Jetty thread pool. */
-    JettyMesh(Message.Hello self, Executor pool, Scheduler scheduler) {
+    JettyMesh(Message.Hello self, String bindIp, Executor pool, Scheduler scheduler) {
         this.self = self;
+        this.bindIp = bindIp;
         this.pool = pool;
         this.scheduler = scheduler;
-        connections = new PeerConnections(self.node());
+        connections = new ConnectionTable<>(self.node());
         for (FrameException.Reason reason : FrameException.Reason.values()) {
             refused.put(reason, new LongAdder());
         }
@@ -94,7 +101,7 @@
         server = new Server((ThreadPool) pool, scheduler, buffers);
         ServerConnector connector =
                 new ServerConnector(server, pool, scheduler, buffers, 0, 1, new AcceptedConnectionFactory());
-        connector.setHost(self.node().ip());
+        connector.setHost(bindIp);
         connector.setPort(self.node().port());
         connector.setIdleTimeout(IDLE_TIMEOUT.toMillis());
         server.addConnector(connector);
@@ -103,12 +110,12 @@
 
     @Override
     public void dial(NodeId peer) {
-        if (connected(peer) || !dialling.add(peer)) {
+        if (!connections.beginDial(peer)) {
             return;
         }
         ClientConnectionFactory factory = (endPoint, context) -> new FrameConnection(endPoint, pool, peer, owner);
         Promise<Connection> dialled = Promise.from(connection -> {}, failure -> {
-            dialling.remove(peer);
+            connections.dialFailed(peer);
             LOG.atFine().withCause(failure).log("cannot dial %s", peer);
         });
         Map<String, Object> context = new HashMap<>();
@@ -122,8 +129,24 @@
     public void send(NodeId peer, Message message) {
         FrameConnection connection = connections.get(peer);
         if (connection != null) {
-            connection.send(message);
+            connection.send(message, encoded(message));
+        }
+    }
+
+    /** The message as bytes; one that goes to many peers, one after the other, is encoded once. */
+    private byte[] encoded(Message message) {
+        Encoded last = lastEncoded;
+        if (last == null || last.message() != message) {
+            last = new Encoded(message, Codec.encode(message));
+            lastEncoded = last;
         }
+        return last.bytes();
+    }
+
+    @Override
+    public int pendingBytes(NodeId peer) {
+        FrameConnection connection = connections.get(peer);
+        return connection == null ? 0 : connection.pendingBytes();
     }
 
     @Override
@@ -164,27 +187,31 @@
             return self;
         }
 
+        @Override
+        public void opened(FrameConnection connection) {
+            connections.opened(connection, connection.dialled());
+            scheduler.schedule(
+                    () -> {
+                        if (connections.awaitsGreeting(connection)) {
+                            pool.execute(connection::close);
+                        }
+                    },
+                    ConnectionTable.GREETING_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+
         @Override
         public void greeted(FrameConnection connection, Message.Hello peer) {
-            PeerConnections.Admission admission = connections.admit(connection, peer);
+            ConnectionTable.Admission<FrameConnection> admission = connections.greeted(connection, peer);
             if (!admission.admitted()) {
                 connection.close();
                 return;
             }
-            dialEnded(connection);
-            if (admission.replaced() != null) {
-                admission.replaced().close();
-            }
+            connection.admit(peer);
+            admission.replaced().ifPresent(FrameConnection::close);
             listener.opened(peer);
         }
 
-        /** The address may be dialled again. */
-        private void dialEnded(FrameConnection connection) {
-            if (connection.dialled() != null) {
-                dialling.remove(connection.dialled());
-            }
-        }
-
         @Override
         public void received(NodeId from, Message message) {
             listener.received(from, message);
@@ -203,10 +230,7 @@
 
         @Override
         public void closed(FrameConnection connection) {
-            dialEnded(connection);
-            if (connections.remove(connection)) {
-                listener.closed(connection.peerNode());
-            }
+            connections.closed(connection).ifPresent(listener::closed);
         }
     }
 }
--- a/src/main/java/ringspindle/transport/Mesh.java
+++ b/src/main/java/ringspindle/transport/Mesh.java
@@ -6,8 +6,9 @@
 import ringspindle.protocol.NodeId;
 
 /**
- * Connections to the other nodes of the system, one for each peer at most. Messages over one connection arrive in order;
- * those that were on their way when it ended are lost. Thread safe.
+ * Connections to the other nodes of the system, one for each peer at most. Messages over one connection arrive in
+ * order, but that heartbeats overtake all others, and counters are overtaken by them; those that were on their way when it
+ * ended are lost. Thread safe.
  */
 public interface Mesh extends AutoCloseable {
 
@@ -35,6 +36,9 @@
     /** Sends if a connection stands, else drops the message. */
     void send(NodeId peer, Message message);
 
+    /** Bytes that wait to be sent to that node, 0 without a connection; what is large is better not sent again meanwhile. */
+    int pendingBytes(NodeId peer);
+
     /** True while a connection to that node stands; {@code if (!mesh.connected(peer)) mesh.dial(peer);}. */
     boolean connected(NodeId peer);
 
@@ -48,9 +52,10 @@
     /**
      * A mesh over TCP that speaks for the node that the greeting names.
      *
+     * @param bindIp the address to listen at, which may be another one than peers dial
      * @param pool a Jetty thread pool
      */
-    static Mesh create(Message.Hello self, Executor pool, Scheduler scheduler) {
-        return new JettyMesh(self, pool, scheduler);
+    static Mesh create(Message.Hello self, String bindIp, Executor pool, Scheduler scheduler) {
+        return new JettyMesh(self, bindIp, pool, scheduler);
     }
 }
--- a/src/main/java/ringspindle/transport/NodeEnvironment.java
+++ b/src/main/java/ringspindle/transport/NodeEnvironment.java
@@ -24,13 +24,17 @@
         Executor pool,
         Function<Message.Hello, Mesh> meshFactory) {
 
-    /** Sockets, the monotonic clock and the given threads; {@code NodeEnvironment.real(Threads.start("dp", 20, 8))}. */
-    public static NodeEnvironment real(Threads threads) {
+    /**
+     * Sockets, the monotonic clock and the given threads; {@code NodeEnvironment.real(Threads.start("dp", 20, 8), "10.0.0.1")}.
+     *
+     * @param bindIp the address to listen at for other nodes
+     */
+    public static NodeEnvironment real(Threads threads, String bindIp) {
         return new NodeEnvironment(
                 MonotonicClock.system(),
                 System.currentTimeMillis(),
                 new SecureRandom()::nextLong,
                 threads.pool(),
-                greeting -> Mesh.create(greeting, threads.pool(), threads.scheduler()));
+                greeting -> Mesh.create(greeting, bindIp, threads.pool(), threads.scheduler()));
     }
 }
--- a/src/test/java/ringspindle/controlplane/CallIdsTest.java
+++ b/src/test/java/ringspindle/controlplane/CallIdsTest.java
@@ -48,6 +48,11 @@
             }
         }
 
+        @Override
+        public int pendingBytes(NodeId peer) {
+            return 0;
+        }
+
         @Override
         public boolean connected(NodeId peer) {
             return true;
--- a/src/test/java/ringspindle/controlplane/HollowControlNode.java
+++ b/src/test/java/ringspindle/controlplane/HollowControlNode.java
@@ -1,6 +1,8 @@
 package ringspindle.controlplane;
 
+import java.math.BigInteger;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.eclipse.jetty.server.Handler;
@@ -28,10 +30,28 @@
 
     /** Starts a control node with storage that only delays. */
     public HollowControlNode(NodeConfig config, NodeEnvironment means, Later later) throws Exception {
-        control = new ControlNode(config, means, new HollowStorage(later), null);
+        this(config, means, later, null);
+    }
+
+    /** Starts a control node with the records that are on that disk. */
+    public HollowControlNode(NodeConfig config, NodeEnvironment means, Later later, SimulatedDisk disk)
+            throws Exception {
+        control = new ControlNode(config, means, new HollowStorage(later, disk), null);
         control.start();
     }
 
+    /** The settings file changed. */
+    public void settings(NodeConfig changed) {
+        control.settings(changed);
+    }
+
+    /** The revision of the committed configuration, 0 while none is known. */
+    public long revision() {
+        return control.replication().committed() == null
+                ? 0
+                : control.replication().committed().revision();
+    }
+
     /** Milliseconds between two ticks. */
     public static int tickMs() {
         return ControlNode.TICK_MS;
@@ -52,6 +72,11 @@
         control.replication().call(CallKind.PUT, base, "", body, (o, b) -> then.accept(o));
     }
 
+    /** Patches the configuration of a revision. */
+    public void patch(long base, byte[] body, Consumer<Outcome> then) {
+        control.replication().call(CallKind.PATCH, base, "", body, (o, b) -> then.accept(o));
+    }
+
     /** Puts serving rules that build on a revision. */
     public void rules(long base, byte[] body, Consumer<Outcome> then) {
         control.replication().call(CallKind.RULES, base, "", body, (o, b) -> then.accept(o));
@@ -119,6 +144,21 @@
         return control.serving().inTouch();
     }
 
+    /** The epoch of the newest view, 0 without one. */
+    public long epoch() {
+        return control.replication().status().epoch();
+    }
+
+    /** Adds to a counter. */
+    public void add(String counter, String instance, Consumer<Outcome> then) {
+        control.counters().add(counter, instance, 1, then);
+    }
+
+    /** The total of a counter; empty while the node cannot tell. */
+    public Optional<BigInteger> total(String counter) {
+        return control.counters().total(counter);
+    }
+
     /** True if that node votes in the newest view that is known here. */
     public boolean votes(NodeId node) {
         return control.replication().view() != null
--- a/src/test/java/ringspindle/controlplane/HollowStorage.java
+++ b/src/test/java/ringspindle/controlplane/HollowStorage.java
@@ -7,17 +7,22 @@
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Fact;
 
-/** Storage that keeps nothing, and tells after a delay that it does. */
+/** Storage that keeps nothing on any disk, and tells after a delay that it does; a later process may take over its records. */
 final class HollowStorage implements Storage {
     private static final int SYNC_MS = 2;
 
-    /** Records that are encoded and dropped. */
+    /** Records that are kept in memory, and only where somebody will ask for them. */
     private final class HollowLog implements RecordLog {
+        private final List<Message> kept;
         private LongConsumer stored;
 
+        HollowLog(List<Message> kept) {
+            this.kept = kept;
+        }
+
         @Override
         public List<Message> load() {
-            return List.of();
+            return kept == null ? List.of() : List.copyOf(kept);
         }
 
         @Override
@@ -28,16 +33,32 @@
         @Override
         public void write(Write records) {
             records.records().forEach(Codec::encode);
-            later.at(SYNC_MS, () -> stored.accept(records.token()));
+            later.at(SYNC_MS, () -> {
+                keep(records);
+                stored.accept(records.token());
+            });
+        }
+
+        private void keep(Write records) {
+            if (kept == null) {
+                return;
+            }
+            if (records.snapshot()) {
+                kept.clear();
+            }
+            kept.addAll(records.records());
         }
     }
 
     private final HollowControlNode.Later later;
-    private final RecordLog replication = new HollowLog();
-    private final RecordLog counters = new HollowLog();
+    private final RecordLog replication;
+    private final RecordLog counters;
 
-    HollowStorage(HollowControlNode.Later later) {
+    /** Keeps records on that disk, or nothing if it is null. */
+    HollowStorage(HollowControlNode.Later later, SimulatedDisk disk) {
         this.later = later;
+        replication = new HollowLog(disk == null ? null : disk.replication);
+        counters = new HollowLog(disk == null ? null : disk.counters);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/ringspindle/controlplane/UnsyncedStorage.java
@@ -0,0 +1,15 @@
+package ringspindle.controlplane;
+
+import java.nio.file.Path;
+import java.util.concurrent.Executor;
+import ringspindle.storage.UnsyncedFolder;
+
+/** Storage of a real control node whose unsynced writes are gone when its process is killed. */
+public final class UnsyncedStorage {
+    private UnsyncedStorage() {}
+
+    /** Storage in that folder. */
+    public static DiskStorage open(Path folder, Executor pool) {
+        return new DiskStorage(folder, UnsyncedFolder::new, pool);
+    }
+}
--- a/src/test/java/ringspindle/dataplane/HollowDataNode.java
+++ b/src/test/java/ringspindle/dataplane/HollowDataNode.java
@@ -19,6 +19,7 @@
     private final ExperimentTable experiments = new ExperimentTable();
     private final OutcomeTable outcomes = new OutcomeTable();
     private boolean confirmed;
+    private int failures;
     private long revision = -1;
     private long rules;
     private long digest;
@@ -40,6 +41,11 @@
         data.tick();
     }
 
+    /** The settings file changed. */
+    public void settings(NodeConfig changed) {
+        data.settings(changed);
+    }
+
     /** The node's load balancer. */
     public LoadBalancer loadBalancer() {
         return loadBalancer;
@@ -52,9 +58,18 @@
 
     @Override
     public void updateConfiguration(FleetConfig c) {
+        if (failures > 0) {
+            failures--;
+            throw new IllegalStateException("planted");
+        }
         revision = c.revision();
     }
 
+    /** The next so many configurations fail to be put into force. */
+    public void failToConfigure(int times) {
+        failures = times;
+    }
+
     @Override
     public void updateRules(ServingRules r) {
         if (r.revision() > rules) {
--- a/src/test/java/ringspindle/dataplane/PeerDialerTest.java
+++ b/src/test/java/ringspindle/dataplane/PeerDialerTest.java
@@ -77,6 +77,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public int pendingBytes(NodeId peer) {
+            return 0;
+        }
+
         @Override
         public boolean connected(NodeId peer) {
             return connected.contains(peer);
--- a/src/test/java/ringspindle/transport/FrameDecoderTest.java
+++ b/src/test/java/ringspindle/peering/FrameDecoderTest.java
@@ -1,4 +1,4 @@
-package ringspindle.transport;
+package ringspindle.peering;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/ringspindle/scale/SimulatedNetwork.java
+++ b/src/test/java/ringspindle/scale/SimulatedNetwork.java
@@ -2,11 +2,9 @@
 
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -14,11 +12,9 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
-import ringspindle.protocol.Codec;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
-import ringspindle.transport.Mesh;
 import ringspindle.transport.NodeEnvironment;
 
 /** Virtual time, and counted links between hollow nodes: every message goes through the real codec. */
@@ -58,7 +54,7 @@
 
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::atMs).thenComparingLong(Event::order));
-    private final Map<NodeId, HollowMesh> meshes = new HashMap<>();
+    private final Map<NodeId, SimulatedMesh> meshes = new HashMap<>();
     final Map<NodeId, Meter> meters = new TreeMap<>();
     private final Random chance = new Random(1);
     private double nowMs = 1_000_000;
@@ -113,8 +109,8 @@
         }
     }
 
-    private boolean cut(NodeId a, NodeId b) {
-        return cutUntilMs.getOrDefault(a + " " + b, 0.0) > nowMs;
+    boolean isCut(NodeId from, NodeId to) {
+        return cutUntilMs(from, to) > nowMs;
     }
 
     /** Runs a node's code and charges its processor time to it. */
@@ -128,113 +124,125 @@
     public NodeEnvironment means(long life) {
         Executor later = r -> at(0, r);
         return new NodeEnvironment(this::nowMs, life, chance::nextLong, later, hello -> {
-            HollowMesh m = new HollowMesh(hello);
-            meshes.put(hello.node(), m);
-            meters.put(hello.node(), new Meter());
-            return m;
+            SimulatedMesh mesh = new SimulatedMesh(this, hello);
+            kill(hello.node());
+            meshes.put(hello.node(), mesh);
+            meters.putIfAbsent(hello.node(), new Meter());
+            return mesh;
         });
     }
 
-    private static Reach reach(Hello a, Hello b) {
-        return a.zone().equals(b.zone()) ? Reach.ZONE : a.region().equals(b.region()) ? Reach.ZONES : Reach.REGIONS;
-    }
+    /** What happens to a message that one node sends to another. */
+    sealed interface Fate {
+        /** It arrives after that many more ms, so many times. */
+        record Arrives(int times, int lateMs) implements Fate {}
 
-    private static double wayMs(Reach r) {
-        return r == Reach.ZONE ? 0.2 : r == Reach.ZONES ? 1.4 : 20;
-    }
+        /** The connection is reset instead. */
+        record Reset() implements Fate {}
 
-    private final class HollowMesh implements Mesh {
-        private final Hello self;
-        private final Set<NodeId> links = new HashSet<>();
-        private Listener listener;
+        /** It never arrives, though the connection stands. */
+        record Vanishes() implements Fate {}
+    }
 
-        HollowMesh(Hello self) {
-            this.self = self;
+    /** Decides what happens to messages and to dialling; a fault of nodes or links, or one planted in the code under test. */
+    interface Interference {
+        /** What happens to a message. */
+        default Fate fate(NodeId from, NodeId to, Message message) {
+            return new Fate.Arrives(1, 0);
         }
 
-        @Override
-        public void open(Listener newListener) {
-            listener = newListener;
+        /** True if a node does not dial though it means to. */
+        default boolean swallowsDial(NodeId from, NodeId to) {
+            return false;
         }
 
-        @Override
-        public void dial(NodeId peer) {
-            HollowMesh other = meshes.get(peer);
-            if (other == null || other == this || links.contains(peer) || cut(self.node(), peer) || down(peer)) {
-                return;
-            }
-            at(2 * wayMs(reach(self, other.self)), () -> {
-                if (other.listener != null && !links.contains(peer) && !other.links.contains(self.node())) {
-                    links.add(peer);
-                    other.links.add(self.node());
-                    count(this, other, self);
-                    count(other, this, other.self);
-                    charge(peer, () -> other.listener.opened(self));
-                    charge(self.node(), () -> listener.opened(other.self));
-                }
-            });
+        /** True if a node closes a connection that it accepted while it dialled that peer itself. */
+        default boolean closesCrossed() {
+            return false;
         }
+    }
 
-        private void count(HollowMesh from, HollowMesh to, Message m) {
-            int bytes = Codec.encode(m).length + FRAME_BYTES;
-            Meter out = meters.get(from.self.node());
-            out.outBytes[reach(from.self, to.self).ordinal()] += bytes;
-            out.outMessages++;
-            Meter in = meters.get(to.self.node());
-            in.inBytes += bytes;
-            in.inMessages++;
-        }
+    private Interference interference = new Interference() {};
 
-        @Override
-        public void send(NodeId peer, Message m) {
-            if (!links.contains(peer)) {
-                return;
-            }
-            HollowMesh other = meshes.get(peer);
-            byte[] bytes = Codec.encode(m);
-            Reach r = reach(self, other.self);
-            Meter out = meters.get(self.node());
-            out.outBytes[r.ordinal()] += bytes.length + FRAME_BYTES;
-            out.outMessages++;
-            if (cut(self.node(), peer)) {
-                // as on a connection whose other end is behind a cut: nothing arrives until silence ends it
-                return;
-            }
-            at(wayMs(r), () -> deliver(peer, other, bytes));
-        }
+    void interfere(Interference newInterference) {
+        interference = newInterference;
+    }
 
-        private void deliver(NodeId peer, HollowMesh other, byte[] bytes) {
-            if (!other.links.contains(self.node())) {
-                return;
-            }
-            if (down(peer)) {
-                at(frozenUntilMs.get(peer) - nowMs + 0.01, () -> deliver(peer, other, bytes));
-                return;
-            }
-            Meter in = meters.get(peer);
-            in.inBytes += bytes.length + FRAME_BYTES;
-            in.inMessages++;
-            charge(peer, () -> other.listener.received(self.node(), Codec.decode(bytes)));
-        }
+    Interference interference() {
+        return interference;
+    }
 
-        @Override
-        public boolean connected(NodeId peer) {
-            return links.contains(peer);
-        }
+    /** The process at an address, null if none runs. */
+    SimulatedMesh mesh(NodeId node) {
+        return meshes.get(node);
+    }
 
-        @Override
-        public void drop(NodeId peer) {
-            if (links.remove(peer)) {
-                HollowMesh other = meshes.get(peer);
-                other.links.remove(self.node());
-                listener.closed(peer);
-                other.listener.closed(self.node());
-            }
+    /** The process ends; its connections are reset, as a platform does when it kills one. */
+    void kill(NodeId node) {
+        SimulatedMesh ended = meshes.remove(node);
+        if (ended != null) {
+            ended.end(true);
         }
+    }
 
-        @Override
-        public void close() {
-            new ArrayList<>(links).forEach(this::drop);
+    /** The machine loses power for that time: it says nothing, and neither do its connections. */
+    void powerOff(NodeId node, double forMs) {
+        SimulatedMesh ended = meshes.remove(node);
+        if (ended != null) {
+            ended.end(false);
         }
+        freeze(node, forMs);
+    }
+
+    double thawMs(NodeId node) {
+        return frozenUntilMs.getOrDefault(node, 0.0);
+    }
+
+    double cutUntilMs(NodeId from, NodeId to) {
+        return cutUntilMs.getOrDefault(from + " " + to, 0.0);
+    }
+
+    /** Nothing passes from one node to the other, and all passes the other way. */
+    void cutOneWay(NodeId from, NodeId to, double forMs) {
+        cutUntilMs.put(from + " " + to, nowMs + forMs);
+    }
+
+    private double bytesPerMs;
+    private final Map<NodeId, Double> linkFreeMs = new HashMap<>();
+
+    /** From now on a machine's link carries so much, all its connections together. */
+    void limitLinks(double megabitsPerS) {
+        bytesPerMs = megabitsPerS * 1000 / 8;
+    }
+
+    boolean isUnlimited() {
+        return bytesPerMs == 0;
+    }
+
+    /** A machine's link is busy with so many bytes, after those before; returns in how many ms they are through. */
+    double occupyLink(NodeId node, int bytes) {
+        double fromMs = Math.max(nowMs, linkFreeMs.getOrDefault(node, 0.0));
+        double untilMs = fromMs + bytes / bytesPerMs;
+        linkFreeMs.put(node, untilMs);
+        return untilMs - nowMs;
+    }
+
+    static Reach reach(Hello a, Hello b) {
+        return a.zone().equals(b.zone()) ? Reach.ZONE : a.region().equals(b.region()) ? Reach.ZONES : Reach.REGIONS;
+    }
+
+    static double wayMs(Reach r) {
+        return r == Reach.ZONE ? 0.2 : r == Reach.ZONES ? 1.4 : 20;
+    }
+
+    /** Charges a message to the meters of both ends. */
+    void count(Hello from, Hello to, int bodyBytes) {
+        int bytes = bodyBytes + FRAME_BYTES;
+        Meter out = meters.get(from.node());
+        out.outBytes[reach(from, to).ordinal()] += bytes;
+        out.outMessages++;
+        Meter in = meters.get(to.node());
+        in.inBytes += bytes;
+        in.inMessages++;
     }
 }
--- a/src/test/java/ringspindle/soak/Disturbances.java
+++ b/src/test/java/ringspindle/soak/Disturbances.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import ringspindle.soak.SoakTopology.Role;
@@ -24,15 +25,26 @@
     private enum Action {
         TERMINATE,
         RELOAD,
-        KILL
+        KILL,
+        KILL_AND_WIPE,
+        CUT
     }
 
     private record Step(int atMs, Action action, NodeProcess target) {}
 
+    private static final int CUT_MIN_MS = 1000;
+    private static final int CUT_SPREAD_MS = 4000;
+
     private final List<Step> steps = new ArrayList<>();
     private final Random random;
+    private final SoakRelay relay;
+    /** A soak has either cuts or a lost disk: what a side that was cut off took rests on its own disks. */
+    private boolean diskLost;
+
+    private boolean cut;
 
-    Disturbances(List<NodeProcess> nodes, int lengthMs, boolean plannedOnly, long seed) {
+    Disturbances(List<NodeProcess> nodes, SoakRelay relay, int lengthMs, boolean plannedOnly, long seed) {
+        this.relay = relay;
         random = new Random(seed);
         int atMs = FIRST_MS;
         while (atMs < lengthMs - QUIET_END_MS) {
@@ -43,15 +55,40 @@
     }
 
     private void addSeries(List<NodeProcess> nodes, int atMs, boolean plannedOnly) {
-        switch (random.nextInt(plannedOnly ? 4 : 5)) {
+        switch (random.nextInt(plannedOnly ? 4 : 8)) {
             case 0 -> inTurn(Action.TERMINATE, of(nodes, Role.DATA_PLANE), atMs);
             case 1 -> inTurn(Action.TERMINATE, of(nodes, Role.CONTROL_PLANE).subList(0, 1), atMs);
             case 2 -> atOnce(Action.TERMINATE, homeDataNodes(nodes), atMs);
             case 3 -> inTurn(Action.RELOAD, shuffled(nodes), atMs);
-            default -> inTurn(Action.KILL, shuffled(nodes).subList(0, 2), atMs);
+            case 4, 5 -> inTurn(Action.KILL, shuffled(nodes).subList(0, 2), atMs);
+            case 6 -> addCut(nodes, atMs);
+            default -> addLostDisk(nodes, atMs);
+        }
+    }
+
+    private void addCut(List<NodeProcess> nodes, int atMs) {
+        if (!diskLost) {
+            cut = true;
+            steps.add(new Step(atMs, Action.CUT, shuffled(nodes).get(0)));
         }
     }
 
+    private void addLostDisk(List<NodeProcess> nodes, int atMs) {
+        if (!cut && !diskLost) {
+            diskLost = true;
+            steps.add(new Step(
+                    atMs, Action.KILL_AND_WIPE, of(nodes, Role.CONTROL_PLANE).get(0)));
+        }
+    }
+
+    /** A node alone, or all of its region. */
+    private void cutOff(NodeProcess target) {
+        int forMs = CUT_MIN_MS + random.nextInt(CUT_SPREAD_MS);
+        boolean alone = random.nextBoolean();
+        Set<String> side = alone ? Set.of(target.node().ip()) : target.regionIps();
+        relay.cut(side, forMs);
+    }
+
     private void inTurn(Action action, List<NodeProcess> targets, int atMs) {
         int gapMs = 1 + random.nextInt(BETWEEN_STEPS_MS);
         int stepMs = atMs;
@@ -94,10 +131,12 @@
         }
     }
 
-    private static void carryOut(Step step) {
+    private void carryOut(Step step) {
         switch (step.action()) {
             case TERMINATE -> step.target().terminate();
             case KILL -> step.target().kill();
+            case KILL_AND_WIPE -> step.target().killAndWipe();
+            case CUT -> cutOff(step.target());
             case RELOAD -> {
                 try {
                     step.target().reload();
--- a/src/test/java/ringspindle/soak/NodeProcess.java
+++ b/src/test/java/ringspindle/soak/NodeProcess.java
@@ -9,8 +9,12 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import ringspindle.PowerLossControlPlane;
 import ringspindle.soak.SoakTopology.Node;
 import ringspindle.soak.SoakTopology.Role;
 
@@ -34,6 +38,8 @@
     private Process process;
     private long launchedNs;
     private boolean stopped;
+    /** Its disk is lost before the next start. */
+    private boolean wipe;
     /** It was signalled and has not ended yet. */
     private boolean ending;
     /** Exit codes of ends without a signal that ends it. */
@@ -58,6 +64,14 @@
         return node;
     }
 
+    /** The addresses of all nodes of its region. */
+    Set<String> regionIps() {
+        return Stream.concat(topology.controlNodes().stream(), topology.dataNodes().stream())
+                .filter(other -> other.region().equals(node.region()))
+                .map(Node::ip)
+                .collect(Collectors.toSet());
+    }
+
     synchronized List<Integer> unexpectedExits() {
         return List.copyOf(unexpectedExits);
     }
@@ -80,12 +94,9 @@
         List<String> command = new ArrayList<>(
                 List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(JVM_OPTIONS);
-        command.addAll(List.of(
-                "-cp",
-                System.getProperty("java.class.path"),
-                "ringspindle.Main",
-                node.role().command()));
-        command.addAll(List.of("--settings", settingsFile().toString()));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass()));
+        command.addAll(
+                List.of(node.role().command(), "--settings", settingsFile().toString()));
         Path log = folder.resolve("log");
         process = new ProcessBuilder(command)
                 .redirectErrorStream(true)
@@ -96,6 +107,11 @@
         process.onExit().thenAccept(this::onExit);
     }
 
+    /** A kill of a control node is a loss of power: what it has not synced is gone. */
+    private String mainClass() {
+        return node.role() == Role.CONTROL_PLANE ? PowerLossControlPlane.class.getName() : "ringspindle.Main";
+    }
+
     private synchronized void onExit(Process ended) {
         if (stopped || ended != process) {
             return;
@@ -108,6 +124,10 @@
 
     private void relaunch() {
         try {
+            if (wipe) {
+                wipe = false;
+                SoakFiles.empty(folder.resolve("data"));
+            }
             writeSettings(false);
             launch();
         } catch (IOException failure) {
@@ -132,6 +152,12 @@
         process.destroyForcibly();
     }
 
+    /** The machine loses power and its disk; it comes back at its address. */
+    synchronized void killAndWipe() {
+        wipe = true;
+        kill();
+    }
+
     /**
      * The settings name the seeds in another order, and the process gets SIGHUP. Not while the virtual machine itself starts:
      * until it runs code of this project, it ends at a SIGHUP with code 129, which no code here can help.
@@ -164,6 +190,7 @@
                 "node.zone=z" + node.region(),
                 "node.region=" + node.region(),
                 "node.bootstrap=" + bootstrap,
+                "listen.bind=" + node.bindIp(),
                 "listen.inner=" + SoakTopology.PEER_PORT + "," + (SoakTopology.PEER_PORT + 1),
                 "seeds=" + String.join(",", seeds),
                 "bound.graceS=" + GRACE_S,
--- a/src/test/java/ringspindle/soak/ProcessSoak.java
+++ b/src/test/java/ringspindle/soak/ProcessSoak.java
@@ -1,6 +1,7 @@
 package ringspindle.soak;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -36,23 +37,34 @@
     record Plan(long seed, int dataNodesPerRegion, int lengthMs, boolean plannedOnly) {}
 
     /** What became of it: broken rules, and how much there was to judge. */
-    record Verdict(List<String> broken, int disturbances, int attempts, long served, int led, long changes) {}
+    record Verdict(
+            List<String> broken,
+            int disturbances,
+            int attempts,
+            long served,
+            int led,
+            long changes,
+            int increments,
+            long longestHoleMs) {}
 
     private final Plan plan;
     private final SoakTopology topology;
     private final SoakHistory history = new SoakHistory();
     private final List<NodeProcess> nodes = new ArrayList<>();
     private final List<SoakEngine> engines = new ArrayList<>();
+    private final List<SoakCounterCaller> callers = new ArrayList<>();
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ScheduledExecutorService platform = Executors.newScheduledThreadPool(2);
     private final SoakOperator operator;
+    private final SoakRelay relay;
     private final SoakHttp http = new SoakHttp();
     private int probes;
 
-    private ProcessSoak(Plan plan) {
+    private ProcessSoak(Plan plan) throws IOException {
         this.plan = plan;
         topology = new SoakTopology(FIRST_NETWORK + (int) (plan.seed() % NETWORKS), plan.dataNodesPerRegion());
         operator = new SoakOperator(topology, history, ended, plan.seed());
+        relay = new SoakRelay(topology);
     }
 
     /** Plays one soak; its files stay below the folder. */
@@ -71,13 +83,13 @@
     private Verdict play(Path folder) throws IOException, InterruptedException {
         startNodes(folder);
         for (String region : SoakTopology.REGIONS) {
-            engines.add(new SoakEngine(topology, region, history, plan.seed()));
+            engines.add(new SoakEngine(topology, region, history, plan.seed(), !plan.plannedOnly()));
         }
         if (!operator.change() || !awaitCalm("at the start")) {
             return verdict(0);
         }
         List<Thread> clients = startClients();
-        Disturbances disturbances = new Disturbances(nodes, plan.lengthMs(), plan.plannedOnly(), plan.seed());
+        Disturbances disturbances = new Disturbances(nodes, relay, plan.lengthMs(), plan.plannedOnly(), plan.seed());
         disturbances.schedule(platform);
         Thread changes = new Thread(operator);
         changes.start();
@@ -114,6 +126,11 @@
                     clients.add(client);
                 }
             }
+            SoakCounterCaller caller = new SoakCounterCaller(topology, region, history, ended);
+            callers.add(caller);
+            Thread calls = new Thread(caller);
+            calls.start();
+            clients.add(calls);
         }
         return clients;
     }
@@ -159,6 +176,9 @@
                         "CONFIG: " + node.name() + " does not know a route of revision " + operator.acknowledged());
             }
         }
+        for (SoakCounterCaller caller : callers) {
+            caller.check(CALM_LIMIT);
+        }
         for (NodeProcess node : nodes) {
             if (!node.unexpectedExits().isEmpty()) {
                 history.fail("FAULT: " + node.node().name() + " ended by itself, " + node.unexpectedExits());
@@ -188,7 +208,24 @@
                 .count();
         int attempts = history.attempts().size();
         int led = history.led().size();
-        return new Verdict(broken, disturbances, attempts, served, led, operator.acknowledged());
+        int increments =
+                callers.stream().mapToInt(SoakCounterCaller::acknowledged).sum();
+        return new Verdict(
+                broken, disturbances, attempts, served, led, operator.acknowledged(), increments, longestHoleMs());
+    }
+
+    /** The longest time in which no request for a homed host was answered by any engine. */
+    private long longestHoleMs() {
+        List<Long> served = history.attempts().stream()
+                .filter(attempt -> attempt.status() == 200 && attempt.host().equals(SoakTopology.HOMED_HOST))
+                .map(SoakHistory.Attempt::endedNs)
+                .sorted()
+                .toList();
+        long longestNs = 0;
+        for (int i = 1; i < served.size(); i++) {
+            longestNs = Math.max(longestNs, served.get(i) - served.get(i - 1));
+        }
+        return TimeUnit.NANOSECONDS.toMillis(longestNs);
     }
 
     private void stopNodes() {
@@ -200,6 +237,11 @@
         platform.shutdownNow();
         stopNodes();
         engines.forEach(SoakEngine::close);
+        try {
+            relay.close();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
     }
 
     /** Plays many seeds one after the other and prints a line for each. */
@@ -215,7 +257,8 @@
             failed += verdict.broken().isEmpty() ? 0 : 1;
             System.out.println("seed " + seed + (plannedOnly ? " planned" : " killed") + ": " + verdict.disturbances()
                     + " disturbances, " + verdict.attempts() + " attempts, " + verdict.served() + " served, "
-                    + verdict.led() + " led, revision " + verdict.changes() + ", broken "
+                    + verdict.led() + " led, revision " + verdict.changes() + ", " + verdict.increments()
+                    + " increments, longest hole " + verdict.longestHoleMs() + " ms, broken "
                     + verdict.broken().size());
             verdict.broken().stream().distinct().limit(8).forEach(line -> System.out.println("    " + line));
             if (!verdict.broken().isEmpty()) {
--- a/src/test/java/ringspindle/soak/ProcessSoakTest.java
+++ b/src/test/java/ringspindle/soak/ProcessSoakTest.java
@@ -22,6 +22,8 @@
         ProcessSoak.Plan plan = new ProcessSoak.Plan(seed, 2, LENGTH_MS, plannedOnly);
         ProcessSoak.Verdict verdict = ProcessSoak.play(plan, folder);
         assertEquals(List.of(), verdict.broken().stream().limit(8).toList());
-        assertTrue(verdict.served() > 0 && verdict.led() > 0 && verdict.disturbances() > 0, "something was judged");
+        assertTrue(
+                verdict.served() > 0 && verdict.led() > 0 && verdict.disturbances() > 0 && verdict.increments() > 0,
+                "something was judged");
     }
 }
--- a/src/test/java/ringspindle/soak/SoakClient.java
+++ b/src/test/java/ringspindle/soak/SoakClient.java
@@ -90,16 +90,15 @@
     private boolean request(String node) throws InterruptedException {
         String id = name + "-" + attempts++;
         boolean mutating = random.nextBoolean();
+        boolean streaming = mutating && host.equals(SoakTopology.FREE_HOST) && random.nextBoolean();
+        String path = streaming ? "/stream/" : mutating ? "/order/" : "/card/";
         HttpResponse<String> answer = http.call(
-                "POST",
-                node,
-                (mutating ? "/order/" : "/card/") + attempts,
-                Map.of("Host", host, "Attempt-Id", id, "Deadline-Ms", "3000"),
-                id);
+                "POST", node, path + attempts, Map.of("Host", host, "Attempt-Id", id, "Deadline-Ms", "3000"), id);
         int status = answer == null ? SoakHistory.NO_STATUS : answer.statusCode();
         String answeredBy =
                 answer == null ? "" : answer.headers().firstValue("Server-Seal").orElse("");
-        boolean wholeBody = answer != null && answer.body().equals(id);
+        String whole = streaming ? SoakEngine.events(id) : id;
+        boolean wholeBody = answer != null && answer.body().equals(whole);
         history.add(
                 new SoakHistory.Attempt(id, host, mutating, node, System.nanoTime(), status, answeredBy, wholeBody));
         return stubborn ? status != SoakHistory.NO_STATUS : status == 200;
--- a/src/test/java/ringspindle/soak/SoakEngine.java
+++ b/src/test/java/ringspindle/soak/SoakEngine.java
@@ -24,8 +24,14 @@
 
     private static final int LONG_MS = 1200;
     private static final int BACKLOG = 200;
+    /** An engine that fails breaks one answer in so many off, and answers one in so many with a failure. */
+    private static final int FAIL_EVERY = 12;
+
+    private static final int EVENTS = 5;
+    private static final int EVENT_MS = 40;
 
     private final String region;
+    private final boolean fails;
     private final String address;
     private final SoakHistory history;
     private final List<Node> controlNodes;
@@ -35,8 +41,9 @@
     private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(2);
     private long callSeq;
 
-    SoakEngine(SoakTopology topology, String region, SoakHistory history, long seed) throws IOException {
+    SoakEngine(SoakTopology topology, String region, SoakHistory history, long seed, boolean fails) throws IOException {
         this.region = region;
+        this.fails = fails;
         this.history = history;
         controlNodes = topology.controlNodes();
         random = new Random(seed);
@@ -89,11 +96,69 @@
         } else {
             String host = exchange.getRequestHeaders().getFirst("Host");
             int workMs = workMs();
-            long doneNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(workMs);
+            int streamMs = exchange.getRequestURI().getPath().startsWith("/stream/") ? EVENTS * EVENT_MS : 0;
+            long doneNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(workMs + streamMs);
             history.add(new SoakHistory.Run(attempt, host, region, body, doneNs));
             exchange.getResponseHeaders().set("Attempt-Id", attempt);
             exchange.getResponseHeaders().set("Server-Seal", attempt);
-            timers.schedule(() -> answer(exchange, 200, body), workMs, TimeUnit.MILLISECONDS);
+            timers.schedule(() -> answer(exchange, body), workMs, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answer(HttpExchange exchange, String body) {
+        int chance = fails ? chance() : FAIL_EVERY;
+        if (chance == 0) {
+            exchange.close();
+        } else if (chance == 1) {
+            answer(exchange, 500, body);
+        } else if (exchange.getRequestURI().getPath().startsWith("/stream/")) {
+            stream(exchange, body, chance == 2 ? EVENTS / 2 : EVENTS);
+        } else {
+            answer(exchange, 200, body);
+        }
+    }
+
+    private synchronized int chance() {
+        return random.nextInt(FAIL_EVERY);
+    }
+
+    /** What a whole stream for a request holds. */
+    static String events(String body) {
+        StringBuilder events = new StringBuilder();
+        for (int id = 1; id <= EVENTS; id++) {
+            events.append(event(id, body));
+        }
+        return events.toString();
+    }
+
+    private static String event(int id, String body) {
+        return "id: " + id + "\ndata: " + body + "\n\n";
+    }
+
+    /** Sends so many events, and cuts the stream if these are not all. */
+    private void stream(HttpExchange exchange, String body, int events) {
+        try {
+            exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+            exchange.getResponseHeaders().set("Weight-Versions", "1");
+            exchange.sendResponseHeaders(200, events(body).getBytes(UTF_8).length);
+        } catch (IOException callerGone) {
+            return;
+        }
+        sendEvents(exchange, body, 1, events);
+    }
+
+    private void sendEvents(HttpExchange exchange, String body, int id, int last) {
+        try {
+            if (id <= last) {
+                exchange.getResponseBody().write(event(id, body).getBytes(UTF_8));
+                exchange.getResponseBody().flush();
+                timers.schedule(() -> sendEvents(exchange, body, id + 1, last), EVENT_MS, TimeUnit.MILLISECONDS);
+            } else {
+                // with fewer bytes than announced the connection is cut
+                exchange.close();
+            }
+        } catch (IOException callerGone) {
+            // nobody waits for it any more
         }
     }
 
--- a/src/test/java/ringspindle/soak/SoakTopology.java
+++ b/src/test/java/ringspindle/soak/SoakTopology.java
@@ -30,6 +30,8 @@
     private static final int CONTROL_HOST = 1;
     private static final int ENGINE_HOST = 2;
     private static final int FIRST_DATA_HOST = 10;
+    /** Added to a host for the address behind the relay. */
+    private static final int BIND_HOSTS = 100;
 
     /** The program that a node runs. */
     enum Role {
@@ -47,12 +49,22 @@
         }
     }
 
-    /** A node: its program, region and address. */
-    record Node(Role role, String name, String region, String ip) {}
+    /**
+     * A node.
+     *
+     * @param ip its address for all, at which the relay listens for its peers
+     * @param bindIp the address at which it listens for the relay
+     */
+    record Node(Role role, String name, String region, String ip, String bindIp) {
+        /** Where its peers dial it. */
+        int peerPort() {
+            return role == Role.CONTROL_PLANE ? PEER_PORT : PEER_PORT + 1;
+        }
+    }
 
     List<Node> controlNodes() {
         return REGIONS.stream()
-                .map(region -> new Node(Role.CONTROL_PLANE, "control-" + region, region, ip(region, CONTROL_HOST)))
+                .map(region -> node(Role.CONTROL_PLANE, "control-" + region, region, CONTROL_HOST))
                 .toList();
     }
 
@@ -60,7 +72,7 @@
         List<Node> nodes = new ArrayList<>();
         for (String region : REGIONS) {
             for (int i = 0; i < dataNodesPerRegion; i++) {
-                nodes.add(new Node(Role.DATA_PLANE, "data-" + region + i, region, ip(region, FIRST_DATA_HOST + i)));
+                nodes.add(node(Role.DATA_PLANE, "data-" + region + i, region, FIRST_DATA_HOST + i));
             }
         }
         return nodes;
@@ -71,6 +83,10 @@
         return ip(region, ENGINE_HOST);
     }
 
+    private Node node(Role role, String name, String region, int host) {
+        return new Node(role, name, region, ip(region, host), ip(region, host + BIND_HOSTS));
+    }
+
     private String ip(String region, int host) {
         return "127." + network + "." + REGIONS.indexOf(region) + "." + host;
     }
@@ -94,6 +110,7 @@
                         route(HOMED_HOST, "order", "mutating", "\"a\",\"b\""),
                         route(FREE_HOST, "card", "idempotent", ""),
                         route(FREE_HOST, "order", "mutating", ""),
+                        route(FREE_HOST, "stream", "streaming", ""),
                         route(FREE_HOST, "only" + revision, "idempotent", ""))
                 + "],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":200}]}";
     }
--- a/src/test/java/ringspindle/transport/JettyMeshTest.java
+++ b/src/test/java/ringspindle/transport/JettyMeshTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 
 import java.io.IOException;
@@ -9,6 +10,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -53,7 +55,7 @@
             port = s.getLocalPort();
         }
         self = NodeId.of("127.0.0.1:" + port);
-        mesh = new JettyMesh(hello(self, 1), threads.pool(), threads.scheduler());
+        mesh = new JettyMesh(hello(self, 1), self.ip(), threads.pool(), threads.scheduler());
         mesh.open(new Mesh.Listener() {
             @Override
             public void opened(Hello peer) {
@@ -212,4 +214,34 @@
             assertEquals("opened " + PEER + " life 3", next(), "the time of day went back between the two");
         }
     }
+
+    /** A peer that loses power between the opening of a connection and its greeting must not block its address. */
+    @Test
+    void anAddressThatTookAConnectionAndNeverGreetedIsDialledAgain() throws Exception {
+        try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"))) {
+            NodeId address = NodeId.of("127.0.0.1:" + silent.getLocalPort());
+            mesh.dial(address);
+            try (Socket first = silent.accept()) {
+                mesh.dial(address);
+                ends(first);
+            }
+            // the connection is gone from the table before its end is seen here, or a moment later
+            Socket second = null;
+            silent.setSoTimeout(100);
+            for (int tries = 0; second == null && tries < 100; tries++) {
+                mesh.dial(address);
+                second = accept(silent);
+            }
+            assertNotNull(second);
+            second.close();
+        }
+    }
+
+    private static Socket accept(ServerSocket server) throws IOException {
+        try {
+            return server.accept();
+        } catch (SocketTimeoutException none) {
+            return null;
+        }
+    }
 }
