What people meet: early answers, slow heads, patches, files and addresses on the command line

An engine's answer before it had read a long body ended as 504 after 2.5 s; headerTimeoutMs was read and not enforced; unknown fields of a configuration patch were passed over; 'rules check DIRECTORY' printed 'cannot read Is a directory', '--control ,' a division by zero; NO_ENGINE was never told to clients.

ProxiedAttempt answers 20 ms after a whole answer whose request is not written, and AttemptConnection closes such a connection. ClientEndPoint limits the time of a head (HeadProgress) and answers 408; a timer that is late restarts it, as then this node stood still. FleetConfigPatch names unknown fields. FleetCommand.read explains. ProxiedRequest tells the selection's outcome.

Tests: four in LimitsTest, one each in FleetConfigTest and CliTest.

--- a/src/main/java/ringspindle/cli/ConfigCommand.java
+++ b/src/main/java/ringspindle/cli/ConfigCommand.java
@@ -3,9 +3,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import jakarta.json.JsonObject;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -34,13 +31,7 @@
 
     /** The control plane's own checks. */
     private static ExitCode check(String file, Console console) {
-        byte[] body;
-        try {
-            body = Files.readAllBytes(Path.of(file));
-        } catch (IOException error) {
-            return console.unreadable(file);
-        }
-        if (FleetConfig.read(body) instanceof Invalid<FleetConfig> invalid) {
+        if (FleetConfig.read(read(file)) instanceof Invalid<FleetConfig> invalid) {
             return console.refused("", invalid.errors());
         }
         console.print("valid");
@@ -56,12 +47,7 @@
         if (!List.of("put", "patch", "diff").contains(verb) || arguments.size() != 2) {
             throw expected("config get | check FILE | put FILE | patch FILE | diff FILE");
         }
-        byte[] body;
-        try {
-            body = Files.readAllBytes(Path.of(arguments.get(1)));
-        } catch (IOException error) {
-            return console.unreadable(arguments.get(1));
-        }
+        byte[] body = read(arguments.get(1));
         RevisionedDocument config = new RevisionedDocument(Operation.CONFIG_GET, client, console);
         return switch (verb) {
             case "put" -> config.update(Operation.CONFIG_PUT, base, body);
--- a/src/main/java/ringspindle/cli/Console.java
+++ b/src/main/java/ringspindle/cli/Console.java
@@ -26,12 +26,6 @@
         new TablePrinter(List.of(columns)).print(rows, out);
     }
 
-    /** A file of the command line cannot be read. */
-    ExitCode unreadable(String file) {
-        printError("cannot read " + file);
-        return ExitCode.USAGE;
-    }
-
     /** A file is invalid, for the errors given; {@code part} comes before each, empty for none. */
     ExitCode refused(String part, List<ConfigError> errors) {
         errors.forEach(error -> printError("refused: " + part + error.text()));
--- a/src/main/java/ringspindle/cli/ExperimentCommand.java
+++ b/src/main/java/ringspindle/cli/ExperimentCommand.java
@@ -8,9 +8,6 @@
 import jakarta.json.JsonArrayBuilder;
 import jakarta.json.JsonObject;
 import jakarta.json.JsonObjectBuilder;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -60,7 +57,7 @@
             return Optional.empty();
         }
         requireArguments(arguments, 2, "experiment check FILE");
-        return Optional.of(check(Path.of(arguments.get(1)), console));
+        return Optional.of(check(arguments.get(1), console));
     }
 
     @Override
@@ -77,7 +74,7 @@
             return show(name, client, console);
         }
         if (verb.equals("start")) {
-            return start(Path.of(name), client, console);
+            return start(name, client, console);
         }
         if (!ORDERS.contains(verb)) {
             throw expected(USAGE);
@@ -88,21 +85,17 @@
 
     // ---- offline
 
-    private ExitCode check(Path file, Console console) {
-        try {
-            Validated<ExperimentDocument.Started> read = ExperimentDocument.read(Files.readAllBytes(file));
-            if (read instanceof Invalid<ExperimentDocument.Started> invalid) {
-                return console.refused("", invalid.errors());
-            }
-            return checkNames(((Valid<ExperimentDocument.Started>) read).value(), console);
-        } catch (IOException error) {
-            return console.unreadable(error.getMessage());
+    private ExitCode check(String file, Console console) {
+        Validated<ExperimentDocument.Started> read = ExperimentDocument.read(read(file));
+        if (read instanceof Invalid<ExperimentDocument.Started> invalid) {
+            return console.refused("", invalid.errors());
         }
+        return checkNames(((Valid<ExperimentDocument.Started>) read).value(), console);
     }
 
-    private ExitCode checkNames(ExperimentDocument.Started started, Console console) throws IOException {
+    private ExitCode checkNames(ExperimentDocument.Started started, Console console) {
         if (config != null) {
-            Validated<FleetConfig> read = FleetConfig.read(Files.readAllBytes(Path.of(config)));
+            Validated<FleetConfig> read = FleetConfig.read(read(config));
             if (read instanceof Invalid<FleetConfig> invalid) {
                 return console.refused("the configuration: ", invalid.errors());
             }
@@ -118,13 +111,8 @@
 
     // ---- orders
 
-    private ExitCode start(Path file, ControlPlaneClient client, Console console) throws InterruptedException {
-        byte[] document;
-        try {
-            document = Files.readAllBytes(file);
-        } catch (IOException error) {
-            return console.unreadable(error.getMessage());
-        }
+    private ExitCode start(String file, ControlPlaneClient client, Console console) throws InterruptedException {
+        byte[] document = read(file);
         Validated<ExperimentDocument.Started> read = ExperimentDocument.read(document);
         if (read instanceof Invalid<ExperimentDocument.Started> invalid) {
             return console.refused("", invalid.errors());
--- a/src/main/java/ringspindle/cli/FleetCommand.java
+++ b/src/main/java/ringspindle/cli/FleetCommand.java
@@ -2,6 +2,10 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -62,9 +66,31 @@
                 throw new ParameterException("not an address: " + address);
             }
         }
+        if (nodes.isEmpty()) {
+            throw new ParameterException("no address among the control nodes: '" + control + "'");
+        }
         return nodes;
     }
 
+    /**
+     * What a file holds.
+     *
+     * @throws ParameterException if it cannot be read, with the reason
+     */
+    static byte[] read(String name) {
+        Path file = Path.of(name);
+        if (Files.isDirectory(file)) {
+            throw new ParameterException("cannot read " + name + ": it is a directory");
+        }
+        try {
+            return Files.readAllBytes(file);
+        } catch (NoSuchFileException missing) {
+            throw new ParameterException("cannot read " + name + ": there is no such file");
+        } catch (IOException failure) {
+            throw new ParameterException("cannot read " + name + ": " + failure.getMessage());
+        }
+    }
+
     /** The first argument, or {@code otherwise} if there is none. */
     static String verb(List<String> arguments, String otherwise) {
         return arguments.isEmpty() ? otherwise : arguments.get(0);
--- a/src/main/java/ringspindle/cli/RulesCommand.java
+++ b/src/main/java/ringspindle/cli/RulesCommand.java
@@ -4,9 +4,6 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.validators.PositiveInteger;
 import jakarta.json.JsonObject;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -99,12 +96,7 @@
 
     private ExitCode changeOrCompare(String verb, ControlPlaneClient client, Console console)
             throws InterruptedException {
-        byte[] body;
-        try {
-            body = Files.readAllBytes(Path.of(arguments.get(1)));
-        } catch (IOException error) {
-            return console.unreadable(arguments.get(1));
-        }
+        byte[] body = read(arguments.get(1));
         RevisionedDocument rules = new RevisionedDocument(Operation.RULES_GET, client, console);
         return verb.equals("put")
                 ? rules.update(Operation.RULES_PUT, base, body)
@@ -113,21 +105,17 @@
 
     /** The control plane's own checks. */
     private ExitCode check(String name, Console console) {
-        try {
-            Validated<ServingRules> rules = ServingRules.read(Files.readAllBytes(Path.of(name)));
-            if (rules instanceof Invalid<ServingRules> invalid) {
-                return console.refused("", invalid.errors());
-            }
-            return check(((Valid<ServingRules>) rules).value(), console);
-        } catch (IOException error) {
-            return console.unreadable(error.getMessage());
+        Validated<ServingRules> rules = ServingRules.read(read(name));
+        if (rules instanceof Invalid<ServingRules> invalid) {
+            return console.refused("", invalid.errors());
         }
+        return check(((Valid<ServingRules>) rules).value(), console);
     }
 
-    private ExitCode check(ServingRules rules, Console console) throws IOException {
+    private ExitCode check(ServingRules rules, Console console) {
         FleetConfig fleet = null;
         if (config != null) {
-            Validated<FleetConfig> read = FleetConfig.read(Files.readAllBytes(Path.of(config)));
+            Validated<FleetConfig> read = FleetConfig.read(read(config));
             if (read instanceof Invalid<FleetConfig> invalid) {
                 return console.refused("the configuration: ", invalid.errors());
             }
@@ -142,11 +130,7 @@
     }
 
     private ExitCode explainFile(Console console) {
-        try {
-            return explain(Files.readAllBytes(Path.of(file)), List.of(), console);
-        } catch (IOException error) {
-            return console.unreadable(file);
-        }
+        return explain(read(file), List.of(), console);
     }
 
     private ExitCode explainInForce(ControlPlaneClient client, Console console) throws InterruptedException {
--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -90,7 +90,10 @@
      * @param headerMs until the header is complete
      * @param idleMs without any byte
      */
-    public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {}
+    public record Limits(int headerBytes, int bodyBytes, int headerMs, int idleMs) {
+        /** Default of {@link #headerMs}, in ms. */
+        public static final int DEFAULT_HEADER_MS = 3000;
+    }
 
     private static final Comparator<Route> LONGEST_PREFIX_FIRST = Comparator.comparingInt(
                     (Route route) -> route.pathPrefix().length())
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -34,7 +34,6 @@
     private static final int DEFAULT_TOKEN_GAP_MS = 1000;
     private static final int DEFAULT_MAX_HEADER_BYTES = 16 * 1024;
     private static final int DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
-    private static final int DEFAULT_HEADER_TIMEOUT_MS = 3000;
     private static final int DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
     private final List<ConfigError> errors = new ArrayList<>();
@@ -171,7 +170,7 @@
         return new Limits(
                 integer(json, "maxHeaderBytes", DEFAULT_MAX_HEADER_BYTES),
                 integer(json, "maxBodyBytes", DEFAULT_MAX_BODY_BYTES),
-                integer(json, "headerTimeoutMs", DEFAULT_HEADER_TIMEOUT_MS),
+                integer(json, "headerTimeoutMs", FleetConfig.Limits.DEFAULT_HEADER_MS),
                 integer(json, "idleTimeoutMs", DEFAULT_IDLE_TIMEOUT_MS));
     }
 }
--- a/src/main/java/ringspindle/config/FleetConfigPatch.java
+++ b/src/main/java/ringspindle/config/FleetConfigPatch.java
@@ -10,8 +10,10 @@
 import jakarta.json.JsonObject;
 import jakarta.json.JsonObjectBuilder;
 import jakarta.json.JsonString;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
@@ -21,6 +23,11 @@
  * ({@code upserts}) and the names of those to remove ({@code removals}).
  */
 final class FleetConfigPatch {
+    private static final String REVISION = "revision";
+    private static final String UPSERTS = "upserts";
+    private static final String REMOVALS = "removals";
+    private static final Set<String> FIELDS = Set.of(REVISION, UPSERTS, REMOVALS);
+
     private FleetConfigPatch() {}
 
     static Validated<FleetConfig> apply(JsonObject patch, JsonObject source) {
@@ -32,12 +39,16 @@
     }
 
     private static Validated<FleetConfig> patched(JsonObject patch, JsonObject source) {
-        if (!(patch.get("revision") instanceof JsonNumber revision)) {
-            return Validated.refused(new ConfigError.Missing("revision"));
+        List<ConfigError> unknown = unknownFields(patch);
+        if (!unknown.isEmpty()) {
+            return new Validated.Invalid<>(unknown);
+        }
+        if (!(patch.get(REVISION) instanceof JsonNumber revision)) {
+            return Validated.refused(new ConfigError.Missing(REVISION));
         }
-        JsonObjectBuilder result = Json.createObjectBuilder(source).add("revision", revision);
-        JsonObject upserts = object(patch, "upserts");
-        JsonObject removals = object(patch, "removals");
+        JsonObjectBuilder result = Json.createObjectBuilder(source).add(REVISION, revision);
+        JsonObject upserts = object(patch, UPSERTS);
+        JsonObject removals = object(patch, REMOVALS);
         Set<String> lists = new TreeSet<>(upserts.keySet());
         lists.addAll(removals.keySet());
         for (String list : lists) {
@@ -55,6 +66,17 @@
         return FleetConfigParser.parse(result.build());
     }
 
+    /** A list that stands beside the upserts instead of in them would be passed over, and its change lost. */
+    private static List<ConfigError> unknownFields(JsonObject patch) {
+        List<ConfigError> unknown = new ArrayList<>();
+        for (String field : patch.keySet()) {
+            if (!FIELDS.contains(field)) {
+                unknown.add(new ConfigError.UnknownField("", field));
+            }
+        }
+        return unknown;
+    }
+
     private static String duplicateName(JsonObject upserts, String list) {
         Set<String> names = new HashSet<>();
         for (JsonObject item : objects(upserts, list)) {
--- a/src/main/java/ringspindle/proxy/ClientEndPoint.java
+++ b/src/main/java/ringspindle/proxy/ClientEndPoint.java
@@ -4,7 +4,9 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
@@ -15,11 +17,14 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
+import ringspindle.config.FleetConfig;
+import ringspindle.time.MonotonicClock;
 
 /**
  * The end point of a client's connection, which notices that the client closes it while its request is at work. Jetty's
  * HTTP/1.1 reads nothing in that time, so this reads into a small buffer of its own and hands those bytes, which are of a
- * following request, to Jetty's parser afterwards.
+ * following request, to Jetty's parser afterwards. It also ends connections whose next head takes longer than the
+ * configuration allows; of a head that came in part behind the request before, the time counts from its next bytes on.
  *
  * <p>A reset and an orderly close are not told apart here, as either way the client is gone; a request whose body is cut
  * short fails by its own framing.
@@ -29,17 +34,31 @@
     private static final int READ_AHEAD_MAX = 16384;
 
     private static final int READ_BYTES = 2048;
+    /** A timer that is later than this, in ms, says that this node stood still and not that the client is slow. */
+    private static final int STALL_MS = 250;
+
+    private static final byte[] HEAD_TIMEOUT = ("HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n"
+                    + "Content-Length: 0\r\n\r\n")
+            .getBytes(StandardCharsets.ISO_8859_1);
 
     /** Accepts connections whose end points are of this kind. */
     static final class Connector extends ServerConnector {
+        /** How long a client may take for the head of a request, in ms; default as in the configuration. */
+        private volatile int headTimeoutMs = FleetConfig.Limits.DEFAULT_HEADER_MS;
+
         Connector(Server server, Executor pool, Scheduler scheduler, ConnectionFactory... factories) {
             super(server, pool, scheduler, null, 0, 1, factories);
         }
 
+        /** From now on the head of a request may take so long, in ms. */
+        void setHeadTimeout(int timeoutMs) {
+            headTimeoutMs = timeoutMs;
+        }
+
         @Override
         protected SocketChannelEndPoint newEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key)
                 throws IOException {
-            ClientEndPoint endPoint = new ClientEndPoint(channel, selector, key, getScheduler(), getExecutor());
+            ClientEndPoint endPoint = new ClientEndPoint(channel, selector, key, getScheduler(), this);
             endPoint.setIdleTimeout(getIdleTimeout());
             return endPoint;
         }
@@ -52,7 +71,9 @@
         }
     }
 
+    private final Connector connector;
     private final Executor pool;
+    private final MonotonicClock clock = MonotonicClock.system();
     /** Guards all fields below; nothing of others is called under it but Jetty's own reading. */
     private final Object lock = new Object();
     /** Bytes that were read ahead, null if there are none. */
@@ -65,6 +86,10 @@
     private Callback waitingReader;
     /** What is to be run once the client is gone, null if nobody watches. */
     private Runnable onClientGone;
+    /** Where the client is with its next request. */
+    private final HeadProgress head = new HeadProgress();
+
+    private boolean headTimerSet;
 
     private final Callback watcher = new Callback() {
         @Override
@@ -84,9 +109,63 @@
     };
 
     ClientEndPoint(
-            SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler, Executor pool) {
+            SocketChannel channel,
+            ManagedSelector selector,
+            SelectionKey key,
+            Scheduler scheduler,
+            Connector connector) {
         super(channel, selector, key, scheduler);
-        this.pool = pool;
+        this.connector = connector;
+        pool = connector.getExecutor();
+    }
+
+    /** The head of a request is whole. */
+    void onHead() {
+        synchronized (lock) {
+            head.onHead();
+        }
+    }
+
+    /** The answer to the request is complete; the next one may come. */
+    void onRequestEnded() {
+        synchronized (lock) {
+            head.onRequestEnded();
+        }
+    }
+
+    /** Jetty wants more bytes: if they are of a head, its time is limited. */
+    private void limitHead() {
+        synchronized (lock) {
+            if (head.isInHead() && !headTimerSet) {
+                headTimerSet = true;
+                scheduleHeadTimer(head.leftMs(connector.headTimeoutMs, clock.nowMs()));
+            }
+        }
+    }
+
+    private void scheduleHeadTimer(long inMs) {
+        long dueMs = clock.nowMs() + Math.max(1, inMs);
+        getScheduler().schedule(() -> onHeadTimer(dueMs), Math.max(1, inMs), TimeUnit.MILLISECONDS);
+    }
+
+    private void onHeadTimer(long dueMs) {
+        synchronized (lock) {
+            long nowMs = clock.nowMs();
+            if (nowMs - dueMs > STALL_MS) {
+                head.restart(nowMs);
+            }
+            long leftMs = head.leftMs(connector.headTimeoutMs, nowMs);
+            if (!head.isInHead() || !isOpen()) {
+                headTimerSet = false;
+                return;
+            }
+            if (leftMs > 0) {
+                scheduleHeadTimer(leftMs);
+                return;
+            }
+        }
+        Callback closing = Callback.from(this::close);
+        write(closing, ByteBuffer.wrap(HEAD_TIMEOUT));
     }
 
     /** From now on a close by the client runs that; the request must have been read whole. */
@@ -200,6 +279,7 @@
 
     @Override
     public void fillInterested(Callback reader) {
+        limitHead();
         if (!register(reader)) {
             // not here and now: whoever registers is still on its way out of the request before
             pool.execute(reader::succeeded);
@@ -223,6 +303,7 @@
 
     @Override
     public boolean tryFillInterested(Callback reader) {
+        limitHead();
         synchronized (lock) {
             if (readAhead == null && !ended) {
                 if (!watcherRegistered) {
@@ -243,13 +324,20 @@
     public int fill(ByteBuffer buffer) throws IOException {
         synchronized (lock) {
             if (readAhead != null) {
+                head.onBytes(clock.nowMs());
                 return takeReadAhead(buffer);
             }
             if (ended) {
                 return -1;
             }
         }
-        return super.fill(buffer);
+        int filled = super.fill(buffer);
+        if (filled > 0) {
+            synchronized (lock) {
+                head.onBytes(clock.nowMs());
+            }
+        }
+        return filled;
     }
 
     private int takeReadAhead(ByteBuffer buffer) {
--- a/src/main/java/ringspindle/proxy/ProxiedAttempt.java
+++ b/src/main/java/ringspindle/proxy/ProxiedAttempt.java
@@ -19,8 +19,8 @@
  * is read, so a slow client holds the engine back; at most one write to the client is pending.
  */
 final class ProxiedAttempt implements EngineConnectionPool.Acquisition, Response.Listener, NonBlockingTask {
-    /** An idle connection that the engine has forgotten is reset within this. */
-    private static final int FORGOTTEN_RESET_MS = 150;
+    /** An answer that is whole goes to the client after so long, in ms, though the request is not written whole. */
+    private static final int EARLY_ANSWER_MS = 20;
 
     /** Where an attempt stands; it only moves forward. */
     private enum Phase {
@@ -38,7 +38,7 @@
     private final boolean resumes;
 
     private Phase phase = Phase.CONNECTING;
-    private PooledConnection connection;
+    private final AttemptConnection connection;
     private Request engineRequest;
     private Response head;
     private AnswerKind kind;
@@ -66,6 +66,7 @@
         this.engine = engine;
         this.resumes = resumes;
         timing = new AttemptTiming(proxy.nowMs());
+        connection = new AttemptConnection(proxy.connections());
     }
 
     /** Takes a connection to the engine and goes on from there. */
@@ -96,8 +97,8 @@
                 }
                 return;
             }
-            connection = acquired;
             engineRequest = request.createEngineRequest(engine, resumes, nowMs);
+            connection.hold(acquired, engineRequest);
             scope.markSent();
             request.onSent(resumes);
             timing.sent(nowMs);
@@ -179,14 +180,14 @@
             timing.bodyBytes(nowMs);
             proxy.loadBalancer().onResponseBytes(engine.id(), nowMs);
             if (buffered != null) {
-                return buffer(part);
+                return goesOnIf(buffered.append(part));
             }
             following = followingEvents(part);
             if (following.length == 0) {
                 return phase != Phase.ENDED;
             }
             if (stream.isHeldWhole()) {
-                return hold(following);
+                return goesOnIf(stream.hold(following));
             }
             if (!request.commit(head, nowMs)) {
                 return false;
@@ -201,11 +202,7 @@
         return false;
     }
 
-    /** Keeps events until the stream is whole; true if the next part may be read at once. */
-    private boolean hold(byte[] events) {
-        return goesOnIf(stream.hold(events));
-    }
-
+    /** What came is kept until the answer is whole; true if the next part may be read at once. */
     private boolean goesOnIf(boolean kept) {
         if (!kept) {
             request.onAttemptFailed(this, AttemptOutcome.BROKEN);
@@ -213,10 +210,6 @@
         return kept;
     }
 
-    private boolean buffer(ByteBuffer part) {
-        return goesOnIf(buffered.append(part));
-    }
-
     /** The events that may be passed on; ends the attempt where there are none and none can come any more. */
     private byte[] followingEvents(ByteBuffer part) {
         EventRelay.Passage passage = stream.feed(part);
@@ -254,6 +247,31 @@
         }
     }
 
+    /** The answer is whole. An engine may give it before it has read the request, and Jetty completes only after both. */
+    @Override
+    public void onSuccess(Response response) {
+        if (!connection.isRequestWritten()) {
+            proxy.schedule(this::completeEarly, EARLY_ANSWER_MS);
+        }
+    }
+
+    private void completeEarly() {
+        Runnable answer;
+        synchronized (request) {
+            if (phase == Phase.ENDED) {
+                return;
+            }
+            if (clientWrite.isPending()) {
+                proxy.schedule(this::completeEarly, EARLY_ANSWER_MS);
+                return;
+            }
+            answer = complete(proxy.nowMs());
+        }
+        if (answer != null) {
+            answer.run();
+        }
+    }
+
     @Override
     public void onComplete(Result result) {
         Runnable answer = null;
@@ -267,7 +285,9 @@
             }
             long nowMs = proxy.nowMs();
             if (result.isFailed()) {
-                noteIfForgotten(nowMs);
+                if (head == null) {
+                    connection.noteIfForgotten(timing, nowMs);
+                }
                 request.onAttemptFailed(this, AttemptOutcome.BROKEN);
             } else {
                 answer = complete(nowMs);
@@ -278,26 +298,17 @@
         }
     }
 
-    /** A reused connection that was reset at once had been closed by the engine before: that is no fault of the engine. */
-    private void noteIfForgotten(long nowMs) {
-        boolean reused = connection != null && connection.isReused();
-        if (head == null && reused && timing.wasSentWithin(FORGOTTEN_RESET_MS, nowMs)) {
-            timing.connectionWasStale();
-            proxy.connections().noteForgotten(connection);
-        }
-    }
-
     /** The engine's answer has come whole; returns what writes it to the client, null if nothing does. */
     private Runnable complete(long nowMs) {
         switch (kind) {
             case SUCCESS:
                 return buffered != null ? completeBuffered(nowMs) : completeStream(nowMs);
             case FAILURE:
-                releaseConnection();
+                connection.release(head.getHeaders());
                 return request.onEngineFailure(this, nowMs);
             case NOT_RUN:
             case MISDIRECTED:
-                releaseConnection();
+                connection.release(head.getHeaders());
                 request.onAttemptFailed(this, kind.end().orElseThrow());
                 return null;
             default:
@@ -307,7 +318,7 @@
     }
 
     private Runnable completeBuffered(long nowMs) {
-        releaseConnection();
+        connection.release(head.getHeaders());
         return request.onAnswered(this, nowMs) ? bufferedAnswer() : null;
     }
 
@@ -316,26 +327,17 @@
             request.onAttemptFailed(this, AttemptOutcome.BROKEN);
             return null;
         }
-        releaseConnection();
+        connection.release(head.getHeaders());
         boolean answers = request.onAnswered(this, nowMs);
         return answers ? stream.heldEvents().map(this::heldAnswer).orElse(request.client()::endStream) : null;
     }
 
-    private void releaseConnection() {
-        proxy.connections().release(connection, head.getHeaders());
-        connection = null;
-    }
-
     /** Frees what the attempt holds. Afterwards nothing that the engine still sends has any effect. */
     void end(AttemptOutcome outcome, long nowMs) {
         phase = Phase.ENDED;
         proxy.loadBalancer().onAttemptEnded(engine.id(), selection, outcome, timing.firstByteMs(), nowMs);
-        if (connection != null) {
-            // closed before the exchange is aborted, so that nothing of it can be sent any more
-            PooledConnection held = connection;
-            connection = null;
-            proxy.connections().discard(held);
-        }
+        // closed before the exchange is aborted, so that nothing of it can be sent any more
+        connection.discard();
         if (engineRequest != null && outcome != AttemptOutcome.ANSWERED) {
             engineRequest.abort(new IOException("attempt over: " + outcome));
         }
--- a/src/main/java/ringspindle/proxy/ProxiedRequest.java
+++ b/src/main/java/ringspindle/proxy/ProxiedRequest.java
@@ -59,6 +59,9 @@
     /** How many engines got to see the request; the next is a retry. */
     private int sent;
 
+    /** What the client is told if nothing has run by the time it is given up. */
+    private Outcome refusal = Outcome.NO_ROOM;
+
     private long retryAfterMs = RETRY_AFTER_MS;
     private final RequestTimer timer;
 
@@ -111,6 +114,7 @@
                 admitted.selectionRequest(attemptedEngines, weights, proxy.nextRandom(), wait.elapsedMs(nowMs));
         LoadBalancer.Selection selected = proxy.loadBalancer().select(selection, nowMs);
         if (selected instanceof LoadBalancer.NoCapacity none) {
+            refusal = none.outcome();
             retryAfterMs = none.retryAfterMs();
             waitForCapacity(nowMs);
             return;
@@ -278,7 +282,7 @@
     }
 
     private void giveUp(long nowMs) {
-        endWithoutAnswer(CancelCause.GIVEN_UP, action.mayHaveRun() ? Outcome.BROKEN : Outcome.NO_ROOM, nowMs);
+        endWithoutAnswer(CancelCause.GIVEN_UP, action.mayHaveRun() ? Outcome.BROKEN : refusal, nowMs);
     }
 
     private void onDeadline(long nowMs) {
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -128,7 +128,7 @@
         FleetConfig current = config;
         if (current == null || newer.revision() > current.revision()) {
             config = newer;
-            server.setIdleTimeout(newer.limits().idleMs());
+            server.setLimits(newer.limits());
         }
     }
 
@@ -367,6 +367,10 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
+        if (request.getConnectionMetaData().getConnection().getEndPoint() instanceof ClientEndPoint endPoint) {
+            endPoint.onHead();
+            Request.addCompletionListener(request, failure -> endPoint.onRequestEnded());
+        }
         ClientResponse client = new ClientResponse(request, response, callback);
         if (server.isFromClient(request)) {
             admission.handle(request, client);
--- a/src/main/java/ringspindle/proxy/ProxyServer.java
+++ b/src/main/java/ringspindle/proxy/ProxyServer.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
+import ringspindle.config.FleetConfig;
 import ringspindle.metrics.Metrics;
 import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
@@ -23,9 +24,9 @@
     private static final int OUTPUT_BUFFER_BYTES = 16_384;
 
     private final Server server;
-    private final ServerConnector clients;
+    private final ClientEndPoint.Connector clients;
 
-    private ProxyServer(Server server, ServerConnector clients) {
+    private ProxyServer(Server server, ClientEndPoint.Connector clients) {
         this.server = server;
         this.clients = clients;
     }
@@ -40,7 +41,7 @@
         // buffers are bounded for a small machine
         Server server = new Server(pool, scheduler, new ArrayByteBufferPool(0, 4096, 65536, 256, 2 << 20, 4 << 20));
         HttpConnectionFactory http = new HttpConnectionFactory(httpConfiguration());
-        ServerConnector clients = new ClientEndPoint.Connector(server, pool, scheduler, http);
+        ClientEndPoint.Connector clients = new ClientEndPoint.Connector(server, pool, scheduler, http);
         clients.setHost(address.ip());
         clients.setPort(address.port());
         clients.setIdleTimeout(IDLE_MS);
@@ -89,8 +90,14 @@
         return request.getConnectionMetaData().getConnector() == clients;
     }
 
+    /** Takes over what a configuration allows clients. */
+    void setLimits(FleetConfig.Limits limits) {
+        clients.setHeadTimeout(limits.headerMs());
+        setIdleTimeout(limits.idleMs());
+    }
+
     /** For how long clients may rest between requests, from now on; what open connections were promised is not cut short. */
-    void setIdleTimeout(int idleMs) {
+    private void setIdleTimeout(int idleMs) {
         clients.setIdleTimeout(idleMs);
         for (EndPoint open : clients.getConnectedEndPoints()) {
             open.setIdleTimeout(Math.max(open.getIdleTimeout(), idleMs));
--- a/src/test/java/ringspindle/cli/CliTest.java
+++ b/src/test/java/ringspindle/cli/CliTest.java
@@ -103,6 +103,17 @@
         assertEquals(ExitCode.USAGE, run("status", "-c", "nonsense"));
     }
 
+    @Test
+    void whatCannotBeReadOrReachedIsExplained() {
+        assertEquals(ExitCode.USAGE, run("status", "-c", ","));
+        assertTrue(err.toString(UTF_8).contains("no address among the control nodes"));
+        assertEquals(ExitCode.USAGE, run("rules", "check", folder.toString()));
+        assertTrue(err.toString(UTF_8).contains("cannot read " + folder + ": it is a directory"));
+        assertEquals(
+                ExitCode.USAGE, run("config", "check", folder.resolve("none").toString()));
+        assertTrue(err.toString(UTF_8).contains("there is no such file"));
+    }
+
     @Test
     void nextNodeIsAskedWhenOneGivesNoClearAnswer() throws Exception {
         assertEquals(ExitCode.OK, run("restore", "z", "-c", control(503, "") + "," + control(200, "")));
--- a/src/test/java/ringspindle/config/FleetConfigTest.java
+++ b/src/test/java/ringspindle/config/FleetConfigTest.java
@@ -89,6 +89,18 @@
         assertInstanceOf(ConfigError.InvalidValue.class, bad(whole(1, route)));
     }
 
+    @Test
+    void patchWithUnknownFieldsIsRefusedWithTheirNames() {
+        FleetConfig c = ((Valid<FleetConfig>)
+                        FleetConfig.read("{\"revision\":3,\"routes\":[],\"services\":[]}".getBytes(UTF_8)))
+                .value();
+        Invalid<FleetConfig> refused = assertInstanceOf(
+                Invalid.class, patched(c, "{\"revision\":4,\"routes\":[],\"upserts\":{},\"removal\":{}}"));
+        assertEquals(
+                List.of("the document has the unknown field routes", "the document has the unknown field removal"),
+                refused.errors().stream().map(ConfigError::text).toList());
+    }
+
     @Test
     void patchesAddReplaceAndRemoveByName() {
         FleetConfig c = good(whole(1, mapping("a", "/x/", ""), mapping("b", "/y/", "")));
--- a/src/test/java/ringspindle/proxy/LimitsTest.java
+++ b/src/test/java/ringspindle/proxy/LimitsTest.java
@@ -252,4 +252,50 @@
         assertEquals(0, e.seen.size());
         never.countDown();
     }
+
+    @Test
+    void headThatTakesTooLongEndsItsConnection() throws Exception {
+        engine("i-1", "z", StandInEngine.whole(200, "hello", ""));
+        config(4, limits("headerTimeoutMs", 300));
+        try (Socket slow = new Socket("127.0.0.1", port)) {
+            slow.setSoTimeout(20_000);
+            StandInEngine.say(slow.getOutputStream(), "POST /card/x HTTP/1.1\r\nHost: h.example\r\n");
+            assertTrue(all(slow).startsWith("HTTP/1.1 408"));
+        }
+    }
+
+    @Test
+    void connectionBetweenRequestsHasNoHeadTimeout() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        engineSilentFor(never);
+        config(4, limits("headerTimeoutMs", 300));
+        try (Socket s = send("/card/x", "t1", "", "")) {
+            assertTrue(until(s, "hello").startsWith("HTTP/1.1 200"));
+            outlastTheShortIdleTime();
+            ask(s, "/card/x", "t2", "", "");
+            assertTrue(until(s, "hello").startsWith("HTTP/1.1 200"));
+        }
+        never.countDown();
+    }
+
+    @Test
+    void answerThatComesBeforeTheBodyIsReadReachesTheClient() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        StandInEngine engine = engine("i-1", "z", StandInEngine.whole(200, "late", ""));
+        engine.early((seen, out, socket) -> {
+            StandInEngine.whole(200, "early", "").run(seen, out, socket);
+            never.await();
+        });
+        config(4, limits("maxBodyBytes", 64 << 20));
+        try (Socket s = send("/once/x", "t1", "Connection: close\r\n", "x".repeat(24 << 20))) {
+            String answer = all(s);
+            assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("early"), answer);
+        }
+        never.countDown();
+    }
+
+    @Test
+    void refusalSaysThatThereIsNoEngine() throws Exception {
+        assertTrue(ok("/once/x", "t1").contains("NO_ENGINE"));
+    }
 }
