Batch deployments start: a storage role, lots refused as not run, live requests served

The role storage-node, for the kind batch only, which keeps nothing yet. Routes of the kind batch are known; the data plane refuses what comes to them with 503 NO_BATCHES and Retry-After. The time of a head no longer counts bytes behind an answered request.

Tests: LimitsTest (two), MainTest over the new command.

--- a/src/main/java/ringspindle/Main.java
+++ b/src/main/java/ringspindle/Main.java
@@ -1,5 +1,6 @@
 package ringspindle;
 
+import java.util.Set;
 import ringspindle.cli.ExitCode;
 
 /**
@@ -11,6 +12,10 @@
     static final String DATA_PLANE = "data-plane";
     /** The command that runs a control node. */
     static final String CONTROL_PLANE = "control-plane";
+    /** The command that runs a storage node. */
+    static final String STORAGE_NODE = "storage-node";
+
+    private static final Set<String> DAEMONS = Set.of(DATA_PLANE, CONTROL_PLANE, STORAGE_NODE);
 
     private Main() {}
 
@@ -24,7 +29,7 @@
     }
 
     private static boolean namesDaemon(String[] args) {
-        return args.length > 0 && (args[0].equals(DATA_PLANE) || args[0].equals(CONTROL_PLANE));
+        return args.length > 0 && DAEMONS.contains(args[0]);
     }
 
     /** Runs the command that the arguments name; a daemon's runs until it is terminated. */
--- a/src/main/java/ringspindle/Program.java
+++ b/src/main/java/ringspindle/Program.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.logging.Level;
+import ringspindle.batch.StorageNode;
 import ringspindle.cli.Cli;
 import ringspindle.cli.CommandLine;
 import ringspindle.cli.ExitCode;
@@ -56,6 +57,7 @@
     private final GlobalOptions global = new GlobalOptions();
     private final DaemonOptions dataPlane = new DaemonOptions();
     private final DaemonOptions controlPlane = new DaemonOptions();
+    private final DaemonOptions storageNode = new DaemonOptions();
     private final DaemonOptions selfTest = new DaemonOptions();
     private final Cli cli = new Cli(System.out, System.err);
     private final CommandLine line = new CommandLine(global, commands());
@@ -70,6 +72,7 @@
         Map<String, Object> commands = new LinkedHashMap<>();
         commands.put(Main.DATA_PLANE, dataPlane);
         commands.put(Main.CONTROL_PLANE, controlPlane);
+        commands.put(Main.STORAGE_NODE, storageNode);
         commands.put(SELF_TEST, selfTest);
         commands.putAll(cli.options());
         return commands;
@@ -87,7 +90,7 @@
             if (command == null) {
                 throw new ParameterException("no command given");
             }
-            if (dataPlane.help || controlPlane.help || selfTest.help || cli.wantsHelp(command)) {
+            if (wantsHelp(command)) {
                 line.printCommandUsage();
                 return ExitCode.OK;
             }
@@ -99,10 +102,16 @@
         }
     }
 
+    private boolean wantsHelp(String command) {
+        boolean ofDaemon = dataPlane.help || controlPlane.help || storageNode.help;
+        return ofDaemon || selfTest.help || cli.wantsHelp(command);
+    }
+
     private ExitCode execute(String command) {
         return switch (command) {
             case Main.DATA_PLANE -> runDaemon(command, dataPlane);
             case Main.CONTROL_PLANE -> runDaemon(command, controlPlane);
+            case Main.STORAGE_NODE -> runDaemon(command, storageNode);
             case SELF_TEST -> {
                 JsonLogFormatter.install(Level.INFO);
                 yield SelfTest.run();
@@ -130,10 +139,10 @@
         signals.onReload(() -> reload(settings, file));
         ShutdownDeadline.start(signals.terminated(), () -> settings.now().graceMs());
         try {
-            if (command.equals(Main.DATA_PLANE)) {
-                DataPlane.run(settings, signals.terminated());
-            } else {
-                ControlPlane.run(settings, signals.terminated());
+            switch (command) {
+                case Main.DATA_PLANE -> DataPlane.run(settings, signals.terminated());
+                case Main.CONTROL_PLANE -> ControlPlane.run(settings, signals.terminated());
+                default -> StorageNode.run(settings, signals.terminated());
             }
             return ExitCode.OK;
         } catch (Exception failure) {
--- a/src/main/java/ringspindle/api/Outcome.java
+++ b/src/main/java/ringspindle/api/Outcome.java
@@ -37,7 +37,9 @@
     /** What is kept has reached its bound; nothing was done. */
     STORE_FULL(503, true),
     /** It may be done later, or was: not as many replicas hold it yet as it takes. */
-    UNCONFIRMED(504, false);
+    UNCONFIRMED(504, false),
+    /** Batch jobs are not accepted; no part of this one runs. */
+    NO_BATCHES(503, true);
 
     private final int status;
     private final boolean notRun;
--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -62,7 +62,9 @@
         /** A request must not run twice. */
         MUTATING,
         /** The response is a stream of events. */
-        STREAMING
+        STREAMING,
+        /** Many requests are submitted together, to be run later. */
+        BATCH
     }
 
     /**
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -162,6 +162,7 @@
         return switch (route.getString("routeKind", "mutating")) {
             case "idempotent" -> Kind.IDEMPOTENT;
             case "streaming" -> Kind.STREAMING;
+            case "batch" -> Kind.BATCH;
             default -> Kind.MUTATING;
         };
     }
--- a/src/main/java/ringspindle/proxy/ClientEndPoint.java
+++ b/src/main/java/ringspindle/proxy/ClientEndPoint.java
@@ -8,12 +8,14 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.ConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -136,6 +138,9 @@
     /** Jetty wants more bytes: if they are of a head, its time is limited. */
     private void limitHead() {
         synchronized (lock) {
+            if (!parsesHead()) {
+                head.onNoHead();
+            }
             if (head.isInHead() && !headTimerSet) {
                 headTimerSet = true;
                 scheduleHeadTimer(head.leftMs(connector.headTimeoutMs, clock.nowMs()));
@@ -148,6 +153,12 @@
         getScheduler().schedule(() -> onHeadTimer(dueMs), Math.max(1, inMs), TimeUnit.MILLISECONDS);
     }
 
+    /** False where the bytes that came were the rest of an answered request, and no next one has begun. */
+    private boolean parsesHead() {
+        HttpParser parser = getConnection() instanceof HttpConnection http ? http.getParser() : null;
+        return parser != null && parser.inHeaderState() && !parser.isStart();
+    }
+
     private void onHeadTimer(long dueMs) {
         synchronized (lock) {
             long nowMs = clock.nowMs();
@@ -155,6 +166,9 @@
                 head.restart(nowMs);
             }
             long leftMs = head.leftMs(connector.headTimeoutMs, nowMs);
+            if (!parsesHead()) {
+                head.onNoHead();
+            }
             if (!head.isInHead() || !isOpen()) {
                 headTimerSet = false;
                 return;
--- a/src/main/java/ringspindle/proxy/HeadProgress.java
+++ b/src/main/java/ringspindle/proxy/HeadProgress.java
@@ -32,6 +32,13 @@
         state = State.BETWEEN_REQUESTS;
     }
 
+    /** The bytes that came were the rest of a request that is answered; no next one has begun. */
+    void onNoHead() {
+        if (state == State.IN_HEAD) {
+            state = State.BETWEEN_REQUESTS;
+        }
+    }
+
     /** True in the middle of a head. */
     boolean isInHead() {
         return state == State.IN_HEAD;
--- a/src/main/java/ringspindle/proxy/RequestAdmission.java
+++ b/src/main/java/ringspindle/proxy/RequestAdmission.java
@@ -20,6 +20,8 @@
 
     /** Default: about how long a node that has just started takes until it holds what is in force. */
     private static final int NOT_READY_MS = 1000;
+    /** Default: when a client that submits a batch job may ask again. */
+    private static final int NO_BATCHES_MS = 1000;
 
     private final ProxyHandler proxy;
     private final ActiveRequests active;
@@ -116,6 +118,10 @@
             arrival.client().respond(Outcome.TOO_LARGE, 0, proxy.isLeaving());
             return;
         }
+        if (arrival.route().kind() == FleetConfig.Kind.BATCH) {
+            arrival.client().respond(Outcome.NO_BATCHES, NO_BATCHES_MS, proxy.isLeaving());
+            return;
+        }
         long nowMs = proxy.nowMs();
         String service = RouteSplit.service(arrival.route(), arrival.attemptId());
         String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
--- a/src/test/java/ringspindle/ArchitectureTest.java
+++ b/src/test/java/ringspindle/ArchitectureTest.java
@@ -48,6 +48,7 @@
             Map.entry("config", Set.of("protocol")),
             Map.entry("metrics", Set.of("protocol")),
             Map.entry("peering", Set.of("protocol")),
+            Map.entry("batch", Set.of("config")),
             Map.entry("transport", Set.of("peering", "protocol", "time")),
             Map.entry("storage", Set.of("protocol", "sbe")),
             Map.entry("gossip", Set.of("protocol")),
@@ -124,7 +125,7 @@
                             "routing",
                             "telemetry",
                             "transport")),
-            Map.entry("", Set.of("cli", "config", "controlplane", "dataplane", "logging")));
+            Map.entry("", Set.of("batch", "cli", "config", "controlplane", "dataplane", "logging")));
 
     /**
      * Single uses outside {@link #MAY_USE}, {@code using package -> used class}.
--- a/src/test/java/ringspindle/MainTest.java
+++ b/src/test/java/ringspindle/MainTest.java
@@ -21,7 +21,7 @@
 /** Help texts, and the refusal of command lines that cannot be understood. */
 @Timeout(60)
 class MainTest {
-    private static final List<String> DAEMONS = List.of("data-plane", "control-plane");
+    private static final List<String> DAEMONS = List.of("data-plane", "control-plane", "storage-node");
     private static final List<String> FLEET_COMMANDS = List.of(
             "status",
             "engines",
--- a/src/test/java/ringspindle/proxy/LimitsTest.java
+++ b/src/test/java/ringspindle/proxy/LimitsTest.java
@@ -253,6 +253,15 @@
         never.countDown();
     }
 
+    /** True if there are bytes to read; an open connection without any, and a closed one, have none. */
+    private static boolean saysMore(Socket s) {
+        try {
+            return s.getInputStream().read() >= 0 && until(s, "408").contains("408");
+        } catch (IOException silentOrClosed) {
+            return false;
+        }
+    }
+
     @Test
     void headThatTakesTooLongEndsItsConnection() throws Exception {
         engine("i-1", "z", StandInEngine.whole(200, "hello", ""));
@@ -264,6 +273,26 @@
         }
     }
 
+    /** The rest of a body that nobody wanted is no head. */
+    @Test
+    void bodyBehindAnEarlyRefusalIsNoHead() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        engineSilentFor(never);
+        config(4, limits("headerTimeoutMs", 300));
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            s.setSoTimeout(20_000);
+            StandInEngine.say(
+                    s.getOutputStream(),
+                    "POST /none/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a\r\nContent-Length: 10\r\n\r\n01234");
+            assertTrue(until(s, "NO_MAPPING").startsWith("HTTP/1.1 404"));
+            StandInEngine.say(s.getOutputStream(), "56789");
+            outlastTheShortIdleTime();
+            s.setSoTimeout(1);
+            assertFalse(saysMore(s), "the connection is closed or open, and says no more");
+        }
+        never.countDown();
+    }
+
     @Test
     void connectionBetweenRequestsHasNoHeadTimeout() throws Exception {
         CountDownLatch never = new CountDownLatch(1);
@@ -298,4 +327,12 @@
     void refusalSaysThatThereIsNoEngine() throws Exception {
         assertTrue(ok("/once/x", "t1").contains("NO_ENGINE"));
     }
+
+    @Test
+    void batchJobIsRefusedAndReachesNoEngine() throws Exception {
+        StandInEngine engine = engine("i-1", "z", StandInEngine.whole(200, "hello", ""));
+        String answer = all(send("/batch/x", "t1", "Connection: close\r\n", "{\"requests\":[]}"));
+        assertTrue(answer.startsWith("HTTP/1.1 503") && answer.contains("Retry-After"), answer);
+        assertTrue(engine.seen.isEmpty());
+    }
 }
--- a/src/test/java/ringspindle/proxy/ProxyFixture.java
+++ b/src/test/java/ringspindle/proxy/ProxyFixture.java
@@ -101,7 +101,8 @@
                 + route("short", "/short/", "streaming", 3000, 800, 1, false, "") + ","
                 + route("home", "/home/", "streaming", 3000, 800, 1, false, "\"q\"") + ","
                 + route("once", "/once/", "mutating", 3000, 800, 2, false, "") + ","
-                + route("long", "/long/", "streaming", 4000, 800, 2, true, "")
+                + route("long", "/long/", "streaming", 4000, 800, 2, true, "") + ","
+                + route("batch", "/batch/", "batch", 4000, 800, 2, false, "")
                 + "],\"services\":[{\"name\":\"s\",\"healthPath\":\"/health\",\"maxConnections\":100,\"warmupS\":0,\"warmupPerS\":0}]"
                 + more + "}";
         FleetConfig c = ((Validated.Valid<FleetConfig>) FleetConfig.read(json.getBytes(UTF_8))).value();
