--- a/src/main/java/ringspindle/Program.java
+++ b/src/main/java/ringspindle/Program.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.logging.Level;
-import ringspindle.batch.StorageNode;
 import ringspindle.cli.Cli;
 import ringspindle.cli.CommandLine;
 import ringspindle.cli.ExitCode;
@@ -21,6 +20,7 @@
 import ringspindle.dataplane.DataPlane;
 import ringspindle.logging.JsonLogFormatter;
 import ringspindle.logging.LogField;
+import ringspindle.storagenode.StorageNode;
 
 /** What the program does: {@code data-plane}, {@code control-plane}, and the operator's command line. */
 final class Program {
--- a/src/main/java/ringspindle/api/Outcome.java
+++ b/src/main/java/ringspindle/api/Outcome.java
@@ -39,7 +39,11 @@
     /** It may be done later, or was: not as many replicas hold it yet as it takes. */
     UNCONFIRMED(504, false),
     /** Batch jobs are not accepted; no part of this one runs. */
-    NO_BATCHES(503, true);
+    NO_BATCHES(503, true),
+    /** A batch job is kept and will run. */
+    ACCEPTED(202, false),
+    /** More waits or comes than the caller may have; nothing of this is kept or runs. */
+    OVER_QUOTA(429, true);
 
     private final int status;
     private final boolean notRun;
--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -34,6 +34,7 @@
      * @param sticky whether requests with the same key go to the same engine
      * @param tokenGapMs the longest pause between events, in milliseconds, that keeps an answer in time
      * @param allowedRegions the regions that may serve it
+     * @param batch what holds for batch jobs, of a batch route
      */
     public record Route(
             String name,
@@ -48,13 +49,25 @@
             boolean resumable,
             boolean sticky,
             int tokenGapMs,
-            AllowedRegions allowedRegions) {
+            AllowedRegions allowedRegions,
+            BatchLimits batch) {
         /** True if a request may safely run more than once. */
         public boolean repeatable() {
             return kind == Kind.IDEMPOTENT || resumable;
         }
     }
 
+    /**
+     * What a batch route allows.
+     *
+     * @param queuedTokensMax tokens of a tenant that may wait, over all nodes; 0 for no limit
+     * @param maxWaitS seconds after which an item may be given up, 0 for never
+     */
+    public record BatchLimits(long queuedTokensMax, int maxWaitS) {
+        /** Of a route that limits nothing. */
+        public static final BatchLimits NONE = new BatchLimits(0, 0);
+    }
+
     /** What a route's requests do, which decides whether they may be sent again. */
     public enum Kind {
         /** A request may run any number of times. */
@@ -104,6 +117,7 @@
     private final JsonObject source;
     private final long revision;
     private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, Route> routesByName = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final Limits limits;
 
@@ -112,6 +126,7 @@
         this.revision = revision;
         this.limits = limits;
         for (Route route : routes) {
+            routesByName.put(route.name(), route);
             routesByHost
                     .computeIfAbsent(lowerCase(route.host()), host -> new ArrayList<>())
                     .add(route);
@@ -185,6 +200,18 @@
         return null;
     }
 
+    /** The batch routes of a host; {@code configuration.batchRoutes("a.example").isEmpty()}. */
+    public List<Route> batchRoutes(String host) {
+        return routesOf(host).stream()
+                .filter(route -> route.kind() == Kind.BATCH)
+                .toList();
+    }
+
+    /** The route of that name, null if there is none. */
+    public Route route(String name) {
+        return routesByName.get(name);
+    }
+
     /**
      * The regions that may serve every request of a host: those that are a home of each of its routes that have homes.
      *
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import ringspindle.config.FleetConfig.BatchLimits;
 import ringspindle.config.FleetConfig.Kind;
 import ringspindle.config.FleetConfig.Limits;
 import ringspindle.config.FleetConfig.Route;
@@ -107,7 +108,8 @@
                 json.getBoolean("resumable", false),
                 json.getBoolean("sticky", false),
                 integer(json, "tokenGapMs", DEFAULT_TOKEN_GAP_MS),
-                allowedRegions(json, name));
+                allowedRegions(json, name),
+                new BatchLimits((long) number(json, "maxQueuedTokens", 0), integer(json, "maxWaitS", 0)));
     }
 
     private String uniqueName(JsonObject json, Set<String> names) {
--- a/src/main/java/ringspindle/config/NodeConfig.java
+++ b/src/main/java/ringspindle/config/NodeConfig.java
@@ -43,6 +43,8 @@
  * @param warmupSlack requests by which it may exceed it besides
  * @param evacuationMs milliseconds until an evacuation is in force everywhere
  * @param ttlS seconds for which clients may keep addresses of data nodes
+ * @param statusTtlS seconds for which a batch job and its results are kept after it was sent
+ * @param diskMb room on the data disk in MiB, 0 if not known
  * @param lossesBorne control nodes and disks that may be lost at once
  */
 public record NodeConfig(
@@ -73,6 +75,8 @@
         int warmupSlack,
         int evacuationMs,
         double ttlS,
+        double statusTtlS,
+        int diskMb,
         int lossesBorne) {
     private static final int MS_PER_S = 1000;
 
@@ -137,6 +141,8 @@
                 next.warmupSlack,
                 next.evacuationMs,
                 next.ttlS,
+                next.statusTtlS,
+                diskMb,
                 lossesBorne);
     }
 }
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -55,6 +55,8 @@
                 integer("bound.warmupSlack", 0),
                 integer("bound.evacuationMs", 5000),
                 number("bound.ttlS", 5),
+                number("bound.statusTtlS", 120),
+                integer("limit.diskMb", 0),
                 integer("loss.nodes", 1));
         return errors.isEmpty() ? new Valid<>(config) : new Invalid<>(List.copyOf(errors));
     }
--- a/src/main/java/ringspindle/controlplane/CommittedFacts.java
+++ b/src/main/java/ringspindle/controlplane/CommittedFacts.java
@@ -70,6 +70,8 @@
             case LEAVING -> FactKind.LEAVING;
             case RULES -> FactKind.RULES;
             case EXPERIMENT -> FactKind.EXPERIMENT;
+            case SHARD -> FactKind.SHARD;
+            case RETIREMENT -> FactKind.RETIREMENT;
             default -> FactKind.ROLLOUT;
         };
     }
--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -76,7 +76,8 @@
         dispatcher = dispatcher(heartbeats);
         HeadDuties headDuties = new HeadDuties(
                 new RolloutTask(me, fleet, engines, replication, reports),
-                new ExperimentTask(context, environment.incarnation(), fleet, replication));
+                new ExperimentTask(context, environment.incarnation(), fleet, replication),
+                new ShardTask(me, fleet, replication, config.lossesBorne()));
         tasks = new ControlNodeTasks(
                 context,
                 storage,
--- a/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
+++ b/src/main/java/ringspindle/controlplane/ControlNodeTasks.java
@@ -118,7 +118,7 @@
                     }
                     heard.addAll(peer.heartbeat().heard());
                 }
-                int periodTicks = kind == NodeKind.DATA ? DATA_HEARTBEAT_TICKS : CONTROL_HEARTBEAT_TICKS;
+                int periodTicks = kind == NodeKind.CONTROL ? CONTROL_HEARTBEAT_TICKS : DATA_HEARTBEAT_TICKS;
                 if (due(periodTicks) || serving.leaving()) {
                     heartbeatTo.add(node);
                 }
--- a/src/main/java/ringspindle/controlplane/HeadDuties.java
+++ b/src/main/java/ringspindle/controlplane/HeadDuties.java
@@ -2,14 +2,17 @@
 
 import ringspindle.protocol.Message.View;
 
-/** The singleton roles of the head of the view that are carried out by orders: roll-outs and experiments. Called by the tick alone. */
+/** The singleton roles of the head of the view that are carried out by orders: roll-outs, experiments and the
+ * placement of shards. Called by the tick alone. */
 final class HeadDuties {
     private final RolloutTask rollouts;
     private final ExperimentTask experiments;
+    private final ShardTask shards;
 
-    HeadDuties(RolloutTask rollouts, ExperimentTask experiments) {
+    HeadDuties(RolloutTask rollouts, ExperimentTask experiments, ShardTask shards) {
         this.rollouts = rollouts;
         this.experiments = experiments;
+        this.shards = shards;
     }
 
     /**
@@ -22,5 +25,6 @@
     void tick(View view, boolean quorate, boolean hearsEngines, long ticks, long nowMs) {
         rollouts.tick(view, quorate && hearsEngines, ticks, nowMs);
         experiments.tick(view, quorate, ticks, nowMs);
+        shards.tick(view, quorate, ticks, nowMs);
     }
 }
--- a/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
+++ b/src/main/java/ringspindle/controlplane/HeartbeatExchange.java
@@ -62,7 +62,7 @@
 
     /** Called with the fleet's lock held. */
     private void noted(SessionTable.Peer peer, Heartbeat heartbeat) {
-        if (peer.hello().kind() == NodeKind.DATA) {
+        if (peer.hello().kind() != NodeKind.CONTROL) {
             fleet.dataNodes().heard(peer, heartbeat);
         }
         fleet.dissemination().heard(peer.hello().node(), heartbeat.digest());
--- a/src/main/java/ringspindle/controlplane/LoadHandler.java
+++ b/src/main/java/ringspindle/controlplane/LoadHandler.java
@@ -38,7 +38,7 @@
             if (peer == null || peer.hello().life() != outcomes.life()) {
                 return;
             }
-            if (peer.hello().kind() == NodeKind.DATA) {
+            if (peer.hello().kind() != NodeKind.CONTROL) {
                 fleet.outcomes().reported(from, outcomes);
             } else {
                 fleet.outcomes().summed(from, outcomes, nowMs);
--- a/src/main/java/ringspindle/controlplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/controlplane/MessageDispatcher.java
@@ -100,7 +100,7 @@
             }
             SessionTable.Peer session = fleet.sessions().peer(peer);
             boolean heardDataNode = session != null
-                    && session.hello().kind() == NodeKind.DATA
+                    && session.hello().kind() != NodeKind.CONTROL
                     && session.heartbeat().n() > 0;
             if (heardDataNode) {
                 fleet.dataNodes().closed(session);
--- /dev/null
+++ b/src/main/java/ringspindle/controlplane/ShardTask.java
@@ -0,0 +1,148 @@
+package ringspindle.controlplane;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import ringspindle.controlplane.fleet.FleetState;
+import ringspindle.logging.LogField;
+import ringspindle.membership.DataNodeFact;
+import ringspindle.protocol.Codec;
+import ringspindle.protocol.FactKind;
+import ringspindle.protocol.Message.Hello;
+import ringspindle.protocol.Message.View;
+import ringspindle.protocol.NodeId;
+import ringspindle.protocol.NodeKind;
+import ringspindle.protocol.ShardMessage.StorageReport;
+import ringspindle.replication.CallKind;
+import ringspindle.replication.ShardOrders;
+import ringspindle.shard.PlacementPlanner;
+import ringspindle.shard.ShardAssignment;
+import ringspindle.shard.ShardMember;
+import ringspindle.shard.StorageNodeStatus;
+
+/** Has the head of the view assign shards to storage nodes. Called by the tick alone. */
+final class ShardTask {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int PERIOD_TICKS = 2;
+    /** A head looks for so long before it acts: what others tell of storage nodes has to come in first. */
+    private static final int LOOK_FIRST_MS = 1000;
+
+    private final NodeId me;
+    private final FleetState fleet;
+    private final ReplicationDriver replication;
+    private final int copiesMin;
+    private PlacementPlanner planner;
+    /** Since when this node has led, below 0 while it does not. */
+    private long leadsSinceMs = -1;
+    /** Shards with an order under way. */
+    private final Set<Integer> ordered = new HashSet<>();
+
+    /** Assigns shards so that an entry is on one disk more than may be lost at once. */
+    ShardTask(NodeId me, FleetState fleet, ReplicationDriver replication, int lossesBorne) {
+        this.me = me;
+        this.fleet = fleet;
+        this.replication = replication;
+        copiesMin = lossesBorne + 1;
+        planner = new PlacementPlanner(copiesMin);
+    }
+
+    /**
+     * Orders the assignments that are due.
+     *
+     * @param quorate this node is up to date
+     */
+    void tick(View view, boolean quorate, long ticks, long nowMs) {
+        if (view == null || !quorate || !view.head().equals(me)) {
+            leadsSinceMs = -1;
+            return;
+        }
+        if (leadsSinceMs < 0) {
+            leadsSinceMs = nowMs;
+            planner = new PlacementPlanner(copiesMin);
+        }
+        if (ticks % PERIOD_TICKS != 0) {
+            return;
+        }
+        Map<NodeId, StorageNodeStatus> nodes = storageNodes(nowMs);
+        Map<Integer, ShardAssignment> assignments = assignments();
+        if (nodes.isEmpty() && assignments.isEmpty()) {
+            return;
+        }
+        planner.observe(nodes, new ArrayList<>(assignments.values()), nowMs);
+        if (nowMs - leadsSinceMs < LOOK_FIRST_MS) {
+            return;
+        }
+        for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
+            Optional<ShardAssignment> next = planner.next(shard, assignments.get(shard), nodes, nowMs);
+            next.ifPresent(assignment -> order(assignment, view.epoch()));
+        }
+    }
+
+    private void order(ShardAssignment assignment, long viewEpoch) {
+        int shard = assignment.shard();
+        synchronized (ordered) {
+            if (!ordered.add(shard)) {
+                return;
+            }
+        }
+        LOG.atInfo()
+                .with(LogField.EPOCH, assignment.epoch())
+                .log(
+                        "shard %s: leader %s, members %s, learners %s",
+                        shard, assignment.leader().node(), nodes(assignment.members()), nodes(assignment.learners()));
+        replication.call(
+                CallKind.SHARD,
+                0,
+                Integer.toString(shard),
+                ShardOrders.assign(assignment, viewEpoch),
+                (outcome, body) -> {
+                    synchronized (ordered) {
+                        ordered.remove(shard);
+                    }
+                });
+    }
+
+    private static List<NodeId> nodes(List<ShardMember> replicas) {
+        return replicas.stream().map(ShardMember::node).toList();
+    }
+
+    private Map<Integer, ShardAssignment> assignments() {
+        Map<Integer, ShardAssignment> assignments = new TreeMap<>();
+        fleet.read(store -> ShardAssignment.readAll(store.all(FactKind.SHARD)))
+                .forEach(assignment -> assignments.put(assignment.shard(), assignment));
+        return assignments;
+    }
+
+    /** Storage nodes that are in touch, have said which disk they have, and do not shut down. */
+    private Map<NodeId, StorageNodeStatus> storageNodes(long nowMs) {
+        Map<NodeId, StorageNodeStatus> nodes = new TreeMap<>();
+        synchronized (fleet.lock) {
+            Map<DataNodeFact, Boolean> sessions = fleet.dataNodes().all(nowMs);
+            List<StorageReport> reports = fleet.facts().store().all(FactKind.STORAGE).stream()
+                    .map(fact -> (StorageReport) Codec.decode(fact.value()))
+                    .toList();
+            sessions.forEach((session, inTouch) -> {
+                Hello hello = session.hello();
+                if (inTouch && hello.kind() == NodeKind.STORAGE) {
+                    reports.stream()
+                            .filter(report -> report.life() == hello.life())
+                            .findFirst()
+                            .ifPresent(report -> nodes.put(hello.node(), status(hello, report)));
+                }
+            });
+        }
+        return nodes;
+    }
+
+    /** Called with the fleet's lock held. */
+    private StorageNodeStatus status(Hello hello, StorageReport report) {
+        boolean retires = fleet.facts().store().get(FactKind.RETIREMENT, hello.name()) != null;
+        return new StorageNodeStatus(
+                hello.node(), hello.zone(), report.store(), report.boot(), retires, report.replicas());
+    }
+}
--- a/src/main/java/ringspindle/controlplane/fleet/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/fleet/DataNodeDirectory.java
@@ -130,7 +130,8 @@
         List<Hello> nodes = new ArrayList<>();
         for (Fact fact : facts.store().all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
-            if (says.test(node) && counts.test(fact, node)) {
+            boolean takesClients = node.hello().kind() == NodeKind.DATA;
+            if (takesClients && says.test(node) && counts.test(fact, node)) {
                 nodes.add(node.hello());
             }
         }
--- a/src/main/java/ringspindle/controlplane/fleet/LoadAggregator.java
+++ b/src/main/java/ringspindle/controlplane/fleet/LoadAggregator.java
@@ -84,7 +84,7 @@
         if (peer == null || peer.hello().life() != report.life()) {
             return;
         }
-        ReportCollector collector = peer.hello().kind() == NodeKind.DATA ? sources : peers;
+        ReportCollector collector = peer.hello().kind() == NodeKind.CONTROL ? peers : sources;
         ReportVerdict verdict = collector.accept(from, report, nowMs);
         if (verdict.isRejected()) {
             LOG.atWarning()
@@ -128,7 +128,7 @@
         Set<NodeId> reporting = isDueToDataNodes(toDataNodes.engines().size()) ? sources.sources(nowMs) : Set.of();
         for (SessionTable.Peer peer : sessions.peers()) {
             Hello hello = peer.hello();
-            if (hello.kind() == NodeKind.DATA && reporting.contains(hello.node())) {
+            if (hello.kind() != NodeKind.CONTROL && reporting.contains(hello.node())) {
                 mesh.send(hello.node(), toDataNodes);
             } else if (hello.kind() == NodeKind.CONTROL
                     && speaks
--- a/src/main/java/ringspindle/dataplane/DataNode.java
+++ b/src/main/java/ringspindle/dataplane/DataNode.java
@@ -1,6 +1,7 @@
 package ringspindle.dataplane;
 
 import java.util.List;
+import java.util.function.Function;
 import ringspindle.config.NodeConfig;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.membership.DataNodeFact;
@@ -14,15 +15,20 @@
 import ringspindle.transport.NodeEnvironment;
 
 /**
- * Wires what a data node learns from others to its load balancer and proxy, and starts it.
+ * Wires what a data node, or a storage node, learns from others to its load balancer and proxy, and starts it.
  *
  * <p>There is one lock, that of {@link GossipState}. It guards sessions and facts there, the known control nodes of
  * {@link PeerDialer}, the numbers of {@link LoadReporter}, what {@link MessageDispatcher} remembers and the count of ticks
  * of {@link DataNodeTasks}. Load balancer and proxy guard their own state.
  */
-final class DataNode {
+public final class DataNode {
     /** Milliseconds between two ticks. */
-    static final int TICK_MS = 100;
+    public static final int TICK_MS = 100;
+
+    /** The ports of the programs of one machine, counted from its first inner port. */
+    private static final int DATA_PORT_OFFSET = 1;
+
+    private static final int STORAGE_PORT_OFFSET = 2;
 
     private final NodeId me;
     private volatile NodeConfig config;
@@ -33,29 +39,46 @@
     private final MessageDispatcher dispatcher;
     private final DataNodeTasks tasks;
 
-    /** Opens nothing yet. */
-    DataNode(NodeConfig config, Proxy proxy, LoadBalancer loadBalancer, NodeEnvironment environment) {
+    /**
+     * Opens nothing yet.
+     *
+     * @param kind a data node or a storage node
+     * @param component makes the part that is told of its own messages from the mesh
+     */
+    public DataNode(
+            NodeConfig config,
+            NodeKind kind,
+            Proxy proxy,
+            LoadBalancer loadBalancer,
+            NodeEnvironment environment,
+            Function<Mesh, NodeComponent> component) {
         this.config = config;
         MonotonicClock clock = environment.clock();
-        // a data node talks at the second inner port, so that both programs fit on one machine
-        me = NodeId.of(config.ip() + ":" + (config.innerPort() + 1));
-        mesh = environment.meshFactory().apply(greeting(me, config, environment.incarnation()));
+        me = identity(config, kind);
+        mesh = environment.meshFactory().apply(greeting(me, kind, config, environment.incarnation()));
+        NodeComponent part = component.apply(mesh);
         gossip = new GossipState(me);
         heartbeats = new HeartbeatSender(clock, mesh, gossip, proxy);
-        dialer = new PeerDialer(me, this::config, mesh, gossip);
+        dialer = new PeerDialer(me, kind, this::config, mesh, gossip);
         dialer.addSeeds(config);
-        dispatcher = new MessageDispatcher(clock, mesh, gossip, heartbeats, dialer, loadBalancer, proxy);
+        dispatcher = new MessageDispatcher(clock, mesh, gossip, heartbeats, dialer, loadBalancer, proxy, part);
         LoadReporter reporter =
                 new LoadReporter(environment.incarnation(), this::config, mesh, gossip, loadBalancer, proxy);
-        tasks = new DataNodeTasks(clock, mesh, environment.pool(), gossip, heartbeats, dialer, reporter, proxy);
+        tasks = new DataNodeTasks(clock, mesh, environment.pool(), gossip, heartbeats, dialer, reporter, proxy, part);
+    }
+
+    /** The inner address of a node of that kind; each program of a machine has a port of its own. */
+    public static NodeId identity(NodeConfig settings, NodeKind kind) {
+        int offset = kind == NodeKind.STORAGE ? STORAGE_PORT_OFFSET : DATA_PORT_OFFSET;
+        return NodeId.of(settings.ip() + ":" + (settings.innerPort() + offset));
     }
 
-    private static Hello greeting(NodeId me, NodeConfig settings, long incarnation) {
+    private static Hello greeting(NodeId me, NodeKind kind, NodeConfig settings, long incarnation) {
         return new Hello(
                 me,
                 incarnation,
-                NodeKind.DATA,
-                settings.frontend().orElseThrow().bits(),
+                kind,
+                settings.frontend().map(NodeId::bits).orElse(0L),
                 settings.name(),
                 settings.zone(),
                 settings.region());
@@ -65,18 +88,18 @@
         return config;
     }
 
-    /** Opens the mesh; whoever starts it calls {@link #tick} every {@link #TICK_MS}. */
-    void start() throws Exception {
+    /** Opens the mesh; whoever starts it calls {@link #tick} every {@link #TICK_MS}. Throws if its port cannot be opened. */
+    public void start() throws Exception {
         mesh.open(dispatcher);
     }
 
     /** Does the periodic work that is due. */
-    void tick() {
+    public void tick() {
         tasks.tick();
     }
 
     /** Settings changed while running: new seeds are dialled as need be. */
-    void settings(NodeConfig changed) {
+    public void settings(NodeConfig changed) {
         synchronized (gossip.lock) {
             config = changed;
             dialer.addSeeds(changed);
@@ -84,7 +107,7 @@
     }
 
     /** Tells all peers at once, and from now on with every tick, that this node leaves. */
-    void leave() {
+    public void leave() {
         heartbeats.leave();
         announce();
     }
@@ -109,6 +132,7 @@
         synchronized (gossip.lock) {
             List<DataNodeFact> region = gossip.facts().all(FactKind.NODE).stream()
                     .map(fact -> DataNodeFact.of(fact.value()))
+                    .filter(dataNode -> dataNode.hello().kind() == NodeKind.DATA)
                     .filter(dataNode -> dataNode.hello().region().equals(config.region()))
                     .toList();
             return RegionCoverage.of(me, region);
--- a/src/main/java/ringspindle/dataplane/DataNodeTasks.java
+++ b/src/main/java/ringspindle/dataplane/DataNodeTasks.java
@@ -31,6 +31,7 @@
     private final PeerDialer dialer;
     private final LoadReporter reporter;
     private final Proxy proxy;
+    private final NodeComponent component;
     private long ticks;
 
     DataNodeTasks(
@@ -41,7 +42,8 @@
             HeartbeatSender heartbeats,
             PeerDialer dialer,
             LoadReporter reporter,
-            Proxy proxy) {
+            Proxy proxy,
+            NodeComponent component) {
         this.clock = clock;
         this.mesh = mesh;
         this.pool = pool;
@@ -50,6 +52,7 @@
         this.dialer = dialer;
         this.reporter = reporter;
         this.proxy = proxy;
+        this.component = component;
     }
 
     /** Runs what is due. */
@@ -67,6 +70,7 @@
             }
             tellPeers(tick);
         }
+        component.tick(nowMs);
         proxy.probeEngines();
         if (tick % REPORT_TICKS == 0) {
             proxy.closeIdleConnections();
--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -8,6 +8,7 @@
 import ringspindle.config.Settings;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.logging.LogField;
+import ringspindle.protocol.NodeKind;
 import ringspindle.proxy.ProxyHandler;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.NodeEnvironment;
@@ -36,7 +37,11 @@
         MonotonicClock clock = environment.clock();
         LoadBalancer loadBalancer = LoadBalancer.create(config);
         ProxyHandler proxy = new ProxyHandler(config, loadBalancer, pool, scheduler, clock);
-        DataNode node = new DataNode(config, proxy, loadBalancer, environment);
+        DataNode node = new DataNode(config, NodeKind.DATA, proxy, loadBalancer, environment, mesh -> {
+            JobCaller jobs = new JobCaller(mesh, pool, clock);
+            proxy.passJobsTo(jobs);
+            return jobs;
+        });
         proxy.explainBy(node::describeKnowledge);
         settings.listen(loadBalancer::updateSettings);
         settings.listen(node::settings);
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -5,6 +5,7 @@
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.membership.FactValidator;
 import ringspindle.membership.SessionTable;
+import ringspindle.protocol.BatchMessage;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Digest;
@@ -15,6 +16,7 @@
 import ringspindle.protocol.Message.News;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
+import ringspindle.protocol.ShardMessage;
 import ringspindle.proxy.Proxy;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.Mesh;
@@ -36,6 +38,7 @@
     private final RepairTrigger repairs = new RepairTrigger();
     private final LoadBalancer loadBalancer;
     private final Proxy proxy;
+    private final NodeComponent component;
     /** A peer has told all that it knows. */
     private boolean filled;
     /** When a control node in touch with a majority was last heard. */
@@ -48,7 +51,8 @@
             HeartbeatSender heartbeats,
             PeerDialer dialer,
             LoadBalancer loadBalancer,
-            Proxy proxy) {
+            Proxy proxy,
+            NodeComponent component) {
         this.clock = clock;
         this.mesh = mesh;
         this.gossip = gossip;
@@ -56,6 +60,7 @@
         this.dialer = dialer;
         this.loadBalancer = loadBalancer;
         this.proxy = proxy;
+        this.component = component;
         synchronized (gossip.lock) {
             unapplied = new UnappliedFacts(gossip.facts(), new FactApplier(loadBalancer, proxy));
         }
@@ -72,10 +77,15 @@
             }
             heartbeats.send(peer.node());
         }
+        component.opened(peer);
     }
 
     @Override
     public void received(NodeId from, Message message) {
+        if (message instanceof BatchMessage || message instanceof ShardMessage) {
+            component.received(from, message);
+            return;
+        }
         long nowMs = clock.nowMs();
         synchronized (gossip.lock) {
             unapplied.retry(nowMs);
@@ -102,6 +112,7 @@
             gossip.facts().removePeer(peer);
             repairs.forget(peer);
         }
+        component.closed(peer);
     }
 
     private void received(NodeId from, Heartbeat heartbeat, long nowMs) {
@@ -126,6 +137,9 @@
         List<Fact> fresh = gossip.facts().merge(news.items());
         gossip.facts().markKnown(from, news.items());
         unapplied.apply(fresh, nowMs);
+        if (!fresh.isEmpty()) {
+            component.factsChanged(gossip.facts());
+        }
         filled |= news.full();
         if (filled && gossip.facts().get(FactKind.CONFIG, "") != null) {
             proxy.markConfirmed();
--- a/src/main/java/ringspindle/dataplane/PeerDialer.java
+++ b/src/main/java/ringspindle/dataplane/PeerDialer.java
@@ -16,6 +16,7 @@
 import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
+import ringspindle.protocol.NodeKind;
 import ringspindle.transport.Mesh;
 
 /**
@@ -37,6 +38,9 @@
     private static final int PORT_BITS = 16;
 
     private final NodeId me;
+    /** A storage node hears from control nodes alone. */
+    private final boolean gossips;
+
     private final Supplier<NodeConfig> config;
     private final Mesh mesh;
     private final GossipState gossip;
@@ -51,8 +55,9 @@
     private long ringOfChanges = NOT_COMPUTED;
     private final Map<NodeId, Long> dialledMs = new HashMap<>();
 
-    PeerDialer(NodeId me, Supplier<NodeConfig> config, Mesh mesh, GossipState gossip) {
+    PeerDialer(NodeId me, NodeKind kind, Supplier<NodeConfig> config, Mesh mesh, GossipState gossip) {
         this.me = me;
+        gossips = kind == NodeKind.DATA;
         this.config = config;
         this.mesh = mesh;
         this.gossip = gossip;
@@ -85,7 +90,9 @@
             replacedMs = nowMs;
             dialNearer(serving, nowMs);
         }
-        dialDataNode(nowMs);
+        if (gossips) {
+            dialDataNode(nowMs);
+        }
     }
 
     private List<SessionTable.Peer> servingControlNodes() {
@@ -170,7 +177,8 @@
         NodeId first = null;
         for (Fact fact : gossip.facts().all(FactKind.NODE)) {
             DataNodeFact dataNode = DataNodeFact.of(fact.value());
-            if (!dataNode.flags().has(NodeFlags.READY)
+            if (dataNode.hello().kind() != NodeKind.DATA
+                    || !dataNode.flags().has(NodeFlags.READY)
                     || !dataNode.hello().region().equals(config.get().region())) {
                 continue;
             }
--- a/src/main/java/ringspindle/membership/FactValidator.java
+++ b/src/main/java/ringspindle/membership/FactValidator.java
@@ -6,6 +6,7 @@
 import ringspindle.protocol.Message.Engine;
 import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.Message.Lease;
+import ringspindle.protocol.ShardMessage.StorageReport;
 
 /** Checks facts that come from other nodes before any of them is taken. */
 public final class FactValidator {
@@ -37,6 +38,7 @@
             case ENGINE -> Codec.decode(fact.value()) instanceof Engine;
             case LEASE -> Codec.decode(fact.value()) instanceof Lease;
             case NODE -> DataNodeFact.of(fact.value()).hello() != null;
+            case STORAGE -> Codec.decode(fact.value()) instanceof StorageReport;
             case SILENT -> fact.value().length == 1;
             default -> true;
         };
--- a/src/main/java/ringspindle/protocol/Codec.java
+++ b/src/main/java/ringspindle/protocol/Codec.java
@@ -32,7 +32,10 @@
                         OperationCodec.TEMPLATES,
                         GossipCodec.TEMPLATES,
                         TelemetryCodec.TEMPLATES,
-                        CounterCodec.TEMPLATES)
+                        CounterCodec.TEMPLATES,
+                        BatchCodec.TEMPLATES,
+                        ShardCodec.TEMPLATES,
+                        JobRecordCodec.TEMPLATES)
                 .<MessageTemplate<?>>flatMap(List::stream)
                 .toList();
         int highest = templates.stream().mapToInt(MessageTemplate::id).max().orElseThrow();
--- a/src/main/java/ringspindle/protocol/FactKind.java
+++ b/src/main/java/ringspindle/protocol/FactKind.java
@@ -25,7 +25,13 @@
     /** The operators' serving rules. */
     RULES(10),
     /** An experiment over routing policies. */
-    EXPERIMENT(11);
+    EXPERIMENT(11),
+    /** Which storage nodes hold a shard, as the control state says; the key is the shard's number. */
+    SHARD(12),
+    /** What a storage node says of itself; the key names the node and its disk. */
+    STORAGE(13),
+    /** A storage node that is to be emptied; the key is its name. */
+    RETIREMENT(14);
 
     private static final FactKind[] BY_CODE = values();
 
--- a/src/main/java/ringspindle/protocol/Message.java
+++ b/src/main/java/ringspindle/protocol/Message.java
@@ -6,7 +6,40 @@
  * What nodes say to each other, and the records that they keep on disk; the layout is in {@code wire.xml}, whose names
  * these records carry. {@code life} is the incarnation of a process in all of them.
  */
-public sealed interface Message {
+public sealed interface Message
+        permits Message.Hello,
+                Message.Heartbeat,
+                Message.View,
+                Message.Prepare,
+                Message.Pledge,
+                Message.Accept,
+                Message.Accepted,
+                Message.Decided,
+                Message.Install,
+                Message.Entry,
+                Message.Synced,
+                Message.Confirm,
+                Message.Confirmed,
+                Message.Relearn,
+                Message.Relearned,
+                Message.Call,
+                Message.Reply,
+                Message.News,
+                Message.Digest,
+                Message.Lease,
+                Message.Op,
+                Message.State,
+                Message.Vote,
+                Message.Engine,
+                Message.Report,
+                Message.LedgerReport,
+                Message.Outcomes,
+                Message.Load,
+                Message.CounterAdds,
+                Message.CounterVector,
+                Message.CounterSnapshot,
+                BatchMessage,
+                ShardMessage {
     /**
      * First on every connection: who opened it, or took it.
      *
--- a/src/main/java/ringspindle/protocol/NodeKind.java
+++ b/src/main/java/ringspindle/protocol/NodeKind.java
@@ -6,6 +6,8 @@
     CONTROL(0),
     /** A node of the data plane. */
     DATA(1),
+    /** A node that keeps batch jobs. */
+    STORAGE(2),
     /** A kind that this program does not know; never sent. */
     UNKNOWN(255);
 
@@ -25,6 +27,7 @@
         return switch (code) {
             case 0 -> CONTROL;
             case 1 -> DATA;
+            case 2 -> STORAGE;
             default -> UNKNOWN;
         };
     }
--- a/src/main/java/ringspindle/proxy/ClientResponse.java
+++ b/src/main/java/ringspindle/proxy/ClientResponse.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -92,6 +93,22 @@
         callback.failed(cause);
     }
 
+    /** Ends the exchange with content of the proxy's own. */
+    void respond(String contentType, byte[] body, boolean lastOnConnection) {
+        response.setStatus(HttpStatus.OK_200);
+        write(contentType, body, lastOnConnection);
+    }
+
+    private void write(String contentType, byte[] body, boolean lastOnConnection) {
+        HttpFields.Mutable fields = response.getHeaders();
+        fields.put(HttpHeader.CONTENT_TYPE, contentType);
+        fields.put(HttpHeader.CONTENT_LENGTH, body.length);
+        if (lastOnConnection) {
+            fields.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+        }
+        writeBody(body);
+    }
+
     /**
      * Ends the exchange with an answer of the proxy's own.
      *
@@ -100,15 +117,10 @@
     void respond(Outcome outcome, long retryAfterMs, boolean lastOnConnection) {
         response.setStatus(outcome.status());
         byte[] body = ("{\"error\":\"" + outcome.name() + "\"}").getBytes(UTF_8);
-        HttpFields.Mutable fields = response.getHeaders();
         if (outcome.notRun()) {
-            fields.put(Headers.RETRY_AFTER, Double.toString(Math.max(RETRY_AFTER_LEAST_MS, retryAfterMs) / 1000.0));
-        }
-        fields.put(HttpHeader.CONTENT_TYPE, "application/json");
-        fields.put(HttpHeader.CONTENT_LENGTH, body.length);
-        if (lastOnConnection) {
-            fields.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+            response.getHeaders()
+                    .put(Headers.RETRY_AFTER, Double.toString(Math.max(RETRY_AFTER_LEAST_MS, retryAfterMs) / 1000.0));
         }
-        writeBody(body);
+        write("application/json", body, lastOnConnection);
     }
 }
--- a/src/main/java/ringspindle/proxy/EngineRequestFactory.java
+++ b/src/main/java/ringspindle/proxy/EngineRequestFactory.java
@@ -7,6 +7,8 @@
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
 import ringspindle.protocol.NodeId;
 
 /**
@@ -36,7 +38,7 @@
     Request create(
             AdmittedRequest admitted, NodeId address, String instanceId, long timeLeftMs, StreamPosition resumeFrom) {
         Request engineRequest =
-                forAddress(address, admitted.request().getHttpURI().getPathQuery());
+                forAddress(client, address, admitted.request().getHttpURI().getPathQuery());
         engineRequest.method(admitted.request().getMethod()).headers(fields -> {
             copyFields(admitted.headers(), fields, resumeFrom != null);
             fields.put(Headers.DEADLINE_MS, Long.toString(Math.max(1, timeLeftMs)));
@@ -55,7 +57,32 @@
         return engineRequest;
     }
 
-    private Request forAddress(NodeId address, String pathAndQuery) {
+    /**
+     * The request for one attempt of an item of a batch job. No deadline goes with it: closing the connection ends it.
+     *
+     * @param resumeFrom where its text stands if this attempt goes on with it, else null
+     */
+    static Request forItem(
+            HttpClient client, ItemClient.Item item, NodeId address, String instanceId, StreamPosition resumeFrom) {
+        Request engineRequest = forAddress(client, address, item.path());
+        engineRequest.method(HttpMethod.POST).headers(fields -> {
+            item.headers().forEach(fields::add);
+            fields.put(HttpHeader.HOST, item.host());
+            fields.put(Headers.ATTEMPT_ID, item.attemptId());
+            fields.put(Headers.TARGET_INSTANCE, instanceId);
+            fields.put(Headers.REQUEST_URGENCY, Integer.toString(URGENCY_MAX));
+            if (!item.tenant().isEmpty()) {
+                fields.put(Headers.TENANT, item.tenant());
+            }
+            if (resumeFrom != null) {
+                putPosition(fields, resumeFrom);
+            }
+        });
+        engineRequest.body(new BytesRequestContent((String) null, item.body()));
+        return engineRequest;
+    }
+
+    private static Request forAddress(HttpClient client, NodeId address, String pathAndQuery) {
         try {
             return client.newRequest(URI.create("http://" + address + pathAndQuery));
         } catch (IllegalArgumentException notAUri) {
--- a/src/main/java/ringspindle/proxy/Headers.java
+++ b/src/main/java/ringspindle/proxy/Headers.java
@@ -10,11 +10,13 @@
     static final String LAST_EVENT_ID = "Last-Event-Id";
     static final String MODEL = "Model";
     static final String NOT_EXECUTED = "Not-Executed";
+    static final String POLL_WAIT_MS = "Poll-Wait-Ms";
     static final String PROMPT_PREFIX = "Prompt-Prefix";
     static final String REQUEST_URGENCY = "Request-Urgency";
     static final String RETRY_AFTER = "Retry-After";
     static final String SERVER_SEAL = "Server-Seal";
     static final String TARGET_INSTANCE = "Target-Instance";
+    static final String TENANT = "Tenant";
     static final String TOKEN_COUNT = "Token-Count";
     static final String WARMUP_MS = "Warmup-Ms";
     static final String WEIGHT_VERSIONS = "Weight-Versions";
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -70,6 +70,7 @@
     private volatile boolean confirmed;
     private final RequestAdmission admission;
     private volatile Knowledge knowledge = () -> "";
+    private volatile JobGateway jobs = JobGateway.NONE;
     private volatile Departure departure;
     private volatile boolean accepting = true;
     private volatile boolean lastServing;
@@ -96,7 +97,8 @@
         engineClient = EngineHttpClient.start(pool, scheduler);
         connections = new EngineConnectionPool(engineClient, clock);
         engineRequests = new EngineRequestFactory(engineClient);
-        admission = new RequestAdmission(this, active, experiments, () -> knowledge.describe());
+        admission = new RequestAdmission(
+                this, active, experiments, () -> knowledge.describe(), new JobAdmission(this, active, () -> jobs));
         prober = new EngineHealthProber(engineClient, loadBalancer, clock);
         server = ProxyServer.create(
                 node.frontend().orElseThrow(), node.readiness().orElse(null), this, pool, scheduler);
@@ -116,6 +118,11 @@
         knowledge = nodeKnowledge;
     }
 
+    /** Passes calls about batch jobs to that gateway; before {@link #open}. */
+    public void passJobsTo(JobGateway gateway) {
+        jobs = gateway;
+    }
+
     /** Serves figures at that address; before {@link #open}. */
     public void serveMetrics(NodeId address, Metrics metrics) {
         server.serveMetrics(address, metrics);
--- a/src/main/java/ringspindle/proxy/RequestAdmission.java
+++ b/src/main/java/ringspindle/proxy/RequestAdmission.java
@@ -20,20 +20,26 @@
 
     /** Default: about how long a node that has just started takes until it holds what is in force. */
     private static final int NOT_READY_MS = 1000;
-    /** Default: when a client that submits a batch job may ask again. */
-    private static final int NO_BATCHES_MS = 1000;
 
     private final ProxyHandler proxy;
     private final ActiveRequests active;
     private final ExperimentOutcomes experiments;
     private final Knowledge knowledge;
+    private final JobAdmission jobs;
 
     /**
      * Admission to that proxy.
      *
      * @param knowledge what a refusal for want of a route rests on
+     * @param jobs where batch jobs go
      */
-    RequestAdmission(ProxyHandler proxy, ActiveRequests active, ExperimentOutcomes experiments, Knowledge knowledge) {
+    RequestAdmission(
+            ProxyHandler proxy,
+            ActiveRequests active,
+            ExperimentOutcomes experiments,
+            Knowledge knowledge,
+            JobAdmission jobs) {
+        this.jobs = jobs;
         this.proxy = proxy;
         this.active = active;
         this.experiments = experiments;
@@ -48,6 +54,9 @@
             client.respond(Outcome.NOT_READY, NOT_READY_MS, proxy.isLeaving());
             return;
         }
+        if (jobs.handle(request, client, current)) {
+            return;
+        }
         String host = request.getHeaders().get(HttpHeader.HOST);
         FleetConfig.Route route = current.find(host, request.getHttpURI().getPath());
         if (route == null) {
@@ -119,7 +128,7 @@
             return;
         }
         if (arrival.route().kind() == FleetConfig.Kind.BATCH) {
-            arrival.client().respond(Outcome.NO_BATCHES, NO_BATCHES_MS, proxy.isLeaving());
+            jobs.submit(arrival, body);
             return;
         }
         long nowMs = proxy.nowMs();
--- a/src/main/java/ringspindle/replication/CallKind.java
+++ b/src/main/java/ringspindle/replication/CallKind.java
@@ -25,7 +25,11 @@
     /** Replaces the serving rules. */
     RULES(9),
     /** Starts, changes, judges or ends an experiment. */
-    EXPERIMENT(10);
+    EXPERIMENT(10),
+    /** Assigns a shard to storage nodes. */
+    SHARD(11),
+    /** Asks for a storage node to be emptied. */
+    RETIRE(12);
 
     /** The argument of a {@link #READ} that asks for the serving rules in place of the configuration. */
     public static final String RULES_ARGUMENT = "rules";
--- a/src/main/java/ringspindle/replication/ControlState.java
+++ b/src/main/java/ringspindle/replication/ControlState.java
@@ -68,6 +68,8 @@
             case ROLLOUT -> marked(state, MarkKind.ROLLOUT, op.arg(), new String(op.body(), UTF_8));
             case RULES -> ruled(state, op);
             case EXPERIMENT -> marked(state, MarkKind.EXPERIMENT, op.arg(), new String(op.body(), UTF_8));
+            case SHARD -> marked(state, MarkKind.SHARD, op.arg(), new String(op.body(), UTF_8));
+            case RETIRE -> marked(state, MarkKind.RETIREMENT, op.arg(), ON);
             case READ, UNKNOWN -> next(state, state.past(), state.marks());
         };
     }
--- a/src/main/java/ringspindle/replication/MarkKind.java
+++ b/src/main/java/ringspindle/replication/MarkKind.java
@@ -15,7 +15,11 @@
     /** The serving rules; the key is empty. */
     RULES(4),
     /** An experiment, as {@link ringspindle.experiment.Experiment#write} writes it; the key is its name. */
-    EXPERIMENT(5);
+    EXPERIMENT(5),
+    /** Which storage nodes hold a shard, as {@link ringspindle.shard.ShardAssignment#write} writes it; the key is its number. */
+    SHARD(6),
+    /** A storage node that is to be emptied; the key is its name. */
+    RETIREMENT(7);
 
     private static final MarkKind[] BY_CODE = values();
 
--- a/src/main/java/ringspindle/replication/OrderDecider.java
+++ b/src/main/java/ringspindle/replication/OrderDecider.java
@@ -20,6 +20,8 @@
             case DRAIN, GONE -> leaving(state, order);
             case ROLLOUT -> RolloutOrders.decide(state, order);
             case EXPERIMENT -> ExperimentOrders.decide(state, order);
+            case SHARD -> ShardOrders.decideAssignment(state, order);
+            case RETIRE -> ShardOrders.decideRetirement(state, order);
             case READ, UNKNOWN -> Decision.answer(Outcome.NO_SUCH);
         };
     }
--- /dev/null
+++ b/src/main/java/ringspindle/storagenode/ItemExecutor.java
@@ -0,0 +1,100 @@
+package ringspindle.storagenode;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.http.HttpFields;
+import ringspindle.config.FleetConfig;
+import ringspindle.protocol.BatchMessage.ItemCancel;
+import ringspindle.protocol.BatchMessage.ItemEnd;
+import ringspindle.protocol.BatchMessage.ItemRun;
+import ringspindle.protocol.ItemOutcome;
+import ringspindle.protocol.NodeId;
+import ringspindle.proxy.ItemCall;
+import ringspindle.proxy.ItemClient;
+
+/**
+ * Runs items for the leaders of shards, this node's own among them. What a leader asked for ends with the connection to it: a leader
+ * that is cut off has its items run elsewhere. Thread safe.
+ */
+final class ItemExecutor {
+    private static final byte[] NO_TEXT = {};
+
+    /** Told how runs ended. */
+    interface Listener {
+        /** The run that a leader asked for has ended. */
+        void ended(NodeId leader, ItemEnd end);
+    }
+
+    /** A run, by who asked for it. */
+    private record RunKey(NodeId leader, long id) {}
+
+    private final ItemClient client;
+    private final StorageProxy proxy;
+    private final Listener listener;
+    private final Map<RunKey, ItemCall> runs = new ConcurrentHashMap<>();
+
+    ItemExecutor(ItemClient client, StorageProxy proxy, Listener listener) {
+        this.client = client;
+        this.proxy = proxy;
+        this.listener = listener;
+    }
+
+    /** Begins to run an item. */
+    void run(NodeId leader, ItemRun run) {
+        FleetConfig config = proxy.configurationInForce();
+        if (config == null || !proxy.isReady()) {
+            listener.ended(leader, new ItemEnd(run.id(), ItemOutcome.NO_CAPACITY.code(), NO_TEXT));
+            return;
+        }
+        FleetConfig.Route route = config.find(run.host(), pathOnly(run.path()));
+        if (route == null || route.kind() != FleetConfig.Kind.BATCH) {
+            listener.ended(leader, new ItemEnd(run.id(), ItemOutcome.NO_ROUTE.code(), NO_TEXT));
+            return;
+        }
+        ItemClient.Item item = new ItemClient.Item(
+                run.item(), run.host(), run.path(), run.tenant(), headers(run.headers()), run.body(), route);
+        RunKey key = new RunKey(leader, run.id());
+        ItemCall call = client.create(item, (outcome, text) -> ended(key, outcome, text));
+        runs.put(key, call);
+        call.begin();
+    }
+
+    private static String pathOnly(String path) {
+        int query = path.indexOf('?');
+        return query < 0 ? path : path.substring(0, query);
+    }
+
+    private static HttpFields headers(byte[] block) {
+        HttpFields.Mutable fields = HttpFields.build();
+        new String(block, UTF_8).lines().forEach(line -> {
+            int colon = line.indexOf(':');
+            if (colon > 0) {
+                fields.add(line.substring(0, colon), line.substring(colon + 1).trim());
+            }
+        });
+        return fields;
+    }
+
+    private void ended(RunKey key, ItemOutcome outcome, byte[] text) {
+        runs.remove(key);
+        listener.ended(key.leader(), new ItemEnd(key.id(), outcome.code(), text));
+    }
+
+    /** A leader does not want a run any more. */
+    void cancel(NodeId leader, ItemCancel cancel) {
+        ItemCall call = runs.remove(new RunKey(leader, cancel.id()));
+        if (call != null) {
+            call.cancel();
+        }
+    }
+
+    /** The connection to a leader is gone: all that it asked for ends. */
+    void closed(NodeId leader) {
+        runs.keySet().stream()
+                .filter(key -> key.leader().equals(leader))
+                .toList()
+                .forEach(key -> cancel(leader, new ItemCancel(key.id())));
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -0,0 +1,397 @@
+package ringspindle.storagenode;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.Executor;
+import ringspindle.batch.JobSubmission;
+import ringspindle.config.FleetConfig;
+import ringspindle.config.NodeConfig;
+import ringspindle.dataplane.NodeComponent;
+import ringspindle.gossip.FactStore;
+import ringspindle.membership.DataNodeFact;
+import ringspindle.protocol.BatchMessage.ItemCancel;
+import ringspindle.protocol.BatchMessage.ItemEnd;
+import ringspindle.protocol.BatchMessage.ItemRun;
+import ringspindle.protocol.BatchMessage.JobCall;
+import ringspindle.protocol.BatchMessage.JobReply;
+import ringspindle.protocol.FactKind;
+import ringspindle.protocol.JobCallKind;
+import ringspindle.protocol.JobStatus;
+import ringspindle.protocol.Message;
+import ringspindle.protocol.Message.Fact;
+import ringspindle.protocol.Message.Hello;
+import ringspindle.protocol.NodeId;
+import ringspindle.protocol.NodeKind;
+import ringspindle.protocol.ShardMessage.ReplicaRow;
+import ringspindle.protocol.ShardMessage.ShardAck;
+import ringspindle.protocol.ShardMessage.ShardAppend;
+import ringspindle.protocol.ShardMessage.ShardEntry;
+import ringspindle.shard.ReplicaOutput;
+import ringspindle.shard.ShardAssignment;
+import ringspindle.time.MonotonicClock;
+import ringspindle.transport.Mesh;
+
+/**
+ * The shards of a storage node: passes messages, completed writes and time to them, and carries out what they order. Owns the
+ * replicas, the jobs and which items run where; guarded by one lock, under which messages and writes are only queued.
+ */
+final class ShardHost implements NodeComponent, StorageWriter.Listener {
+    private static final int TICKS_BETWEEN_CHECKS = 10;
+    /** Part of the disk that jobs may take before none is accepted. */
+    private static final double FULL_PART = 0.8;
+
+    private static final int BYTES_PER_MB = 1 << 20;
+
+    private final Object lock = new Object();
+    private final NodeId me;
+    private final StoredState stored;
+    private final Mesh mesh;
+    private final Executor pool;
+    private final MonotonicClock clock;
+    private final StorageProxy proxy;
+    private final StorageAnnouncer announcer;
+    private final ItemDispatcher dispatcher = new ItemDispatcher();
+    private final ItemOutcomes outcomes;
+    private final List<HostedShard> shards;
+    private StorageWriter writer;
+    private ItemExecutor items;
+    private volatile NodeConfig config;
+    /** Storage nodes that are there, as far as is known. */
+    private Set<NodeId> executorsKnown = Set.of();
+
+    private long ticks;
+
+    /** Hosts what was found on disk. */
+    ShardHost(
+            NodeId me,
+            NodeConfig config,
+            StoredState stored,
+            Mesh mesh,
+            Executor pool,
+            MonotonicClock clock,
+            StorageProxy proxy,
+            StorageAnnouncer announcer) {
+        this.me = me;
+        this.config = config;
+        this.stored = stored;
+        this.mesh = mesh;
+        this.pool = pool;
+        this.clock = clock;
+        this.proxy = proxy;
+        this.announcer = announcer;
+        outcomes = new ItemOutcomes(dispatcher, proxy::configurationInForce);
+        shards = stored.host(me, config.lossesBorne() + 1, clock.nowMs());
+    }
+
+    /** Before anything else: where records and items go. */
+    void connect(StorageWriter storageWriter, ItemExecutor executor) {
+        writer = storageWriter;
+        items = executor;
+    }
+
+    /** Begins to write. */
+    void start() {
+        Thread thread = new Thread(writer, "storage-writer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Settings changed while running. */
+    void settings(NodeConfig changed) {
+        config = changed;
+    }
+
+    /** What a new file on disk begins with. */
+    List<Message> head() {
+        synchronized (lock) {
+            List<Message> head = new ArrayList<>();
+            head.add(stored.identity());
+            shards.forEach(shard -> head.add(shard.replica().promise()));
+            return head;
+        }
+    }
+
+    /** True while some shard is led here. */
+    boolean leadsAny() {
+        synchronized (lock) {
+            return shards.stream().anyMatch(shard -> shard.replica().leads());
+        }
+    }
+
+    // ---- carrying out; the lock is held
+
+    private void carryOut(HostedShard shard, List<ReplicaOutput> outputs) {
+        long nowMs = clock.nowMs();
+        for (ReplicaOutput output : outputs) {
+            if (output instanceof ReplicaOutput.Send send) {
+                send(send.to(), send.message());
+            } else if (output instanceof ReplicaOutput.Store store) {
+                writer.add(new StorageWriter.Write(shard.number(), store.record(), store.token()));
+            } else if (output instanceof ReplicaOutput.Committed committed) {
+                shard.committed(committed.entry(), nowMs).ifPresent(job -> order(dispatcher.cancel(shard, job)));
+            } else if (output instanceof ReplicaOutput.Established established) {
+                shard.established(established.epoch());
+            } else if (output instanceof ReplicaOutput.Deposed) {
+                shard.deposed();
+                order(dispatcher.cancel(shard, null));
+            } else if (output instanceof ReplicaOutput.Confirmed confirmed) {
+                shard.confirmed(confirmed.token());
+            }
+        }
+        if (shard.replica().leads()) {
+            order(dispatcher.dispatch(shard, nowMs));
+        }
+    }
+
+    private void send(NodeId to, Message message) {
+        if (!mesh.connected(to)) {
+            mesh.dial(to);
+        }
+        mesh.send(to, message);
+    }
+
+    private void order(List<ItemDispatcher.Order> orders) {
+        for (ItemDispatcher.Order order : orders) {
+            if (order.executor().equals(me)) {
+                pool.execute(() -> executeHere(me, order.message()));
+            } else {
+                send(order.executor(), order.message());
+            }
+        }
+    }
+
+    private void executeHere(NodeId leader, Message message) {
+        if (message instanceof ItemRun run) {
+            items.run(leader, run);
+        } else if (message instanceof ItemCancel cancel) {
+            items.cancel(leader, cancel);
+        }
+    }
+
+    // ---- peers
+
+    @Override
+    public void opened(Hello peer) {
+        if (peer.kind() == NodeKind.CONTROL) {
+            announcer.introduce(peer.node());
+            return;
+        }
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            for (HostedShard shard : shards) {
+                carryOut(shard, shard.replica().connected(peer.node(), nowMs));
+            }
+        }
+    }
+
+    @Override
+    public void closed(NodeId peer) {
+        items.closed(peer);
+        synchronized (lock) {
+            dispatcher.lost(peer, clock.nowMs());
+        }
+    }
+
+    @Override
+    public void received(NodeId from, Message message) {
+        if (message instanceof JobCall call) {
+            received(from, call);
+        } else if (message instanceof ItemEnd end) {
+            ended(from, end);
+        } else if (message instanceof ShardAppend append) {
+            synchronized (lock) {
+                HostedShard shard = shards.get(append.shard());
+                carryOut(shard, shard.replica().receive(from, append, clock.nowMs()));
+            }
+        } else if (message instanceof ShardAck ack) {
+            synchronized (lock) {
+                HostedShard shard = shards.get(ack.shard());
+                carryOut(shard, shard.replica().receive(from, ack, clock.nowMs()));
+            }
+        } else {
+            executeHere(from, message);
+        }
+    }
+
+    // ---- calls
+
+    private void received(NodeId from, JobCall call) {
+        HostedShard.Reply reply = (status, body) -> mesh.send(from, new JobReply(call.id(), status.code(), body));
+        boolean known = call.shard() >= 0 && call.shard() < shards.size();
+        if (!known) {
+            reply.send(JobStatus.INVALID, new byte[0]);
+            return;
+        }
+        JobSubmission submission = null;
+        FleetConfig configuration = proxy.configurationInForce();
+        FleetConfig.Route route = configuration == null ? null : configuration.route(call.route());
+        FleetConfig.BatchLimits limits = route == null ? FleetConfig.BatchLimits.NONE : route.batch();
+        if (call.kind() == JobCallKind.SUBMIT) {
+            if (route == null) {
+                // what may wait is not known here
+                reply.send(JobStatus.NOT_LEADER, new byte[0]);
+                return;
+            }
+            // read before the lock is taken: it takes its time
+            submission = JobSubmission.read(call, limits.maxWaitS());
+            if (submission instanceof JobSubmission.Refused refused) {
+                reply.send(JobStatus.INVALID, refused.error().text().getBytes(UTF_8));
+                return;
+            }
+        }
+        synchronized (lock) {
+            HostedShard shard = shards.get(call.shard());
+            if (!shard.replica().leads()) {
+                reply.send(JobStatus.NOT_LEADER, new byte[0]);
+                return;
+            }
+            carryOut(shard, take(shard, call, (JobSubmission.Proper) submission, limits, reply));
+        }
+    }
+
+    private List<ReplicaOutput> take(
+            HostedShard shard,
+            JobCall call,
+            JobSubmission.Proper submission,
+            FleetConfig.BatchLimits limits,
+            HostedShard.Reply reply) {
+        long nowMs = clock.nowMs();
+        return switch (call.kind()) {
+            case SUBMIT -> shard.submit(submission, limits.queuedTokensMax(), isFull(), reply, nowMs);
+            case RESULTS -> shard.results(call, reply, nowMs);
+            case ITEM -> shard.item(call, reply, nowMs);
+            case END -> shard.end(call, reply, nowMs);
+            case UNKNOWN -> {
+                reply.send(JobStatus.INVALID, new byte[0]);
+                yield List.of();
+            }
+        };
+    }
+
+    private boolean isFull() {
+        long diskBytes = (long) config.diskMb() * BYTES_PER_MB;
+        return diskBytes > 0 && writer.bytes() > diskBytes * FULL_PART;
+    }
+
+    // ---- items
+
+    /** A run that this node asked for has ended, here or elsewhere. */
+    void ended(NodeId executor, ItemEnd end) {
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            Optional<ItemDispatcher.Run> run = dispatcher.ended(executor, end.id());
+            if (run.isPresent() && run.get().shard().replica().leads()) {
+                HostedShard shard = run.get().shard();
+                carryOut(shard, outcomes.ended(shard, run.get(), end, nowMs));
+            }
+        }
+    }
+
+    // ---- disk
+
+    @Override
+    public void written(List<StorageWriter.Write> group, long segment) {
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            Set<HostedShard> touched = new LinkedHashSet<>();
+            for (StorageWriter.Write write : group) {
+                HostedShard shard = shards.get(write.shard());
+                touched.add(shard);
+                if (write.record() instanceof ShardEntry entry) {
+                    shard.written(entry.seq(), segment);
+                }
+            }
+            for (HostedShard shard : touched) {
+                long token = group.stream()
+                        .filter(write -> write.shard() == shard.number())
+                        .mapToLong(StorageWriter.Write::token)
+                        .max()
+                        .orElse(0);
+                carryOut(shard, shard.replica().stored(token, nowMs));
+            }
+        }
+    }
+
+    @Override
+    public long firstNeededSegment() {
+        synchronized (lock) {
+            return shards.stream()
+                    .mapToLong(HostedShard::firstNeededSegment)
+                    .min()
+                    .orElse(Long.MAX_VALUE);
+        }
+    }
+
+    // ---- facts and time
+
+    @Override
+    public void factsChanged(FactStore facts) {
+        List<ShardAssignment> assignments = ShardAssignment.readAll(facts.all(FactKind.SHARD));
+        Set<NodeId> storageNodes = new TreeSet<>();
+        for (Fact fact : facts.all(FactKind.NODE)) {
+            DataNodeFact node = DataNodeFact.of(fact.value());
+            if (node.hello().kind() == NodeKind.STORAGE && node.ready()) {
+                storageNodes.add(node.hello().node());
+            }
+        }
+        pool.execute(() -> take(assignments, storageNodes));
+    }
+
+    private void take(List<ShardAssignment> assignments, Set<NodeId> storageNodes) {
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            executorsKnown = storageNodes;
+            for (ShardAssignment assignment : assignments) {
+                HostedShard shard = shards.get(assignment.shard());
+                carryOut(shard, shard.replica().assign(assignment, nowMs));
+            }
+        }
+    }
+
+    @Override
+    public void tick(long nowMs) {
+        List<ReplicaRow> standings = new ArrayList<>();
+        synchronized (lock) {
+            ticks++;
+            boolean leads = shards.stream().anyMatch(shard -> shard.replica().leads());
+            if (leads) {
+                chooseExecutors();
+            }
+            for (HostedShard shard : shards) {
+                carryOut(shard, shard.replica().tick(nowMs));
+                if (shard.replica().leads()) {
+                    check(shard, nowMs);
+                }
+                standings.addAll(shard.replica().standings(nowMs));
+            }
+        }
+        announcer.announce(standings, nowMs);
+    }
+
+    private void check(HostedShard shard, long nowMs) {
+        carryOut(shard, shard.tick((long) (config.statusTtlS() * 1000), nowMs));
+        if (ticks % TICKS_BETWEEN_CHECKS == 0) {
+            carryOut(shard, outcomes.expire(shard, nowMs));
+        }
+    }
+
+    /** Storage nodes that are connected run items, this one among them; the others are dialled. */
+    private void chooseExecutors() {
+        Set<NodeId> connected = new TreeSet<>();
+        connected.add(me);
+        for (NodeId node : executorsKnown) {
+            if (mesh.connected(node)) {
+                connected.add(node);
+            } else if (!node.equals(me)) {
+                mesh.dial(node);
+            }
+        }
+        dispatcher.setExecutors(connected);
+    }
+}
--- a/src/test/java/ringspindle/protocol/GoldenMessages.java
+++ b/src/test/java/ringspindle/protocol/GoldenMessages.java
@@ -85,6 +85,7 @@
         golden.ledgers();
         golden.outcomes();
         golden.counters();
+        golden.messages.putAll(GoldenBatchMessages.all());
         return golden.messages;
     }
 
