--- a/src/main/java/ringspindle/shard/Leadership.java
+++ b/src/main/java/ringspindle/shard/Leadership.java
@@ -143,14 +143,10 @@
         return copies < copiesMin ? log.committed() : Math.max(log.committed(), least);
     }
 
-    /** Notes that this epoch goes on from all that was committed before; true the first time. */
-    boolean becomesEstablished() {
+    /** Notes whether this epoch goes on from all that was committed before. */
+    void establish() {
         boolean all = followers.values().stream().allMatch(each -> each.isEstablished() || !each.isRequired());
-        if (established || !all || log.committed() < inheritedSeq || !hasCopies()) {
-            return false;
-        }
-        established = true;
-        return true;
+        established |= all && log.committed() >= inheritedSeq && hasCopies();
     }
 
     private boolean hasCopies() {
@@ -168,6 +164,11 @@
         confirmations.add(new Confirmation(wantedRound, token));
     }
 
+    /** Tokens of confirmations that have not come from all. */
+    List<Long> unconfirmed() {
+        return confirmations.stream().map(Confirmation::token).toList();
+    }
+
     /** Tokens of confirmations that have come from all. */
     List<Long> confirmed() {
         long answered = followers.values().stream()
--- a/src/main/java/ringspindle/shard/ReplicaOutput.java
+++ b/src/main/java/ringspindle/shard/ReplicaOutput.java
@@ -15,8 +15,8 @@
     /** An entry is committed: it holds for good. */
     record Committed(LogEntry entry) implements ReplicaOutput {}
 
-    /** This replica leads and holds all that was committed: calls may be taken. */
-    record Established(long epoch) implements ReplicaOutput {}
+    /** This replica is the leader from now on, which it was not before. */
+    record Appointed(long epoch) implements ReplicaOutput {}
 
     /** This replica does not lead any more: calls under way are in doubt. */
     record Deposed(long epoch) implements ReplicaOutput {}
--- a/src/main/java/ringspindle/shard/ShardReplica.java
+++ b/src/main/java/ringspindle/shard/ShardReplica.java
@@ -104,7 +104,12 @@
         return assignment;
     }
 
-    /** True if calls may be taken here. */
+    /** True if this replica is the leader of the newest epoch that it knows: records may be proposed. */
+    public boolean isLeader() {
+        return leadership != null;
+    }
+
+    /** True if it holds all that was committed, too: calls may be taken here. */
     public boolean leads() {
         return leadership != null && leadership.isEstablished();
     }
@@ -121,16 +126,23 @@
             return out;
         }
         assignment = newer;
-        boolean leads = newer.leader().equals(new ShardMember(me, store)) && newer.leaderBoot() == boot;
-        if (leadership != null) {
-            out.add(new ReplicaOutput.Deposed(leadership.epoch()));
-            leadership = null;
+        boolean leads = newer.leader().equals(new ShardMember(me, store))
+                && newer.leaderBoot() == boot
+                && newer.epoch() > promisedEpoch;
+        if (!leads) {
+            resign(out);
+            return out;
         }
-        if (leads && newer.epoch() > promisedEpoch) {
-            promise(newer.epoch(), out);
-            leadership = new Leadership(newer, log, copiesMin);
-            goOn(nowMs, out);
+        promise(newer.epoch(), out);
+        Leadership before = leadership;
+        leadership = new Leadership(newer, log, copiesMin);
+        if (before == null) {
+            out.add(new ReplicaOutput.Appointed(newer.epoch()));
+        } else {
+            // the same process leads on: what waits for a commit or a confirmation gets it under the new epoch
+            before.unconfirmed().forEach(leadership::confirm);
         }
+        goOn(nowMs, out);
         return out;
     }
 
@@ -145,7 +157,7 @@
         return lastToken;
     }
 
-    /** Appends a record; only while {@link #leads}. */
+    /** Appends a record; only while {@link #isLeader}. */
     public List<ReplicaOutput> propose(byte[] record, long nowMs) {
         List<ReplicaOutput> out = new ArrayList<>();
         append(new LogEntry(leadership.epoch(), log.lastSeq() + 1, record), out);
@@ -161,7 +173,7 @@
         writes.add(new PendingEntry(token, entry.seq()));
     }
 
-    /** Asks whether all replicas follow this leader still; {@link ReplicaOutput.Confirmed} says so. Only while {@link #leads}. */
+    /** Asks whether all replicas follow this leader still; {@link ReplicaOutput.Confirmed} says so. Only while {@link #isLeader}. */
     public List<ReplicaOutput> confirm(long token, long nowMs) {
         List<ReplicaOutput> out = new ArrayList<>();
         leadership.confirm(token);
@@ -277,6 +289,11 @@
         return leadership == null ? List.of() : leadership.standings(nowMs);
     }
 
+    /** All entries that are held, oldest first. */
+    List<LogEntry> entries() {
+        return log.after(0, Integer.MAX_VALUE, Long.MAX_VALUE);
+    }
+
     /** Drops committed entries that nobody needs any more. */
     public void drop(Predicate<LogEntry> unneeded) {
         log.drop(unneeded);
@@ -287,9 +304,7 @@
             return;
         }
         commit(leadership.committable(storedSeq), out);
-        if (leadership.becomesEstablished()) {
-            out.add(new ReplicaOutput.Established(leadership.epoch()));
-        }
+        leadership.establish();
         leadership.confirmed().forEach(token -> out.add(new ReplicaOutput.Confirmed(token)));
         leadership.pump(nowMs, out);
     }
--- a/src/main/java/ringspindle/storagenode/HostedShard.java
+++ b/src/main/java/ringspindle/storagenode/HostedShard.java
@@ -292,7 +292,7 @@
                 .ifPresent(confirmation -> confirmation.answer().run());
     }
 
-    void established(long epoch) {
+    void appointed(long epoch) {
         queue = new RunQueue();
         LOG.atInfo().log(
                 "shard %s: leads under epoch %s with %s jobs",
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -135,8 +135,8 @@
                 writer.add(new StorageWriter.Write(shard.number(), store.record(), store.token()));
             } else if (output instanceof ReplicaOutput.Committed committed) {
                 shard.committed(committed.entry(), nowMs).ifPresent(job -> order(dispatcher.cancel(shard, job)));
-            } else if (output instanceof ReplicaOutput.Established established) {
-                shard.established(established.epoch());
+            } else if (output instanceof ReplicaOutput.Appointed appointed) {
+                shard.appointed(appointed.epoch());
             } else if (output instanceof ReplicaOutput.Deposed) {
                 shard.deposed();
                 order(dispatcher.cancel(shard, null));
@@ -286,7 +286,7 @@
         long nowMs = clock.nowMs();
         synchronized (lock) {
             Optional<ItemDispatcher.Run> run = dispatcher.ended(executor, end.id());
-            if (run.isPresent() && run.get().shard().replica().leads()) {
+            if (run.isPresent() && run.get().shard().replica().isLeader()) {
                 HostedShard shard = run.get().shard();
                 carryOut(shard, outcomes.ended(shard, run.get(), end, nowMs));
             }
