Tenants: who asks is told by the key, homes and priority bind, withdrawn keys lapse

Change: tenants in the configuration, keys by digest; 401 for an unknown key, 503 where what is known of keys may be too old. A control node in touch with a majority proves what a data node holds by the number of the last committed operation; the lease on keys runs from when the heartbeat was sent.

--- a/src/main/java/ringspindle/api/Outcome.java
+++ b/src/main/java/ringspindle/api/Outcome.java
@@ -43,7 +43,9 @@
     /** A batch job is kept and will run. */
     ACCEPTED(202, false),
     /** More waits or comes than the caller may have; nothing of this is kept or runs. */
-    OVER_QUOTA(429, true);
+    OVER_QUOTA(429, true),
+    /** There is no key that a tenant holds. */
+    UNAUTHORIZED(401, false);
 
     private final int status;
     private final boolean notRun;
--- a/src/main/java/ringspindle/config/ConfigError.java
+++ b/src/main/java/ringspindle/config/ConfigError.java
@@ -84,6 +84,14 @@
         }
     }
 
+    /** Two tenants hold the same key, which is not told. */
+    record SharedKey(String one, String other) implements ConfigError {
+        @Override
+        public String text() {
+            return "apiKeys of tenants " + one + " and " + other + " have a key in common";
+        }
+    }
+
     /** A field that the format does not have. */
     record UnknownField(String place, String field) implements ConfigError {
         @Override
--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -35,6 +35,7 @@
      * @param tokenGapMs the longest pause between events, in milliseconds, that keeps an answer in time
      * @param allowedRegions the regions that may serve it
      * @param batch what holds for batch jobs, of a batch route
+     * @param isPublic whether requests need no key
      */
     public record Route(
             String name,
@@ -50,7 +51,8 @@
             boolean sticky,
             int tokenGapMs,
             AllowedRegions allowedRegions,
-            BatchLimits batch) {
+            BatchLimits batch,
+            boolean isPublic) {
         /** True if a request may safely run more than once. */
         public boolean repeatable() {
             return kind == Kind.IDEMPOTENT || resumable;
@@ -120,8 +122,16 @@
     private final Map<String, Route> routesByName = new HashMap<>();
     private final Map<String, Service> services = new HashMap<>();
     private final Limits limits;
+    private final List<Tenant> tenants;
 
-    FleetConfig(JsonObject source, long revision, List<Route> routes, List<Service> services, Limits limits) {
+    FleetConfig(
+            JsonObject source,
+            long revision,
+            List<Route> routes,
+            List<Service> services,
+            Limits limits,
+            List<Tenant> tenants) {
+        this.tenants = List.copyOf(tenants);
         this.source = source;
         this.revision = revision;
         this.limits = limits;
@@ -169,6 +179,11 @@
         return limits;
     }
 
+    /** The tenants; without any, whoever asks is served. */
+    public List<Tenant> tenants() {
+        return tenants;
+    }
+
     /** A service by its name, null if there is none. */
     public Service service(String name) {
         return services.get(name);
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -5,6 +5,7 @@
 import static ringspindle.config.StrictJson.object;
 import static ringspindle.config.StrictJson.objects;
 
+import com.google.common.hash.HashCode;
 import jakarta.json.JsonArray;
 import jakarta.json.JsonNumber;
 import jakarta.json.JsonObject;
@@ -40,6 +41,9 @@
     private final List<ConfigError> errors = new ArrayList<>();
     private final Set<String> serviceNames = new HashSet<>();
     private final Set<String> routeNames = new HashSet<>();
+    private final Set<String> tenantNames = new HashSet<>();
+    /** Name of the tenant that holds each key, by the key's digest. */
+    private final Map<HashCode, String> keyHolders = new HashMap<>();
     /** Name of the route of each host and prefix. */
     private final Map<String, String> routesByPlace = new HashMap<>();
 
@@ -63,10 +67,12 @@
         List<Route> routes = new ArrayList<>();
         objects(document, "routes").forEach(json -> routes.add(route(json)));
         Limits limits = limits(object(document, "limits"));
+        List<Tenant> tenants = new ArrayList<>();
+        objects(document, "tenants").forEach(json -> tenants.add(tenant(json)));
         if (!errors.isEmpty()) {
             return new Invalid<>(errors);
         }
-        return new Valid<>(new FleetConfig(document, revision.longValueExact(), routes, services, limits));
+        return new Valid<>(new FleetConfig(document, revision.longValueExact(), routes, services, limits, tenants));
     }
 
     private Service service(JsonObject json) {
@@ -108,8 +114,9 @@
                 json.getBoolean("resumable", false),
                 json.getBoolean("sticky", false),
                 integer(json, "tokenGapMs", DEFAULT_TOKEN_GAP_MS),
-                allowedRegions(json, name),
-                new BatchLimits((long) number(json, "maxQueuedTokens", 0), integer(json, "maxWaitS", 0)));
+                allowedRegions(json, "route " + name),
+                new BatchLimits((long) number(json, "maxQueuedTokens", 0), integer(json, "maxWaitS", 0)),
+                json.getBoolean("public", false));
     }
 
     private String uniqueName(JsonObject json, Set<String> names) {
@@ -145,7 +152,7 @@
     }
 
     /** Where a route may be served. What cannot be read must not pass for leave to serve it anywhere. */
-    private AllowedRegions allowedRegions(JsonObject route, String routeName) {
+    private AllowedRegions allowedRegions(JsonObject route, String owner) {
         JsonValue value = route.get(HOME_REGIONS);
         if (value == null) {
             return AllowedRegions.ANY;
@@ -155,11 +162,38 @@
             array.getValuesAs(JsonString.class).forEach(region -> homes.add(region.getString()));
             return homes.isEmpty() ? AllowedRegions.ANY : new AllowedRegions.Only(Set.copyOf(homes));
         }
-        String key = HOME_REGIONS + " of route " + routeName;
+        String key = HOME_REGIONS + " of " + owner;
         errors.add(new ConfigError.InvalidValue(key, value.toString(), "a list of names of regions"));
         return AllowedRegions.UNKNOWN;
     }
 
+    private Tenant tenant(JsonObject json) {
+        String name = uniqueName(json, tenantNames);
+        Set<HashCode> digests = new HashSet<>();
+        if (json.get("apiKeys") instanceof JsonArray keys) {
+            for (JsonString key : keys.getValuesAs(JsonString.class)) {
+                HashCode digest = Tenant.digest(key.getString());
+                digests.add(digest);
+                String other = keyHolders.put(digest, name);
+                if (other != null && !other.equals(name)) {
+                    errors.add(new ConfigError.SharedKey(other, name));
+                }
+            }
+        }
+        double ratePerS = number(json, "ratePerS", 0);
+        double burstSize = number(json, "burstSize", 0);
+        if (ratePerS < 0 || burstSize < 0) {
+            errors.add(new ConfigError.OutOfRange("ratePerS and burstSize of tenant " + name, "below 0", "0 or more"));
+        }
+        return new Tenant(
+                name,
+                Set.copyOf(digests),
+                integer(json, "priority", 0),
+                ratePerS,
+                burstSize,
+                allowedRegions(json, "tenant " + name));
+    }
+
     private static Kind kind(JsonObject route) {
         return switch (route.getString("routeKind", "mutating")) {
             case "idempotent" -> Kind.IDEMPOTENT;
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -55,6 +55,7 @@
                 integer("bound.warmupSlack", 0),
                 integer("bound.evacuationMs", 5000),
                 number("bound.ttlS", 5),
+                Boolean.parseBoolean(text("bound.revocationStrict")) ? integer("bound.revokeMs", 5000) : 0,
                 number("bound.statusTtlS", 120),
                 integer("limit.diskMb", 0),
                 integer("loss.nodes", 1));
--- a/src/main/java/ringspindle/controlplane/CommittedFacts.java
+++ b/src/main/java/ringspindle/controlplane/CommittedFacts.java
@@ -17,6 +17,8 @@
  * announced, so merging is left to a thread of the pool; states may then be merged in any order, as the newer fact wins.
  */
 final class CommittedFacts implements ReplicationDriver.CommitListener {
+    private static final byte[] NO_VALUE = {};
+
     private final Executor pool;
     private final FleetState fleet;
     private final ServingState serving;
@@ -61,6 +63,8 @@
             facts.add(new Fact(
                     factKind(mark), mark.key(), 0, mark.version(), mark.value().getBytes(UTF_8)));
         }
+        // behind all others: whoever holds it holds these
+        facts.add(new Fact(FactKind.COMMITTED, "", 0, state.seq(), NO_VALUE));
         return facts;
     }
 
--- a/src/main/java/ringspindle/controlplane/FactHandler.java
+++ b/src/main/java/ringspindle/controlplane/FactHandler.java
@@ -1,8 +1,11 @@
 package ringspindle.controlplane;
 
+import java.util.List;
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.membership.FactValidator;
+import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Digest;
+import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.Message.News;
 import ringspindle.protocol.NodeId;
 
@@ -19,8 +22,12 @@
     /** Facts came; those that cannot be read are refused before the first is taken. */
     void received(NodeId from, News news) {
         FactValidator.check(news.items());
+        // what is committed a control node knows by itself, and not before it has merged it
+        List<Fact> told = news.items().stream()
+                .filter(fact -> fact.kind() != FactKind.COMMITTED)
+                .toList();
         synchronized (fleet.lock) {
-            fleet.facts().merge(news.items());
+            fleet.facts().merge(told);
             fleet.facts().store().markKnown(from, news.items());
         }
     }
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -125,12 +125,23 @@
         SessionTable.Peer peer = gossip.sessions().peer(from);
         if (peer != null && peer.serves()) {
             majorityHeardMs = nowMs;
+            proveKnowledge(peer);
         }
         if (peer != null && repairs.onHeartbeat(from, gossip.facts().digest(), heartbeat.digest())) {
             mesh.send(from, new Digest(gossip.facts().ranges()));
         }
     }
 
+    /** The control node answers for what was committed when the heartbeat that it echoes was sent; this node may hold less. */
+    private void proveKnowledge(SessionTable.Peer controlNode) {
+        Fact committed = gossip.facts().get(FactKind.COMMITTED, "");
+        boolean holdsAll = committed != null
+                && committed.version() >= controlNode.heartbeat().seq();
+        if (filled && holdsAll && unapplied.isEmpty()) {
+            proxy.proveKnowledge(controlNode.contactMs());
+        }
+    }
+
     /** Facts that cannot be read are refused before the first is taken. */
     private void received(NodeId from, News news, long nowMs) {
         FactValidator.check(news.items());
--- a/src/main/java/ringspindle/dataplane/UnappliedFacts.java
+++ b/src/main/java/ringspindle/dataplane/UnappliedFacts.java
@@ -38,6 +38,11 @@
         sinceMs.keySet().retainAll(failed);
     }
 
+    /** True if all that is known is in force. */
+    boolean isEmpty() {
+        return sinceMs.isEmpty();
+    }
+
     /** How many facts have been known for longer than that and are not in force. */
     int countOver(long ageMs, long nowMs) {
         return (int)
--- a/src/main/java/ringspindle/protocol/FactKind.java
+++ b/src/main/java/ringspindle/protocol/FactKind.java
@@ -31,7 +31,12 @@
     /** What a storage node says of itself; the key names the node and its disk. */
     STORAGE(13),
     /** A storage node that is to be emptied; the key is its name. */
-    RETIREMENT(14);
+    RETIREMENT(14),
+    /**
+     * Up to which operation of the control state the facts before this one go; its version is that number. Control nodes tell data
+     * nodes, and take it from nobody.
+     */
+    COMMITTED(15);
 
     private static final FactKind[] BY_CODE = values();
 
--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -4,7 +4,9 @@
 import java.util.Set;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
+import ringspindle.config.AllowedRegions;
 import ringspindle.config.FleetConfig;
+import ringspindle.config.Tenant;
 import ringspindle.experiment.Assignment;
 import ringspindle.experiment.Policy;
 import ringspindle.loadbalancing.LoadBalancer;
@@ -13,12 +15,16 @@
 import ringspindle.routing.RequestAttributes;
 import ringspindle.routing.ServingRule;
 import ringspindle.routing.ServingRules;
+import ringspindle.tenancy.Identity;
 
 /**
  * A client's request that was read whole, with the route and the serving rules that it was admitted under. All that is
  * done for it follows these, whatever configuration comes since.
  */
 final class AdmittedRequest {
+    /** Ranks of routes and rules within one rank of tenants. */
+    private static final int RANKS_OF_A_TENANT = 4;
+
     private final Request request;
     private final byte[] body;
     private final FleetConfig.Route route;
@@ -27,6 +33,7 @@
     private final long receivedMs;
     private final long timeLimitMs;
     private final ServingRules rules;
+    private final Identity identity;
     private final boolean mayOutliveNode;
     private final Optional<Assignment> assignment;
     private final ServingRule rule;
@@ -48,6 +55,7 @@
         attemptId = arrival.attemptId();
         receivedMs = arrival.receivedMs();
         timeLimitMs = arrival.timeLimitMs();
+        identity = arrival.identity();
         mayOutliveNode = arrival.mayOutliveNode();
         this.body = body;
         this.service = service;
@@ -70,7 +78,7 @@
                 request.getHttpURI().getPath(),
                 header(Headers.MODEL, ""),
                 promptTokens,
-                route.allowedRegions().isRestricted());
+                allowedRegions().isRestricted());
     }
 
     Request request() {
@@ -136,9 +144,26 @@
         return rules == null ? 0 : rules.revision();
     }
 
-    /** Its rank among requests that wait, 0 being served first: the rule's, else the route's. */
+    /** Its rank among requests that wait, 0 being served first: the tenant's before the rule's, or else the route's. */
     int priority() {
-        return rule == null || rule.rank() < 0 ? route.priority() : rule.rank();
+        int own = rule == null || rule.rank() < 0 ? route.priority() : rule.rank();
+        return tenant().map(Tenant::priority).orElse(0) * RANKS_OF_A_TENANT + own;
+    }
+
+    /** True where there are tenants, though this may be anyone's request. */
+    boolean isOfTenants() {
+        return !(identity instanceof Identity.Anyone anyone) || anyone.amongTenants();
+    }
+
+    /** Whose request it is, empty where it is anyone's. */
+    Optional<Tenant> tenant() {
+        return identity instanceof Identity.Known known ? Optional.of(known.tenant()) : Optional.empty();
+    }
+
+    /** The regions that may serve it: homes of the route and of the tenant. */
+    private AllowedRegions allowedRegions() {
+        AllowedRegions ofRoute = route.allowedRegions();
+        return tenant().map(tenant -> ofRoute.and(tenant.homes())).orElse(ofRoute);
     }
 
     /**
@@ -152,7 +177,7 @@
             Set<String> attemptedEngines, long weightVersion, long random, long waitedMs) {
         return new LoadBalancer.SelectionRequest(
                 service,
-                route.allowedRegions(),
+                allowedRegions(),
                 affinityKey(),
                 sharedTokens(),
                 ownTokens(),
--- a/src/main/java/ringspindle/proxy/EngineRequestFactory.java
+++ b/src/main/java/ringspindle/proxy/EngineRequestFactory.java
@@ -41,6 +41,7 @@
                 forAddress(client, address, admitted.request().getHttpURI().getPathQuery());
         engineRequest.method(admitted.request().getMethod()).headers(fields -> {
             copyFields(admitted.headers(), fields, resumeFrom != null);
+            putTenant(admitted, fields);
             fields.put(Headers.DEADLINE_MS, Long.toString(Math.max(1, timeLeftMs)));
             fields.put(Headers.TARGET_INSTANCE, instanceId);
             if (admitted.isStreaming()) {
@@ -102,6 +103,16 @@
         }
     }
 
+    /** An engine is told whose request it is, and never a key. */
+    private static void putTenant(AdmittedRequest admitted, HttpFields.Mutable fields) {
+        if (!admitted.isOfTenants()) {
+            return;
+        }
+        fields.remove(HttpHeader.AUTHORIZATION);
+        fields.remove(Headers.TENANT);
+        admitted.tenant().ifPresent(tenant -> fields.put(Headers.TENANT, tenant.name()));
+    }
+
     private static void putPosition(HttpFields.Mutable fields, StreamPosition position) {
         fields.put(Headers.LAST_EVENT_ID, Long.toString(position.lastId()));
         if (position.weightVersion() >= 0) {
--- a/src/main/java/ringspindle/proxy/Proxy.java
+++ b/src/main/java/ringspindle/proxy/Proxy.java
@@ -32,6 +32,13 @@
     /** A control node has told all that is in force: from now on requests are taken. */
     void markConfirmed();
 
+    /**
+     * What is in force here was proven to be what is committed.
+     *
+     * @param heartbeatSentMs when the heartbeat was sent by whose answer that is known, on the steady clock
+     */
+    void proveKnowledge(long heartbeatSentMs);
+
     /** True while new clients are welcome. */
     boolean isReady();
 
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import org.eclipse.jetty.client.HttpClient;
@@ -33,6 +32,7 @@
 import ringspindle.retry.TerminalEvent;
 import ringspindle.routing.RequestLedger;
 import ringspindle.routing.ServingRules;
+import ringspindle.tenancy.KeyLease;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.LifeCycles;
 
@@ -43,7 +43,6 @@
     static final int REQUEST_HEADERS_MAX = 32768;
 
     private static final String READINESS_PATH = "/ringspindle/readiness";
-    private static final int QUEUE_PERIOD_MS = 20;
 
     /** Default: about how long a data node takes to come back; what clients that only the last one could serve are told. */
     private static final int RESTART_MS = 800;
@@ -58,8 +57,7 @@
     private final MonotonicClock clock;
     private final Scheduler scheduler;
     private final QueuedThreadPool pool;
-    private final WaitQueue queue = new WaitQueue();
-    private final AtomicBoolean queueScheduled = new AtomicBoolean();
+    private final WaitQueueTimer queue = new WaitQueueTimer(this::schedule);
     private final AtomicLong actionIds = new AtomicLong();
     private final ActiveRequests active = new ActiveRequests();
     private final Map<String, LongAdder> endCounts = new ConcurrentHashMap<>();
@@ -68,6 +66,7 @@
     private volatile ServingRules rules;
     private volatile FleetConfig config;
     private volatile boolean confirmed;
+    private final CallerIdentification callers;
     private final RequestAdmission admission;
     private volatile Knowledge knowledge = () -> "";
     private volatile JobGateway jobs = JobGateway.NONE;
@@ -97,8 +96,14 @@
         engineClient = EngineHttpClient.start(pool, scheduler);
         connections = new EngineConnectionPool(engineClient, clock);
         engineRequests = new EngineRequestFactory(engineClient);
+        callers = new CallerIdentification(new KeyLease(node.revokeMs()));
         admission = new RequestAdmission(
-                this, active, experiments, () -> knowledge.describe(), new JobAdmission(this, active, () -> jobs));
+                this,
+                active,
+                experiments,
+                () -> knowledge.describe(),
+                new JobAdmission(this, active, () -> jobs),
+                callers);
         prober = new EngineHealthProber(engineClient, loadBalancer, clock);
         server = ProxyServer.create(
                 node.frontend().orElseThrow(), node.readiness().orElse(null), this, pool, scheduler);
@@ -169,6 +174,11 @@
         confirmed = true;
     }
 
+    @Override
+    public void proveKnowledge(long heartbeatSentMs) {
+        callers.prove(heartbeatSentMs);
+    }
+
     @Override
     public boolean isReady() {
         return configurationInForce() != null && !isLeaving();
@@ -329,17 +339,9 @@
 
     /** Lets a request try again soon, in the order of priority. */
     void enqueue(ProxiedRequest request) {
-        if (queueScheduled.compareAndSet(false, true)) {
-            schedule(this::drainQueue, QUEUE_PERIOD_MS);
-        }
         queue.add(request);
     }
 
-    private void drainQueue() {
-        queueScheduled.set(false);
-        queue.drain().forEach(ProxiedRequest::onDequeued);
-    }
-
     void logOutOfOrder(StreamEvent event, ProxiedRequest request, String engineId) {
         LOG.atWarning().log(
                 "event out of order: action=%s attempt=%s engine=%s event=%s after=%s",
--- a/src/main/java/ringspindle/proxy/RequestAdmission.java
+++ b/src/main/java/ringspindle/proxy/RequestAdmission.java
@@ -10,6 +10,7 @@
 import ringspindle.config.FleetConfig;
 import ringspindle.experiment.Assignment;
 import ringspindle.logging.LogField;
+import ringspindle.tenancy.Identity;
 
 /**
  * Takes clients' requests: matches them to routes, checks what their heads say, reads their bodies, and begins those that may
@@ -26,20 +27,24 @@
     private final ExperimentOutcomes experiments;
     private final Knowledge knowledge;
     private final JobAdmission jobs;
+    private final CallerIdentification callers;
 
     /**
      * Admission to that proxy.
      *
      * @param knowledge what a refusal for want of a route rests on
      * @param jobs where batch jobs go
+     * @param callers tells who sends a request
      */
     RequestAdmission(
             ProxyHandler proxy,
             ActiveRequests active,
             ExperimentOutcomes experiments,
             Knowledge knowledge,
-            JobAdmission jobs) {
+            JobAdmission jobs,
+            CallerIdentification callers) {
         this.jobs = jobs;
+        this.callers = callers;
         this.proxy = proxy;
         this.active = active;
         this.experiments = experiments;
@@ -77,12 +82,22 @@
             client.respond(Outcome.MALFORMED, 0, proxy.isLeaving());
             return;
         }
+        Identity identity = callers.identify(request, current, route, receivedMs);
+        if (identity instanceof Identity.Unknown) {
+            client.respond(Outcome.UNAUTHORIZED, 0, proxy.isLeaving());
+            return;
+        }
+        if (identity instanceof Identity.Uncertain) {
+            client.respond(Outcome.UNCLEAR, NOT_READY_MS, proxy.isLeaving());
+            return;
+        }
         boolean mayOutliveNode = proxy.mayBeOutlivedBy(receivedMs, timeLimitMs);
         if (mayOutliveNode && !proxy.servesAsLast()) {
             refuseAsLeaving(client);
             return;
         }
-        Arrival arrival = new Arrival(request, client, route, attemptId, receivedMs, timeLimitMs, mayOutliveNode);
+        Arrival arrival =
+                new Arrival(request, client, route, attemptId, receivedMs, timeLimitMs, identity, mayOutliveNode);
         readBody(arrival, current.limits().bodyBytes());
     }
 
--- a/src/main/java/ringspindle/storagenode/StorageProxy.java
+++ b/src/main/java/ringspindle/storagenode/StorageProxy.java
@@ -70,6 +70,11 @@
         confirmed = true;
     }
 
+    @Override
+    public void proveKnowledge(long heartbeatSentMs) {
+        // no client's key is gone by here
+    }
+
     @Override
     public boolean isReady() {
         return !leaving;
--- a/src/test/java/ringspindle/dataplane/HollowDataNode.java
+++ b/src/test/java/ringspindle/dataplane/HollowDataNode.java
@@ -110,6 +110,9 @@
         confirmed = true;
     }
 
+    @Override
+    public void proveKnowledge(long heartbeatSentMs) {}
+
     @Override
     public boolean isReady() {
         return confirmed && revision >= 0;
