--- a/src/main/java/ringspindle/api/Operation.java
+++ b/src/main/java/ringspindle/api/Operation.java
@@ -21,7 +21,11 @@
     EXPERIMENT("POST", "experiments", "name"),
     COUNTERS("GET", "tallies", ""),
     COUNTER_GET("GET", "tallies", "id"),
-    COUNTER_ADD("POST", "tallies", "id");
+    COUNTER_ADD("POST", "tallies", "id"),
+    VERSION_START("POST", "rollouts", ""),
+    VERSION_GET("GET", "rollouts", "service"),
+    RETIRE("POST", "retire", "node"),
+    RETIREMENT("GET", "retire", "node");
 
     /** What all paths start with. */
     public static final String BASE = "/ringspindle/";
--- a/src/main/java/ringspindle/config/NodeConfig.java
+++ b/src/main/java/ringspindle/config/NodeConfig.java
@@ -43,6 +43,7 @@
  * @param warmupSlack requests by which it may exceed it besides
  * @param evacuationMs milliseconds until an evacuation is in force everywhere
  * @param ttlS seconds for which clients may keep addresses of data nodes
+ * @param platform the platform's interface
  * @param revokeMs milliseconds after which a withdrawn key admits nothing anywhere, 0 if that is not asked for
  * @param statusTtlS seconds for which a batch job and its results are kept after it was sent
  * @param diskMb room on the data disk in MiB, 0 if not known
@@ -76,6 +77,7 @@
         int warmupSlack,
         int evacuationMs,
         double ttlS,
+        PlatformSettings platform,
         int revokeMs,
         double statusTtlS,
         int diskMb,
@@ -143,6 +145,7 @@
                 next.warmupSlack,
                 next.evacuationMs,
                 next.ttlS,
+                platform,
                 revokeMs,
                 next.statusTtlS,
                 diskMb,
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -1,11 +1,13 @@
 package ringspindle.config;
 
+import com.google.common.base.Splitter;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Properties;
+import java.util.Set;
 import java.util.TreeMap;
 import ringspindle.config.Validated.Invalid;
 import ringspindle.config.Validated.Valid;
@@ -14,6 +16,7 @@
 /** Reads the settings of a node by their keys, and collects all errors on the way. */
 final class NodeConfigReader {
     private static final String ZONE_PREFIX = "zone.";
+    private static final int DEFAULT_WINDOW_S = 5;
 
     private final Properties properties;
     private final List<ConfigError> errors = new ArrayList<>();
@@ -55,6 +58,7 @@
                 integer("bound.warmupSlack", 0),
                 integer("bound.evacuationMs", 5000),
                 number("bound.ttlS", 5),
+                platform(),
                 Boolean.parseBoolean(text("bound.revocationStrict")) ? integer("bound.revokeMs", 5000) : 0,
                 number("bound.statusTtlS", 120),
                 integer("limit.diskMb", 0),
@@ -62,6 +66,17 @@
         return errors.isEmpty() ? new Valid<>(config) : new Invalid<>(List.copyOf(errors));
     }
 
+    private PlatformSettings platform() {
+        Set<String> duties =
+                Set.copyOf(Splitter.on(',').trimResults().omitEmptyStrings().splitToList(text("platform.duties")));
+        int windowS = integer("bound.reportWindowS", DEFAULT_WINDOW_S);
+        return new PlatformSettings(
+                endpoint("platform.address"),
+                duties,
+                windowS < 1 ? DEFAULT_WINDOW_S : windowS,
+                integer("bound.leaseMs", 3000));
+    }
+
     private void checkIp(String key, String ip) {
         if (ip.isEmpty()) {
             return;
--- a/src/main/java/ringspindle/controlplane/CommittedFacts.java
+++ b/src/main/java/ringspindle/controlplane/CommittedFacts.java
@@ -60,6 +60,10 @@
             facts.add(new Fact(FactKind.CONFIG, "", 0, state.revision(), state.config()));
         }
         for (Mark mark : state.marks()) {
+            if (MarkKind.METERING.marks(mark)) {
+                // of use to the head alone, which has the state
+                continue;
+            }
             facts.add(new Fact(
                     factKind(mark), mark.key(), 0, mark.version(), mark.value().getBytes(UTF_8)));
         }
@@ -76,6 +80,7 @@
             case EXPERIMENT -> FactKind.EXPERIMENT;
             case SHARD -> FactKind.SHARD;
             case RETIREMENT -> FactKind.RETIREMENT;
+            case VERSION -> FactKind.VERSION;
             default -> FactKind.ROLLOUT;
         };
     }
--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -6,6 +6,7 @@
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.controlplane.server.ControlApiHandler;
+import ringspindle.metering.UsageLedger;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -47,13 +48,20 @@
     private final FleetQueries queries;
     private final MessageDispatcher dispatcher;
     private final ControlNodeTasks tasks;
+    private final UsageLedger usage = new UsageLedger();
 
     /**
      * Reads what the storage holds and opens nothing yet.
      *
      * @param reports asks engines what they still run, while a roll-out goes on
+     * @param platform calls the platform, while this node has a duty there
      */
-    public ControlNode(NodeConfig config, NodeEnvironment environment, Storage storage, EngineReportClient reports)
+    public ControlNode(
+            NodeConfig config,
+            NodeEnvironment environment,
+            Storage storage,
+            EngineReportClient reports,
+            PlatformClient platform)
             throws Exception {
         this.config = config;
         this.storage = storage;
@@ -77,7 +85,9 @@
         HeadDuties headDuties = new HeadDuties(
                 new RolloutTask(me, fleet, engines, replication, reports),
                 new ExperimentTask(context, environment.incarnation(), fleet, replication),
-                new ShardTask(me, fleet, replication, config.lossesBorne()));
+                new ShardTask(me, fleet, replication, config.lossesBorne()),
+                new MeteringTask(context, replication, serving, usage, platform),
+                new VersionRolloutTask(me, fleet, replication));
         tasks = new ControlNodeTasks(
                 context,
                 storage,
@@ -109,7 +119,9 @@
                 counters,
                 heartbeats,
                 new FactHandler(fleet, serving),
-                new LoadHandler(fleet));
+                new LoadHandler(fleet),
+                new QuotaHandler(context, replication, serving),
+                new UsageHandler(context, replication, usage));
     }
 
     private static Hello greeting(NodeId me, NodeConfig settings, long incarnation) {
@@ -214,6 +226,11 @@
         return engines;
     }
 
+    /** Questions about storage nodes. */
+    public StorageNodes storageNodes() {
+        return new StorageNodes(context, fleet);
+    }
+
     /** Questions about the fleet. */
     public FleetQueries queries() {
         return queries;
--- a/src/main/java/ringspindle/controlplane/EngineReportClient.java
+++ b/src/main/java/ringspindle/controlplane/EngineReportClient.java
@@ -9,12 +9,9 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.BufferingResponseListener;
-import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Result;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.thread.Scheduler;
-import ringspindle.transport.PlainConnector;
 
 /**
  * Asks engines how many requests they still run. The HTTP client is started when first needed, as most nodes never are.
@@ -32,16 +29,12 @@
         void reported(String id, int active, int queued);
     }
 
-    private final Executor pool;
-    private final Scheduler scheduler;
+    private final LazyHttpClient client;
     private volatile Listener listener = (id, active, queued) -> {};
-    /** Null until first needed; guarded by this. */
-    private HttpClient client;
 
     /** Asks on those threads; nobody hears the answers until {@link #listener} is called. */
     public EngineReportClient(Executor pool, Scheduler scheduler) {
-        this.pool = pool;
-        this.scheduler = scheduler;
+        client = new LazyHttpClient(pool, scheduler, TIMEOUT_MS);
     }
 
     /** Sets who hears of reports; {@code reports.listener(engines::reported)}. */
@@ -60,7 +53,8 @@
             return;
         }
         try {
-            client().newRequest(URI.create("http://" + address + PATH))
+            client.get()
+                    .newRequest(URI.create("http://" + address + PATH))
                     .timeout(TIMEOUT_MS, TimeUnit.MILLISECONDS)
                     .send(new BufferingResponseListener(BODY_MAX) {
                         @Override
@@ -83,16 +77,4 @@
             // the roll-out asks again in a moment
         }
     }
-
-    private synchronized HttpClient client() throws Exception {
-        if (client == null) {
-            client = new HttpClient(new HttpClientTransportOverHTTP(new PlainConnector()));
-            client.setExecutor(pool);
-            client.setScheduler(scheduler);
-            client.setConnectTimeout(TIMEOUT_MS);
-            client.setUserAgentField(null);
-            client.start();
-        }
-        return client;
-    }
 }
--- a/src/main/java/ringspindle/controlplane/HeadDuties.java
+++ b/src/main/java/ringspindle/controlplane/HeadDuties.java
@@ -2,17 +2,26 @@
 
 import ringspindle.protocol.Message.View;
 
-/** The singleton roles of the head of the view that are carried out by orders: roll-outs, experiments and the
- * placement of shards. Called by the tick alone. */
+/** The singleton roles of the head of the view that are carried out by orders: roll-outs, experiments, the
+ * placement of shards and reports on usage. Called by the tick alone. */
 final class HeadDuties {
     private final RolloutTask rollouts;
     private final ExperimentTask experiments;
     private final ShardTask shards;
+    private final MeteringTask metering;
+    private final VersionRolloutTask versions;
 
-    HeadDuties(RolloutTask rollouts, ExperimentTask experiments, ShardTask shards) {
+    HeadDuties(
+            RolloutTask rollouts,
+            ExperimentTask experiments,
+            ShardTask shards,
+            MeteringTask metering,
+            VersionRolloutTask versions) {
         this.rollouts = rollouts;
         this.experiments = experiments;
         this.shards = shards;
+        this.metering = metering;
+        this.versions = versions;
     }
 
     /**
@@ -26,5 +35,7 @@
         rollouts.tick(view, quorate && hearsEngines, ticks, nowMs);
         experiments.tick(view, quorate, ticks, nowMs);
         shards.tick(view, quorate, ticks, nowMs);
+        metering.tick(view, quorate, ticks, nowMs);
+        versions.tick(view, quorate, ticks, nowMs);
     }
 }
--- a/src/main/java/ringspindle/controlplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/controlplane/MessageDispatcher.java
@@ -18,6 +18,9 @@
 import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
+import ringspindle.protocol.TenantMessage.QuotaAsk;
+import ringspindle.protocol.TenantMessage.QuotaGrant;
+import ringspindle.protocol.TenantMessage.UsageReport;
 import ringspindle.transport.Mesh;
 
 /** Takes what comes over the mesh and passes each message to the handler of its family. Called by threads of the pool. */
@@ -29,6 +32,8 @@
     private final HeartbeatExchange heartbeats;
     private final FactHandler facts;
     private final LoadHandler loads;
+    private final QuotaHandler quotas;
+    private final UsageHandler usage;
 
     MessageDispatcher(
             NodeContext context,
@@ -37,7 +42,9 @@
             CounterDriver counters,
             HeartbeatExchange heartbeats,
             FactHandler facts,
-            LoadHandler loads) {
+            LoadHandler loads,
+            QuotaHandler quotas,
+            UsageHandler usage) {
         this.context = context;
         this.fleet = fleet;
         this.replication = replication;
@@ -45,6 +52,8 @@
         this.heartbeats = heartbeats;
         this.facts = facts;
         this.loads = loads;
+        this.quotas = quotas;
+        this.usage = usage;
     }
 
     @Override
@@ -80,6 +89,12 @@
             loads.received(from, outcomes, nowMs);
         } else if (message instanceof Load load) {
             loads.received(load, nowMs);
+        } else if (message instanceof QuotaAsk ask) {
+            quotas.received(from, ask);
+        } else if (message instanceof QuotaGrant grant) {
+            quotas.received(grant);
+        } else if (message instanceof UsageReport report) {
+            usage.received(from, report);
         } else if (message instanceof Digest digest) {
             facts.received(from, digest);
         } else if (message instanceof CounterAdds
--- a/src/main/java/ringspindle/controlplane/server/ControlApiHandler.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlApiHandler.java
@@ -39,6 +39,12 @@
         resources.put(Operation.COUNTER_GET, counters::get);
         resources.put(Operation.COUNTER_ADD, counters::add);
         resources.put(Operation.COUNTERS, exchange -> exchange.respond(CountersPage.of(node)));
+        VersionResource versions = new VersionResource(node);
+        resources.put(Operation.VERSION_START, versions::start);
+        resources.put(Operation.VERSION_GET, versions::get);
+        RetirementResource retirements = new RetirementResource(node);
+        resources.put(Operation.RETIRE, retirements::start);
+        resources.put(Operation.RETIREMENT, retirements::get);
         resources.put(Operation.ROLLOUT, new RolloutResource(node));
         resources.put(Operation.EXPERIMENT, new ExperimentResource(node));
         resources.put(Operation.EXPERIMENTS, ifUpToDate(exchange -> exchange.respond(ExperimentsPage.of(node))));
--- a/src/main/java/ringspindle/controlplane/server/ControlPlane.java
+++ b/src/main/java/ringspindle/controlplane/server/ControlPlane.java
@@ -19,6 +19,7 @@
 import ringspindle.controlplane.ControlNode;
 import ringspindle.controlplane.DiskStorage;
 import ringspindle.controlplane.EngineReportClient;
+import ringspindle.controlplane.PlatformClient;
 import ringspindle.logging.LogField;
 import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
@@ -68,7 +69,12 @@
         EngineReportClient reports = new EngineReportClient(pool, scheduler);
         Path folder = Path.of(config.dataPath().isEmpty() ? DEFAULT_FOLDER : config.dataPath());
         DiskStorage disk = storage.apply(folder, pool);
-        ControlNode node = new ControlNode(config, NodeEnvironment.real(threads, config.bindIp()), disk, reports);
+        ControlNode node = new ControlNode(
+                config,
+                NodeEnvironment.real(threads, config.bindIp()),
+                disk,
+                reports,
+                new PlatformClient(pool, scheduler));
         reports.listener(node.engines()::reported);
         Server server = server(config, pool, scheduler);
         server.setHandler(new ControlApiHandler(node));
--- /dev/null
+++ b/src/main/java/ringspindle/controlplane/server/RetirementResource.java
@@ -0,0 +1,55 @@
+package ringspindle.controlplane.server;
+
+import jakarta.json.spi.JsonProvider;
+import ringspindle.api.Outcome;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.controlplane.StorageNodes;
+import ringspindle.protocol.FactKind;
+import ringspindle.replication.CallKind;
+
+/** Storage nodes that are to be emptied and taken away. */
+final class RetirementResource {
+    private static final JsonProvider JSON = JsonProvider.provider();
+
+    private final ControlNode node;
+
+    RetirementResource(ControlNode node) {
+        this.node = node;
+    }
+
+    /** Asks for a node to be emptied. */
+    void start(ApiExchange exchange) {
+        if (!node.serving().upToDate()) {
+            exchange.respond(Outcome.UNCLEAR);
+            return;
+        }
+        String name = exchange.argument();
+        StorageNodes nodes = node.storageNodes();
+        if (!nodes.isKnown(name)) {
+            exchange.respond(Outcome.NO_SUCH);
+        } else if (!isAsked(name) && !nodes.mayLose(name)) {
+            exchange.respond(Outcome.CLASH);
+        } else {
+            node.replication()
+                    .call(CallKind.RETIRE, 0, name, ApiExchange.NO_BODY, (outcome, body) -> exchange.respond(outcome));
+        }
+    }
+
+    private boolean isAsked(String name) {
+        return node.fleet().read(store -> store.get(FactKind.RETIREMENT, name)) != null;
+    }
+
+    /** Tells whether a node is empty. */
+    void get(ApiExchange exchange) {
+        if (!node.serving().upToDate()) {
+            exchange.respond(Outcome.UNCLEAR);
+        } else if (!isAsked(exchange.argument())) {
+            exchange.respond(Outcome.NO_SUCH);
+        } else {
+            boolean empty = node.storageNodes().isEmptied(exchange.argument());
+            exchange.respond(JSON.createObjectBuilder()
+                    .add("state", empty ? "completed" : "active")
+                    .build());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/controlplane/server/VersionResource.java
@@ -0,0 +1,61 @@
+package ringspindle.controlplane.server;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import jakarta.json.JsonObject;
+import jakarta.json.spi.JsonProvider;
+import ringspindle.api.Outcome;
+import ringspindle.config.FleetConfig;
+import ringspindle.config.Validated;
+import ringspindle.controlplane.ControlNode;
+import ringspindle.protocol.FactKind;
+import ringspindle.protocol.Message.Fact;
+import ringspindle.replication.CallKind;
+import ringspindle.replication.VersionRollout;
+
+/** Roll-outs of versions of services' software. */
+final class VersionResource {
+    private static final JsonProvider JSON = JsonProvider.provider();
+    private static final int BODY_MAX = 64 << 10;
+
+    private final ControlNode node;
+
+    VersionResource(ControlNode node) {
+        this.node = node;
+    }
+
+    /** Starts one. */
+    void start(ApiExchange exchange) {
+        exchange.readBody(BODY_MAX, body -> {
+            if (!node.serving().inTouch()) {
+                exchange.respond(Outcome.UNCLEAR);
+                return;
+            }
+            if (FleetConfig.json(body) instanceof Validated.Valid<JsonObject> json
+                    && !json.value().getString("service", "").isEmpty()) {
+                String service = json.value().getString("service");
+                node.replication().call(CallKind.VERSION, 0, service, body, exchange::respond);
+            } else {
+                exchange.respond(Outcome.INVALID, "a service is to be named".getBytes(UTF_8));
+            }
+        });
+    }
+
+    /** Tells how far one is. */
+    void get(ApiExchange exchange) {
+        if (!node.serving().upToDate()) {
+            exchange.respond(Outcome.UNCLEAR);
+            return;
+        }
+        Fact fact = node.fleet().read(store -> store.get(FactKind.VERSION, exchange.argument()));
+        if (fact == null) {
+            exchange.respond(Outcome.NO_SUCH);
+            return;
+        }
+        VersionRollout rollout = VersionRollout.read(new String(fact.value(), UTF_8));
+        exchange.respond(JSON.createObjectBuilder()
+                .add("state", rollout.standing().onWire())
+                .add("targetRevision", rollout.targetRevision())
+                .build());
+    }
+}
--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -1,6 +1,7 @@
 package ringspindle.dataplane;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -8,6 +9,7 @@
 import ringspindle.config.Settings;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.logging.LogField;
+import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
 import ringspindle.proxy.ProxyHandler;
 import ringspindle.time.MonotonicClock;
@@ -37,10 +39,20 @@
         MonotonicClock clock = environment.clock();
         LoadBalancer loadBalancer = LoadBalancer.create(config);
         ProxyHandler proxy = new ProxyHandler(config, loadBalancer, pool, scheduler, clock);
+        NodeId me = DataNode.identity(config, NodeKind.DATA);
         DataNode node = new DataNode(config, NodeKind.DATA, proxy, loadBalancer, environment, mesh -> {
             JobCaller jobs = new JobCaller(mesh, pool, clock);
-            proxy.passJobsTo(jobs);
-            return jobs;
+            QuotaCaller quotas = new QuotaCaller(me, mesh, pool, clock);
+            proxy.services().setJobs(jobs);
+            proxy.services().setQuotas(quotas);
+            UsageReporter usage = new UsageReporter(
+                    me,
+                    environment.incarnation(),
+                    mesh,
+                    clock,
+                    config.platform().windowMs());
+            proxy.services().setUsage(usage);
+            return new NodeComponents(List.of(jobs, quotas, usage));
         });
         proxy.explainBy(node::describeKnowledge);
         settings.listen(loadBalancer::updateSettings);
--- a/src/main/java/ringspindle/dataplane/FactApplier.java
+++ b/src/main/java/ringspindle/dataplane/FactApplier.java
@@ -19,6 +19,7 @@
 import ringspindle.protocol.Message.Lease;
 import ringspindle.proxy.Proxy;
 import ringspindle.replication.Rollout;
+import ringspindle.replication.VersionRollout;
 import ringspindle.routing.ServingRules;
 import ringspindle.transport.FatalErrors;
 
@@ -76,6 +77,11 @@
                 Rollout rollout = Rollout.read(text(fact));
                 loadBalancer.setRolloutTurn(rollout.service(), new HashSet<>(rollout.turn()), nowMs);
             }
+            case VERSION -> {
+                VersionRollout rollout = VersionRollout.read(text(fact));
+                boolean serves = rollout.standing() == VersionRollout.Standing.COMPLETED;
+                loadBalancer.setWithheldVersion(rollout.service(), serves ? "" : rollout.targetRevision());
+            }
             case LEASE -> loadBalancer.updateLease((Lease) Codec.decode(fact.value()), nowMs);
             default -> {
                 // applied with the permissions, or of no use here
--- a/src/main/java/ringspindle/dataplane/MessageDispatcher.java
+++ b/src/main/java/ringspindle/dataplane/MessageDispatcher.java
@@ -17,6 +17,7 @@
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
 import ringspindle.protocol.ShardMessage;
+import ringspindle.protocol.TenantMessage;
 import ringspindle.proxy.Proxy;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.Mesh;
@@ -82,7 +83,7 @@
 
     @Override
     public void received(NodeId from, Message message) {
-        if (message instanceof BatchMessage || message instanceof ShardMessage) {
+        if (message instanceof BatchMessage || message instanceof ShardMessage || message instanceof TenantMessage) {
             component.received(from, message);
             return;
         }
--- /dev/null
+++ b/src/main/java/ringspindle/dataplane/QuotaCaller.java
@@ -0,0 +1,122 @@
+package ringspindle.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import ringspindle.config.Tenant;
+import ringspindle.gossip.FactStore;
+import ringspindle.protocol.Message;
+import ringspindle.protocol.Message.Hello;
+import ringspindle.protocol.NodeId;
+import ringspindle.protocol.NodeKind;
+import ringspindle.protocol.TenantMessage.QuotaAsk;
+import ringspindle.protocol.TenantMessage.QuotaGrant;
+import ringspindle.proxy.QuotaGateway;
+import ringspindle.quota.TenantTokens;
+import ringspindle.time.MonotonicClock;
+import ringspindle.transport.Mesh;
+
+/**
+ * Asks for leave to admit requests, through a control node that this node has a session with. Owns the tokens at hand and who waits
+ * for some; guarded by a lock of its own, under which no other is taken. Waiters are told by threads of the pool.
+ */
+final class QuotaCaller implements QuotaGateway, NodeComponent {
+    private final Object lock = new Object();
+    private final NodeId me;
+    private final Mesh mesh;
+    private final Executor pool;
+    private final MonotonicClock clock;
+    private final TenantTokens<Answer> tokens = new TenantTokens<>();
+    private final List<NodeId> controlNodes = new ArrayList<>();
+
+    QuotaCaller(NodeId me, Mesh mesh, Executor pool, MonotonicClock clock) {
+        this.me = me;
+        this.mesh = mesh;
+        this.pool = pool;
+        this.clock = clock;
+    }
+
+    @Override
+    public void admit(Tenant tenant, Answer answer) {
+        if (!tenant.isLimited()) {
+            answer.granted();
+            return;
+        }
+        boolean atHand;
+        long nowMs = clock.nowMs();
+        synchronized (lock) {
+            atHand = tokens.take(tenant.name(), answer, nowMs);
+            askIfDue(nowMs);
+        }
+        if (atHand) {
+            answer.granted();
+        }
+    }
+
+    private void askIfDue(long nowMs) {
+        if (!controlNodes.isEmpty() && tokens.isAskDue()) {
+            QuotaAsk ask = new QuotaAsk(me, tokens.seq() + 1, tokens.ask(nowMs));
+            mesh.send(controlNodes.get(0), ask);
+        }
+    }
+
+    private void tell(List<TenantTokens.Told<Answer>> told) {
+        for (TenantTokens.Told<Answer> each : told) {
+            pool.execute(() -> tell(each));
+        }
+    }
+
+    private static void tell(TenantTokens.Told<Answer> told) {
+        switch (told.verdict()) {
+            case GRANTED -> told.waiter().granted();
+            case OVER_QUOTA -> told.waiter().overQuota(told.retryAfterMs());
+            case UNKNOWN -> told.waiter().unknown();
+        }
+    }
+
+    @Override
+    public void opened(Hello peer) {
+        if (peer.kind() == NodeKind.CONTROL) {
+            synchronized (lock) {
+                controlNodes.remove(peer.node());
+                controlNodes.add(peer.node());
+            }
+        }
+    }
+
+    @Override
+    public void closed(NodeId peer) {
+        synchronized (lock) {
+            controlNodes.remove(peer);
+        }
+    }
+
+    @Override
+    public void received(NodeId from, Message message) {
+        if (message instanceof QuotaGrant grant) {
+            long nowMs = clock.nowMs();
+            synchronized (lock) {
+                tell(tokens.granted(grant.seq(), grant.rows(), nowMs));
+                askIfDue(nowMs);
+            }
+        }
+    }
+
+    @Override
+    public void factsChanged(FactStore facts) {
+        // limits are known where tokens are granted
+    }
+
+    @Override
+    public void tick(long nowMs) {
+        synchronized (lock) {
+            boolean unanswered = tokens.isOverdue(nowMs);
+            tell(tokens.tick(nowMs));
+            if (unanswered && controlNodes.size() > 1) {
+                // the next one may be nearer to whoever grants
+                controlNodes.add(controlNodes.remove(0));
+            }
+            askIfDue(nowMs);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ringspindle/dataplane/UsageReporter.java
@@ -0,0 +1,84 @@
+package ringspindle.dataplane;
+
+import java.util.ArrayList;
+import java.util.List;
+import ringspindle.gossip.FactStore;
+import ringspindle.metering.UsageCounter;
+import ringspindle.protocol.Message;
+import ringspindle.protocol.Message.Hello;
+import ringspindle.protocol.NodeId;
+import ringspindle.protocol.NodeKind;
+import ringspindle.protocol.TenantMessage.UsageReport;
+import ringspindle.protocol.TenantMessage.UsageRow;
+import ringspindle.proxy.NodeServices;
+import ringspindle.time.AnchoredWallClock;
+import ringspindle.time.MonotonicClock;
+import ringspindle.transport.Mesh;
+
+/** Counts what tenants use at this node, and tells a control node now and then. Thread safe. */
+final class UsageReporter implements NodeComponent, NodeServices.UsageListener {
+    private static final int PERIOD_TICKS = 7;
+
+    private final NodeId me;
+    private final long life;
+    private final Mesh mesh;
+    private final MonotonicClock clock;
+    private final AnchoredWallClock wallClock;
+    private final UsageCounter counter;
+    private final List<NodeId> controlNodes = new ArrayList<>();
+    private long ticks;
+    private List<UsageRow> told = List.of();
+
+    /** Counts by windows of that length. */
+    UsageReporter(NodeId me, long life, Mesh mesh, MonotonicClock clock, long windowMs) {
+        this.me = me;
+        this.life = life;
+        this.mesh = mesh;
+        this.clock = clock;
+        wallClock = AnchoredWallClock.now(clock);
+        counter = new UsageCounter(windowMs);
+    }
+
+    @Override
+    public void began(String tenant) {
+        counter.began(tenant, wallClock.wallMs(clock.nowMs()));
+    }
+
+    @Override
+    public synchronized void opened(Hello peer) {
+        if (peer.kind() == NodeKind.CONTROL) {
+            controlNodes.remove(peer.node());
+            controlNodes.add(peer.node());
+        }
+    }
+
+    @Override
+    public synchronized void closed(NodeId peer) {
+        controlNodes.remove(peer);
+    }
+
+    @Override
+    public void received(NodeId from, Message message) {
+        // nothing is answered
+    }
+
+    @Override
+    public void factsChanged(FactStore facts) {
+        // nothing here depends on facts
+    }
+
+    /** Tells what is new; and all of it again each time, as whoever sums may have changed. */
+    @Override
+    public synchronized void tick(long nowMs) {
+        ticks++;
+        if (ticks % PERIOD_TICKS != 0 || controlNodes.isEmpty()) {
+            return;
+        }
+        List<UsageRow> rows = counter.rows(wallClock.wallMs(nowMs));
+        boolean again = ticks % (2 * PERIOD_TICKS) == 0;
+        if (!rows.isEmpty() && (again || !rows.equals(told))) {
+            told = rows;
+            mesh.send(controlNodes.get(0), new UsageReport(me, life, rows));
+        }
+    }
+}
--- a/src/main/java/ringspindle/loadbalancing/CandidateFilter.java
+++ b/src/main/java/ringspindle/loadbalancing/CandidateFilter.java
@@ -30,6 +30,7 @@
         List<EngineEntry> healthy = new ArrayList<>(engines.all().size());
         List<EngineEntry> permitted = request.preference() == null ? List.of() : new ArrayList<>();
         Set<String> inTurn = rolloutTurns.ids(request.service());
+        String withheld = rolloutTurns.withheldVersion(request.service());
         boolean anyAvailable = false;
         boolean anyReachable = false;
         for (EngineEntry engine : engines.all()) {
@@ -39,7 +40,7 @@
             if (request.preference() != null) {
                 permitted.add(engine);
             }
-            if (!isInService(engine, inTurn)) {
+            if (!isInService(engine, inTurn) || engine.runsSoftware(withheld)) {
                 continue;
             }
             anyAvailable = true;
--- a/src/main/java/ringspindle/loadbalancing/EngineEntry.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineEntry.java
@@ -57,6 +57,11 @@
         return version;
     }
 
+    /** True if it runs that version of its software; not if that is empty. */
+    boolean runsSoftware(String version) {
+        return !version.isEmpty() && report.revision().equals(version);
+    }
+
     NodeId address() {
         return address;
     }
--- a/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
@@ -181,6 +181,11 @@
         rolloutTurns.set(service, ids);
     }
 
+    @Override
+    public synchronized void setWithheldVersion(String service, String version) {
+        rolloutTurns.setWithheldVersion(service, version);
+    }
+
     @Override
     public synchronized Selection select(SelectionRequest request, long nowMs) {
         FleetConfig.Service service = service(request.service());
--- a/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
@@ -147,6 +147,9 @@
     /** The engines of a service whose turn it is in a rollout: they get nothing new, and warm up when they return. */
     void setRolloutTurn(String service, Set<String> ids, long nowMs);
 
+    /** Engines of a service that run that version of its software get nothing; empty for none. */
+    void setWithheldVersion(String service, String version);
+
     /** Selects an engine and counts the request as running there: {@link #onAttemptEnded} must follow. */
     Selection select(SelectionRequest request, long nowMs);
 
--- a/src/main/java/ringspindle/protocol/Codec.java
+++ b/src/main/java/ringspindle/protocol/Codec.java
@@ -35,7 +35,8 @@
                         CounterCodec.TEMPLATES,
                         BatchCodec.TEMPLATES,
                         ShardCodec.TEMPLATES,
-                        JobRecordCodec.TEMPLATES)
+                        JobRecordCodec.TEMPLATES,
+                        TenantCodec.TEMPLATES)
                 .<MessageTemplate<?>>flatMap(List::stream)
                 .toList();
         int highest = templates.stream().mapToInt(MessageTemplate::id).max().orElseThrow();
--- a/src/main/java/ringspindle/protocol/FactKind.java
+++ b/src/main/java/ringspindle/protocol/FactKind.java
@@ -36,7 +36,9 @@
      * Up to which operation of the control state the facts before this one go; its version is that number. Control nodes tell data
      * nodes, and take it from nobody.
      */
-    COMMITTED(15);
+    COMMITTED(15),
+    /** The roll-out of a version of a service's software; the key is the service. */
+    VERSION(16);
 
     private static final FactKind[] BY_CODE = values();
 
--- a/src/main/java/ringspindle/protocol/Message.java
+++ b/src/main/java/ringspindle/protocol/Message.java
@@ -39,6 +39,7 @@
                 Message.CounterVector,
                 Message.CounterSnapshot,
                 BatchMessage,
+                TenantMessage,
                 ShardMessage {
     /**
      * First on every connection: who opened it, or took it.
--- a/src/main/java/ringspindle/proxy/ActiveRequests.java
+++ b/src/main/java/ringspindle/proxy/ActiveRequests.java
@@ -45,6 +45,11 @@
         }
     }
 
+    /** A request that was tracked goes on under another id, which is tracked next. */
+    void untrack(String id) {
+        underWay.remove(id);
+    }
+
     /** A request that was counted is over. */
     void end(String id) {
         underWay.remove(id);
--- a/src/main/java/ringspindle/proxy/AttemptTiming.java
+++ b/src/main/java/ringspindle/proxy/AttemptTiming.java
@@ -23,9 +23,12 @@
         lastHeardMs = nowMs;
     }
 
-    void bodyBytes(long nowMs) {
+    /** Bytes of the body came; true if they are the first. */
+    boolean bodyBytes(long nowMs) {
         lastHeardMs = nowMs;
-        firstByteMs = firstByteMs < 0 ? nowMs - sentMs : firstByteMs;
+        boolean first = firstByteMs < 0;
+        firstByteMs = first ? nowMs - sentMs : firstByteMs;
+        return first;
     }
 
     /** The engine had closed the connection before: the time says nothing of the engine. */
--- a/src/main/java/ringspindle/proxy/JobAdmission.java
+++ b/src/main/java/ringspindle/proxy/JobAdmission.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.server.Request;
@@ -37,12 +36,10 @@
 
     private final ProxyHandler proxy;
     private final ActiveRequests active;
-    private final Supplier<JobGateway> gateway;
 
-    JobAdmission(ProxyHandler proxy, ActiveRequests active, Supplier<JobGateway> gateway) {
+    JobAdmission(ProxyHandler proxy, ActiveRequests active) {
         this.proxy = proxy;
         this.active = active;
-        this.gateway = gateway;
     }
 
     /** One call on its way; whoever answers first ends it. */
@@ -90,7 +87,7 @@
     /** Passes a job on that came whole on a batch route. */
     void submit(Arrival arrival, byte[] body) {
         Exchange exchange = new Exchange(arrival.client(), Outcome.UNCONFIRMED);
-        if (!gateway.get().isOpen()) {
+        if (!proxy.services().jobs().isOpen()) {
             arrival.client().respond(Outcome.NO_BATCHES, RETRY_AFTER_MS, proxy.isLeaving());
             return;
         }
@@ -111,7 +108,7 @@
                 host(arrival.request()),
                 tenant,
                 body);
-        gateway.get().call(call, CHANGE_MS, (status, reply) -> exchange.respond(submitted(status)));
+        proxy.services().jobs().call(call, CHANGE_MS, (status, reply) -> exchange.respond(submitted(status)));
     }
 
     private static Outcome submitted(JobStatus status) {
@@ -133,7 +130,7 @@
     /** Answers a call by a job's id; false if the request is none. */
     boolean handle(Request request, ClientResponse client, FleetConfig configuration) {
         Optional<JobPath> path = JobPath.of(request.getHttpURI().getPath());
-        if (path.isEmpty() || !gateway.get().isOpen()) {
+        if (path.isEmpty() || !proxy.services().jobs().isOpen()) {
             return false;
         }
         Optional<JobCallKind> kind = kind(request.getMethod(), path.get());
@@ -192,7 +189,7 @@
             JobCall call =
                     new JobCall(0, kind.code(), shards.next(), position, waitMs, path.id(), item, "", "", "", NO_BODY);
             int timeLimitMs = kind == JobCallKind.END ? CHANGE_MS : READ_MS + waitMs;
-            gateway.get().call(call, timeLimitMs, this::replied);
+            proxy.services().jobs().call(call, timeLimitMs, this::replied);
         }
 
         private void replied(JobStatus status, byte[] body) {
--- a/src/main/java/ringspindle/proxy/ProxiedAttempt.java
+++ b/src/main/java/ringspindle/proxy/ProxiedAttempt.java
@@ -177,7 +177,7 @@
                 return false;
             }
             long nowMs = proxy.nowMs();
-            timing.bodyBytes(nowMs);
+            proxy.onOutput(timing.bodyBytes(nowMs), kind, request.admitted());
             proxy.loadBalancer().onResponseBytes(engine.id(), nowMs);
             if (buffered != null) {
                 return goesOnIf(buffered.append(part));
--- a/src/main/java/ringspindle/proxy/ProxyHandler.java
+++ b/src/main/java/ringspindle/proxy/ProxyHandler.java
@@ -69,7 +69,7 @@
     private final CallerIdentification callers;
     private final RequestAdmission admission;
     private volatile Knowledge knowledge = () -> "";
-    private volatile JobGateway jobs = JobGateway.NONE;
+    private final NodeServices services = new NodeServices();
     private volatile Departure departure;
     private volatile boolean accepting = true;
     private volatile boolean lastServing;
@@ -98,12 +98,7 @@
         engineRequests = new EngineRequestFactory(engineClient);
         callers = new CallerIdentification(new KeyLease(node.revokeMs()));
         admission = new RequestAdmission(
-                this,
-                active,
-                experiments,
-                () -> knowledge.describe(),
-                new JobAdmission(this, active, () -> jobs),
-                callers);
+                this, active, experiments, () -> knowledge.describe(), new JobAdmission(this, active), callers);
         prober = new EngineHealthProber(engineClient, loadBalancer, clock);
         server = ProxyServer.create(
                 node.frontend().orElseThrow(), node.readiness().orElse(null), this, pool, scheduler);
@@ -123,9 +118,9 @@
         knowledge = nodeKnowledge;
     }
 
-    /** Passes calls about batch jobs to that gateway; before {@link #open}. */
-    public void passJobsTo(JobGateway gateway) {
-        jobs = gateway;
+    /** What requests need of the rest of the fleet; to be connected before {@link #open}. */
+    public NodeServices services() {
+        return services;
     }
 
     /** Serves figures at that address; before {@link #open}. */
@@ -342,6 +337,13 @@
         queue.add(request);
     }
 
+    /** Output of an engine came; the first of a success shows that it has begun to run the request. */
+    void onOutput(boolean first, AnswerKind kind, AdmittedRequest admitted) {
+        if (first && kind == AnswerKind.SUCCESS) {
+            admitted.tenant().ifPresent(tenant -> services.usage().began(tenant.name()));
+        }
+    }
+
     void logOutOfOrder(StreamEvent event, ProxiedRequest request, String engineId) {
         LOG.atWarning().log(
                 "event out of order: action=%s attempt=%s engine=%s event=%s after=%s",
--- a/src/main/java/ringspindle/proxy/RequestAdmission.java
+++ b/src/main/java/ringspindle/proxy/RequestAdmission.java
@@ -69,6 +69,18 @@
             client.respond(Outcome.NO_MAPPING, 0, proxy.isLeaving());
             return;
         }
+        Identity identity = callers.identify(request, current, route, receivedMs);
+        if (identity instanceof Identity.Unknown) {
+            client.respond(Outcome.UNAUTHORIZED, 0, proxy.isLeaving());
+        } else if (identity instanceof Identity.Uncertain) {
+            client.respond(Outcome.UNCLEAR, NOT_READY_MS, proxy.isLeaving());
+        } else {
+            readHead(request, client, route, identity, receivedMs);
+        }
+    }
+
+    private void readHead(
+            Request request, ClientResponse client, FleetConfig.Route route, Identity identity, long receivedMs) {
         String attemptId = request.getHeaders().get(Headers.ATTEMPT_ID);
         if (attemptId == null || attemptId.isEmpty()) {
             client.respond(Outcome.MALFORMED, 0, proxy.isLeaving());
@@ -82,15 +94,6 @@
             client.respond(Outcome.MALFORMED, 0, proxy.isLeaving());
             return;
         }
-        Identity identity = callers.identify(request, current, route, receivedMs);
-        if (identity instanceof Identity.Unknown) {
-            client.respond(Outcome.UNAUTHORIZED, 0, proxy.isLeaving());
-            return;
-        }
-        if (identity instanceof Identity.Uncertain) {
-            client.respond(Outcome.UNCLEAR, NOT_READY_MS, proxy.isLeaving());
-            return;
-        }
         boolean mayOutliveNode = proxy.mayBeOutlivedBy(receivedMs, timeLimitMs);
         if (mayOutliveNode && !proxy.servesAsLast()) {
             refuseAsLeaving(client);
@@ -98,7 +101,7 @@
         }
         Arrival arrival =
                 new Arrival(request, client, route, attemptId, receivedMs, timeLimitMs, identity, mayOutliveNode);
-        readBody(arrival, current.limits().bodyBytes());
+        readBody(arrival, proxy.configurationInForce().limits().bodyBytes());
     }
 
     private void refuseAsLeaving(ClientResponse client) {
@@ -146,14 +149,23 @@
             jobs.submit(arrival, body);
             return;
         }
-        long nowMs = proxy.nowMs();
-        String service = RouteSplit.service(arrival.route(), arrival.attemptId());
-        String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
-        Optional<Assignment> assignment = experiments.assign(arrival.route(), promptPrefix, nowMs);
         if (!active.begin()) {
             refuseAsLeaving(arrival.client());
             return;
         }
+        if (arrival.identity() instanceof Identity.Known known && known.tenant().isLimited()) {
+            new QuotaWait(proxy, active, arrival, () -> begin(arrival, body)).ask(known.tenant());
+        } else {
+            begin(arrival, body);
+        }
+    }
+
+    /** The request counts as active. */
+    private void begin(Arrival arrival, byte[] body) {
+        long nowMs = proxy.nowMs();
+        String service = RouteSplit.service(arrival.route(), arrival.attemptId());
+        String promptPrefix = arrival.request().getHeaders().get(Headers.PROMPT_PREFIX);
+        Optional<Assignment> assignment = experiments.assign(arrival.route(), promptPrefix, nowMs);
         proxy.loadBalancer().onRequestReceived(service, nowMs);
         AdmittedRequest admitted = new AdmittedRequest(arrival, body, service, proxy.rules(), assignment);
         ProxiedRequest proxied = new ProxiedRequest(proxy, admitted, arrival.client());
--- a/src/main/java/ringspindle/replication/CallKind.java
+++ b/src/main/java/ringspindle/replication/CallKind.java
@@ -29,7 +29,11 @@
     /** Assigns a shard to storage nodes. */
     SHARD(11),
     /** Asks for a storage node to be emptied. */
-    RETIRE(12);
+    RETIRE(12),
+    /** Decides what is reported of a window of usage. */
+    METER(13),
+    /** Starts or ends the roll-out of a version of a service's software. */
+    VERSION(14);
 
     /** The argument of a {@link #READ} that asks for the serving rules in place of the configuration. */
     public static final String RULES_ARGUMENT = "rules";
--- a/src/main/java/ringspindle/replication/ControlState.java
+++ b/src/main/java/ringspindle/replication/ControlState.java
@@ -70,6 +70,8 @@
             case EXPERIMENT -> marked(state, MarkKind.EXPERIMENT, op.arg(), new String(op.body(), UTF_8));
             case SHARD -> marked(state, MarkKind.SHARD, op.arg(), new String(op.body(), UTF_8));
             case RETIRE -> marked(state, MarkKind.RETIREMENT, op.arg(), ON);
+            case METER -> marked(state, MarkKind.METERING, MeteredWindow.KEY, new String(op.body(), UTF_8));
+            case VERSION -> marked(state, MarkKind.VERSION, op.arg(), new String(op.body(), UTF_8));
             case READ, UNKNOWN -> next(state, state.past(), state.marks());
         };
     }
--- a/src/main/java/ringspindle/replication/MarkKind.java
+++ b/src/main/java/ringspindle/replication/MarkKind.java
@@ -19,7 +19,11 @@
     /** Which storage nodes hold a shard, as {@link ringspindle.shard.ShardAssignment#write} writes it; the key is its number. */
     SHARD(6),
     /** A storage node that is to be emptied; the key is its name. */
-    RETIREMENT(7);
+    RETIREMENT(7),
+    /** The last window of usage that was decided on, as {@link MeteredWindow#write} writes it; the key is empty. */
+    METERING(8),
+    /** The roll-out of a version of a service's software, as {@link VersionRollout#write} writes it; the key is the service. */
+    VERSION(9);
 
     private static final MarkKind[] BY_CODE = values();
 
--- /dev/null
+++ b/src/main/java/ringspindle/replication/MeteredWindow.java
@@ -0,0 +1,75 @@
+package ringspindle.replication;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import jakarta.json.JsonNumber;
+import jakarta.json.JsonObject;
+import jakarta.json.JsonObjectBuilder;
+import jakarta.json.JsonReader;
+import jakarta.json.spi.JsonProvider;
+import java.io.StringReader;
+import java.util.Map;
+import java.util.TreeMap;
+import ringspindle.api.Outcome;
+import ringspindle.protocol.Message.Call;
+import ringspindle.protocol.Message.State;
+
+/**
+ * What is reported of a window of usage: decided once, by a majority, before it is first sent anywhere.
+ *
+ * @param counts requests by tenant
+ */
+public record MeteredWindow(long window, Map<String, Long> counts) {
+    /** The key of the mark that holds the last one. */
+    public static final String KEY = "";
+
+    private static final JsonProvider JSON = JsonProvider.provider();
+    private static final String WINDOW = "window";
+    private static final String COUNTS = "counts";
+
+    /** As JSON; {@code MeteredWindow.read(window.write()).equals(window)}. */
+    public String write() {
+        return fields().build().toString();
+    }
+
+    private JsonObjectBuilder fields() {
+        JsonObjectBuilder tenants = JSON.createObjectBuilder();
+        counts.forEach((tenant, requests) -> tenants.add(tenant, (long) requests));
+        return JSON.createObjectBuilder().add(WINDOW, window).add(COUNTS, tenants);
+    }
+
+    /** Reads what {@link #write} wrote. */
+    public static MeteredWindow read(String json) {
+        try (JsonReader reader = JSON.createReader(new StringReader(json))) {
+            return read(reader.readObject());
+        }
+    }
+
+    private static MeteredWindow read(JsonObject fields) {
+        Map<String, Long> counts = new TreeMap<>();
+        fields.getJsonObject(COUNTS)
+                .forEach((tenant, requests) -> counts.put(tenant, ((JsonNumber) requests).longValue()));
+        return new MeteredWindow(fields.getJsonNumber(WINDOW).longValueExact(), counts);
+    }
+
+    /**
+     * The body of the order to decide on it.
+     *
+     * @param epoch of the view whose head gives the order
+     */
+    public byte[] order(long epoch) {
+        return fields().add(JsonOrder.EPOCH, epoch).build().toString().getBytes(UTF_8);
+    }
+
+    /** Windows are decided in order, each once, by the head of the view alone. */
+    static Decision decide(State state, Call order) {
+        return JsonOrder.decide(state, order, MarkKind.METERING, (fields, mark) -> {
+            MeteredWindow next = read(fields);
+            boolean inCharge = fields.getJsonNumber(JsonOrder.EPOCH).longValue() == state.lineage();
+            boolean follows = mark == null || next.window() > read(mark.value()).window();
+            return inCharge && follows
+                    ? Decision.commit(order, next.write().getBytes(UTF_8))
+                    : Decision.answer(Outcome.CLASH);
+        });
+    }
+}
--- a/src/main/java/ringspindle/replication/OrderDecider.java
+++ b/src/main/java/ringspindle/replication/OrderDecider.java
@@ -22,6 +22,8 @@
             case EXPERIMENT -> ExperimentOrders.decide(state, order);
             case SHARD -> ShardOrders.decideAssignment(state, order);
             case RETIRE -> ShardOrders.decideRetirement(state, order);
+            case METER -> MeteredWindow.decide(state, order);
+            case VERSION -> VersionRollout.decide(state, order);
             case READ, UNKNOWN -> Decision.answer(Outcome.NO_SUCH);
         };
     }
--- /dev/null
+++ b/src/main/java/ringspindle/replication/VersionRollout.java
@@ -0,0 +1,122 @@
+package ringspindle.replication;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import jakarta.json.JsonObject;
+import jakarta.json.JsonReader;
+import jakarta.json.spi.JsonProvider;
+import java.io.StringReader;
+import java.util.Locale;
+import ringspindle.api.Outcome;
+import ringspindle.config.FleetConfig;
+import ringspindle.config.Validated;
+import ringspindle.protocol.Message.Call;
+import ringspindle.protocol.Message.State;
+
+/**
+ * The roll-out of a version of a service's software, whose engines run beside those of the version before.
+ *
+ * @param targetRevision the version
+ * @param durationS seconds in which the operator wants it decided
+ */
+public record VersionRollout(String service, String targetRevision, int durationS, Standing standing) {
+    private static final JsonProvider JSON = JsonProvider.provider();
+    private static final String SERVICE = "service";
+    private static final String REVISION = "targetRevision";
+    private static final String DURATION = "durationS";
+    private static final String STATE = "state";
+
+    /** How far it is; operators read these names, in lower case. */
+    public enum Standing {
+        /** It is being judged. */
+        ACTIVE,
+        /** The version serves. */
+        COMPLETED,
+        /** The version gets nothing. */
+        REVERTED;
+
+        /** The name for operators. */
+        public String onWire() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /** As JSON; {@code VersionRollout.read(rollout.write()).equals(rollout)}. */
+    public String write() {
+        return JSON.createObjectBuilder()
+                .add(SERVICE, service)
+                .add(REVISION, targetRevision)
+                .add(DURATION, durationS)
+                .add(STATE, standing.name())
+                .build()
+                .toString();
+    }
+
+    /** Reads what {@link #write} wrote. */
+    public static VersionRollout read(String json) {
+        try (JsonReader reader = JSON.createReader(new StringReader(json))) {
+            JsonObject fields = reader.readObject();
+            return new VersionRollout(
+                    fields.getString(SERVICE),
+                    fields.getString(REVISION),
+                    fields.getInt(DURATION),
+                    Standing.valueOf(fields.getString(STATE)));
+        }
+    }
+
+    /**
+     * The body of the order that ends a roll-out.
+     *
+     * @param epoch of the view whose head gives the order
+     */
+    public static byte[] end(Standing standing, long epoch) {
+        return JSON.createObjectBuilder()
+                .add(JsonOrder.EPOCH, epoch)
+                .add(STATE, standing.name())
+                .build()
+                .toString()
+                .getBytes(UTF_8);
+    }
+
+    /** An operator's order to start one, or the end that the head of the view gives it. */
+    static Decision decide(State state, Call order) {
+        return JsonOrder.decide(state, order, MarkKind.VERSION, (fields, mark) -> {
+            VersionRollout current = mark == null ? null : read(mark.value());
+            return fields.containsKey(JsonOrder.EPOCH)
+                    ? ended(state, order, fields, current)
+                    : started(state, order, fields, current);
+        });
+    }
+
+    private static Decision started(State state, Call order, JsonObject fields, VersionRollout current) {
+        int durationS = fields.getJsonNumber(DURATION).intValue();
+        String revision = fields.getString(REVISION);
+        if (durationS < 1 || revision.isEmpty()) {
+            return Decision.invalid("durationS from 1, and a targetRevision");
+        }
+        if (current != null && current.standing() == Standing.ACTIVE) {
+            boolean same = current.targetRevision().equals(revision);
+            return Decision.answer(same ? Outcome.TAKEN : Outcome.CLASH);
+        }
+        boolean known = state.config().length > 0
+                && FleetConfig.read(FleetConfig.unpack(state.config())) instanceof Validated.Valid<FleetConfig> config
+                && config.value().service(order.arg()) != null;
+        return known
+                ? write(order, new VersionRollout(order.arg(), revision, durationS, Standing.ACTIVE))
+                : Decision.answer(Outcome.NO_SUCH);
+    }
+
+    private static Decision ended(State state, Call order, JsonObject fields, VersionRollout current) {
+        boolean inCharge = fields.getJsonNumber(JsonOrder.EPOCH).longValue() == state.lineage();
+        if (current == null || !inCharge || current.standing() != Standing.ACTIVE) {
+            return Decision.answer(Outcome.CLASH);
+        }
+        Standing standing = Standing.valueOf(fields.getString(STATE));
+        return write(
+                order, new VersionRollout(current.service(), current.targetRevision(), current.durationS(), standing));
+    }
+
+    private static Decision write(Call order, VersionRollout rollout) {
+        return Decision.commit(order, rollout.write().getBytes(UTF_8));
+    }
+}
--- a/src/test/java/ringspindle/ArchitectureTest.java
+++ b/src/test/java/ringspindle/ArchitectureTest.java
@@ -47,6 +47,8 @@
             Map.entry("protocol", Set.of("sbe")),
             Map.entry("config", Set.of("protocol")),
             Map.entry("tenancy", Set.of("config")),
+            Map.entry("quota", Set.of("protocol")),
+            Map.entry("metering", Set.of("protocol")),
             Map.entry("metrics", Set.of("protocol")),
             Map.entry("peering", Set.of("protocol")),
             Map.entry("batch", Set.of("protocol")),
@@ -89,9 +91,11 @@
                             "gossip",
                             "loadbalancing",
                             "membership",
+                            "metering",
                             "metrics",
                             "protocol",
                             "proxy",
+                            "quota",
                             "retry",
                             "routing",
                             "shard",
@@ -108,9 +112,11 @@
                             "experiment",
                             "gossip",
                             "membership",
+                            "metering",
                             "metrics",
                             "peering",
                             "protocol",
+                            "quota",
                             "replication",
                             "rollout",
                             "routing",
@@ -157,11 +163,13 @@
      * <ul>
      *   <li>{@code BoundedBody} reads a request's body up to a bound and is of use to both planes; it belongs in
      *       {@code transport}.
-     *   <li>{@code Rollout} is the replicated record of a roll-out, which the data nodes read too.
+     *   <li>{@code Rollout} and {@code VersionRollout} are the replicated records of roll-outs, which the data nodes read too.
      * </ul>
      */
-    private static final Set<String> EXCEPTIONS =
-            Set.of("controlplane -> proxy.BoundedBody", "dataplane -> replication.Rollout");
+    private static final Set<String> EXCEPTIONS = Set.of(
+            "controlplane -> proxy.BoundedBody",
+            "dataplane -> replication.Rollout",
+            "dataplane -> replication.VersionRollout");
 
     /** Packages whose state changes by nothing but calls: time, messages and seeds come in as arguments. */
     private static final String[] STATE_MACHINES = {
@@ -171,6 +179,8 @@
         "ringspindle.batch..",
         "ringspindle.shard..",
         "ringspindle.tenancy..",
+        "ringspindle.quota..",
+        "ringspindle.metering..",
         "ringspindle.retry..",
         "ringspindle.rollout..",
         "ringspindle.experiment..",
--- a/src/test/java/ringspindle/controlplane/HollowControlNode.java
+++ b/src/test/java/ringspindle/controlplane/HollowControlNode.java
@@ -36,7 +36,7 @@
     /** Starts a control node with the records that are on that disk. */
     public HollowControlNode(NodeConfig config, NodeEnvironment means, Later later, SimulatedDisk disk)
             throws Exception {
-        control = new ControlNode(config, means, new HollowStorage(later, disk), null);
+        control = new ControlNode(config, means, new HollowStorage(later, disk), null, null);
         control.start();
     }
 
--- a/src/test/java/ringspindle/protocol/GoldenBatchMessages.java
+++ b/src/test/java/ringspindle/protocol/GoldenBatchMessages.java
@@ -23,6 +23,12 @@
 import ringspindle.protocol.ShardMessage.ShardPromise;
 import ringspindle.protocol.ShardMessage.StorageReport;
 import ringspindle.protocol.ShardMessage.StoreIdentity;
+import ringspindle.protocol.TenantMessage.QuotaAsk;
+import ringspindle.protocol.TenantMessage.QuotaGrant;
+import ringspindle.protocol.TenantMessage.QuotaLeave;
+import ringspindle.protocol.TenantMessage.QuotaNeed;
+import ringspindle.protocol.TenantMessage.UsageReport;
+import ringspindle.protocol.TenantMessage.UsageRow;
 
 /** Messages of batch jobs and shards, each with ordinary values and, where it has numbers, with the largest. */
 final class GoldenBatchMessages {
@@ -66,6 +72,9 @@
         messages.put("JobListed.ordinary", new JobListed("7c41", 2, 0, BYTES));
         messages.put("JobFailed.ordinary", new JobFailed("7c41", 2));
         messages.put("JobMark.ordinary", new JobMark("7c41", 1));
+        messages.put("QuotaAsk.ordinary", new QuotaAsk(NODE, 4, List.of(new QuotaNeed("kaje80", 2, 1))));
+        messages.put("QuotaGrant.ordinary", new QuotaGrant(NODE, 4, List.of(new QuotaLeave("kaje80", 1, 120))));
+        messages.put("UsageReport.ordinary", new UsageReport(NODE, 9, List.of(new UsageRow(353445120, "kaje80", 412))));
         return messages;
     }
 }
--- a/src/test/java/ringspindle/protocol/GoldenBytesTest.java
+++ b/src/test/java/ringspindle/protocol/GoldenBytesTest.java
@@ -23,7 +23,7 @@
 class GoldenBytesTest {
     private static final String RESOURCE = "/golden-bytes-879a0b1.txt";
     private static final int TEMPLATE_OFFSET = 2;
-    private static final int TEMPLATES = 46;
+    private static final int TEMPLATES = 49;
 
     /** Lines {@code NAME=HEX}. */
     private static Map<String, String> recorded() throws IOException {
@@ -59,12 +59,12 @@
         assertEquals(TEMPLATES, templates.size());
         assertEquals(TEMPLATES, templates.last());
         TreeSet<String> kinds = new TreeSet<>();
-        for (Class<?> family : List.of(Message.class, BatchMessage.class, ShardMessage.class)) {
+        for (Class<?> family : List.of(Message.class, BatchMessage.class, ShardMessage.class, TenantMessage.class)) {
             for (Class<?> kind : family.getPermittedSubclasses()) {
                 kinds.add(kind.getSimpleName());
             }
         }
-        kinds.removeAll(List.of("BatchMessage", "ShardMessage"));
+        kinds.removeAll(List.of("BatchMessage", "ShardMessage", "TenantMessage"));
         TreeSet<String> covered = new TreeSet<>();
         GoldenMessages.all().values().forEach(m -> covered.add(m.getClass().getSimpleName()));
         assertEquals(kinds, covered);
--- a/src/test/java/ringspindle/protocol/KindCodesTest.java
+++ b/src/test/java/ringspindle/protocol/KindCodesTest.java
@@ -77,7 +77,9 @@
                         "RULES",
                         "EXPERIMENT",
                         "SHARD",
-                        "RETIRE"),
+                        "RETIRE",
+                        "METER",
+                        "VERSION"),
                 CallKind.values(),
                 CallKind::code,
                 CallKind::of);
@@ -86,7 +88,17 @@
     @Test
     void markKinds() {
         assertCodes(
-                List.of("UNKNOWN", "EVACUATED", "LEAVING", "ROLLOUT", "RULES", "EXPERIMENT", "SHARD", "RETIREMENT"),
+                List.of(
+                        "UNKNOWN",
+                        "EVACUATED",
+                        "LEAVING",
+                        "ROLLOUT",
+                        "RULES",
+                        "EXPERIMENT",
+                        "SHARD",
+                        "RETIREMENT",
+                        "METERING",
+                        "VERSION"),
                 MarkKind.values(),
                 MarkKind::code,
                 code -> MarkKind.of(new Message.Mark(code, "", 0, "")));
@@ -111,7 +123,8 @@
                         "SHARD",
                         "STORAGE",
                         "RETIREMENT",
-                        "COMMITTED"),
+                        "COMMITTED",
+                        "VERSION"),
                 FactKind.values(),
                 FactKind::code,
                 FactKind::of);
