--- a/src/main/java/ringspindle/tenancy/BearerToken.java
+++ b/src/main/java/ringspindle/tenancy/BearerToken.java
@@ -11,6 +11,7 @@
     static final int LENGTH_MAX = 512;
 
     private static final String SCHEME = "bearer ";
+    private static final CharMatcher BLANK = CharMatcher.anyOf(" \t");
     private static final CharMatcher KEY = CharMatcher.inRange('!', '~');
 
     private BearerToken() {}
@@ -20,11 +21,11 @@
         if (authorization.size() != 1) {
             return Optional.empty();
         }
-        String value = authorization.get(0).trim();
+        String value = BLANK.trimFrom(authorization.get(0));
         if (!value.toLowerCase(Locale.ROOT).startsWith(SCHEME)) {
             return Optional.empty();
         }
-        String key = value.substring(SCHEME.length()).trim();
+        String key = BLANK.trimFrom(value.substring(SCHEME.length()));
         boolean proper = !key.isEmpty() && key.length() <= LENGTH_MAX && KEY.matchesAllOf(key);
         return proper ? Optional.of(key) : Optional.empty();
     }
--- /dev/null
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -0,0 +1,186 @@
+package ringspindle.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import java.util.function.LongToIntFunction;
+import org.junit.jupiter.api.Test;
+import ringspindle.protocol.TenantMessage.QuotaLeave;
+import ringspindle.protocol.TenantMessage.QuotaNeed;
+
+/**
+ * Histories of one hot tenant over many data nodes and heads that take over from each other: in no five seconds more is admitted
+ * than the bound allows, and in calm not much less than the limit is.
+ */
+class QuotaWorldTest {
+    private static final int WINDOW_MS = 5000;
+    private static final int NODES = 20;
+    private static final int STEP_MS = 10;
+    private static final TenantLimit LIMIT = new TenantLimit(66, 66);
+    private static final String TENANT = "kaje80";
+
+    /** An answer on its way to a data node. */
+    private record Answer(int node, long seq, QuotaLeave leave, long dueMs) {}
+
+    /** The fleet: data nodes, the head, and the head before it. */
+    private static final class World {
+        private final Random random;
+        private final List<TenantTokens<Integer>> nodes = new ArrayList<>();
+        private final Deque<Answer> network = new ArrayDeque<>();
+        private final List<Long> admittedMs = new ArrayList<>();
+        private TenantBuckets head = new TenantBuckets();
+        /** The head before, which goes on granting to some nodes until its proof has run out. */
+        private TenantBuckets before;
+
+        private long beforeUntilMs;
+        private long epoch = 1;
+        private long nowMs = 1_000_000;
+
+        World(long seed) {
+            random = new Random(seed);
+            for (int node = 0; node < NODES; node++) {
+                nodes.add(new TenantTokens<>());
+            }
+        }
+
+        void run(int forMs, LongToIntFunction requestsPerStep) {
+            for (long untilMs = nowMs + forMs; nowMs < untilMs; nowMs += STEP_MS) {
+                for (int request = requestsPerStep.applyAsInt(nowMs); request > 0; request--) {
+                    int node = random.nextInt(NODES);
+                    if (nodes.get(node).take(TENANT, node, nowMs)) {
+                        admittedMs.add(nowMs);
+                    }
+                }
+                for (int node = 0; node < NODES; node++) {
+                    nodes.get(node).tick(nowMs);
+                    ask(node);
+                }
+                deliver();
+            }
+        }
+
+        private void ask(int node) {
+            TenantTokens<Integer> tokens = nodes.get(node);
+            if (!tokens.isAskDue()) {
+                return;
+            }
+            List<QuotaNeed> rows = tokens.ask(nowMs);
+            boolean toOld = nowMs < beforeUntilMs && node % 2 == 0;
+            if (!toOld) {
+                head.lead(epoch, nowMs);
+            }
+            TenantBuckets asked = toOld ? before : head;
+            rows.forEach(row -> network.add(
+                    new Answer(node, tokens.seq(), asked.grant(row, LIMIT, nowMs), nowMs + 5 + random.nextInt(60))));
+        }
+
+        private void deliver() {
+            List<Answer> due =
+                    network.stream().filter(answer -> answer.dueMs() <= nowMs).toList();
+            network.removeAll(due);
+            for (Answer answer : due) {
+                nodes.get(answer.node()).granted(answer.seq(), List.of(answer.leave()), nowMs).stream()
+                        .filter(told -> told.verdict() == TenantTokens.Verdict.GRANTED)
+                        .forEach(told -> admittedMs.add(nowMs));
+            }
+        }
+
+        /** Another head takes over; the old one, cut off with half of the nodes, grants on until its proof has run out. */
+        void takeOver() {
+            before = head;
+            beforeUntilMs = nowMs + 1500;
+            head = new TenantBuckets();
+            epoch += 2;
+        }
+
+        int mostInAWindow() {
+            int most = 0;
+            int from = 0;
+            for (int to = 0; to < admittedMs.size(); to++) {
+                while (admittedMs.get(to) - admittedMs.get(from) >= WINDOW_MS) {
+                    from++;
+                }
+                most = Math.max(most, to - from + 1);
+            }
+            return most;
+        }
+    }
+
+    private static int bound() {
+        double within = LIMIT.ratePerS() * WINDOW_MS / 1000 + LIMIT.burstSize();
+        return (int) (within * 1.1 + 20);
+    }
+
+    @Test
+    void aHotTenantStaysWithinTheBoundOverHeadsThatOverlap() {
+        for (long seed = 1; seed <= 20; seed++) {
+            World world = new World(seed);
+            world.run(4000, now -> 1);
+            world.run(4000, now -> 10);
+            world.takeOver();
+            world.run(9000, now -> 10);
+            world.takeOver();
+            world.run(6000, now -> 10);
+            assertTrue(world.mostInAWindow() <= bound(), "seed " + seed + ": " + world.mostInAWindow());
+        }
+    }
+
+    /** A head that trusts its new buckets at once, while the old one still grants, is seen. */
+    @Test
+    void aHeadThatTakesOverWithFullBucketsIsSeen() {
+        World world = new World(1);
+        world.run(6000, now -> 10);
+        world.run(4000, now -> 0);
+        world.takeOver();
+        world.epoch = 1;
+        world.run(6000, now -> 10);
+        assertTrue(world.mostInAWindow() > bound(), "" + world.mostInAWindow());
+    }
+
+    @Test
+    void whatIsWellWithinTheLimitIsAdmitted() {
+        World world = new World(3);
+        int[] asked = new int[1];
+        world.run(10_000, now -> {
+            int requests = now % 30 == 0 ? 1 : 0;
+            asked[0] += requests;
+            return requests;
+        });
+        world.run(300, now -> 0);
+        assertEquals(asked[0], world.admittedMs.size());
+    }
+
+    @Test
+    void whatIsOverTheLimitIsToldSo() {
+        TenantTokens<String> tokens = new TenantTokens<>();
+        TenantBuckets buckets = new TenantBuckets();
+        buckets.lead(1, 0);
+        TenantLimit small = new TenantLimit(1, 0);
+        for (int request = 0; request < 30; request++) {
+            tokens.take(TENANT, "r" + request, 0);
+        }
+        QuotaLeave leave = buckets.grant(tokens.ask(0).get(0), small, 0);
+        List<TenantTokens.Told<String>> told = tokens.granted(tokens.seq(), List.of(leave), 20);
+        long refused = told.stream()
+                .filter(each -> each.verdict() == TenantTokens.Verdict.OVER_QUOTA)
+                .count();
+        assertEquals(30, told.size());
+        assertEquals(15, refused);
+        assertTrue(leave.waitMs() > 500, "" + leave.waitMs());
+    }
+
+    @Test
+    void withoutAnAnswerARequestIsToldThatNobodyKnows() {
+        TenantTokens<String> tokens = new TenantTokens<>();
+        tokens.take(TENANT, "r", 0);
+        tokens.ask(0);
+        assertEquals(List.of(), tokens.tick(1400));
+        assertTrue(tokens.isAskDue(), "the next is asked");
+        assertEquals(TenantTokens.Verdict.UNKNOWN, tokens.tick(1600).get(0).verdict());
+    }
+}
--- /dev/null
+++ b/src/test/java/ringspindle/replication/FleetOrdersTest.java
@@ -0,0 +1,100 @@
+package ringspindle.replication;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import ringspindle.api.Outcome;
+import ringspindle.config.FleetConfig;
+import ringspindle.config.Validated;
+import ringspindle.protocol.Message.Mark;
+import ringspindle.protocol.Message.State;
+import ringspindle.protocol.NodeId;
+import ringspindle.replication.VersionRollout.Standing;
+import ringspindle.shard.ShardAssignment;
+import ringspindle.shard.ShardMember;
+
+/** Orders of the head of the view on shards, usage and versions: decided once, and by the head in charge alone. */
+class FleetOrdersTest {
+    private static final ShardMember MEMBER = new ShardMember(NodeId.of("10.0.0.1:7002"), -7);
+
+    private final OrderDecider decider = new OrderDecider();
+    private State state = configured();
+
+    private static State configured() {
+        String json = "{\"revision\":3,\"routes\":[],\"services\":[{\"name\":\"s\"}]}";
+        FleetConfig config = ((Validated.Valid<FleetConfig>) FleetConfig.read(json.getBytes(UTF_8))).value();
+        State first = ControlState.first();
+        return new State(first.lineage(), 5, 3, first.past(), first.marks(), config.packed());
+    }
+
+    private Outcome order(CallKind kind, String argument, byte[] body) {
+        Decision decision = decider.decide(state, kind.call(1, state.seq(), argument, body));
+        if (decision instanceof Decision.Commit commit) {
+            state = ControlState.apply(state, commit.op());
+            return Outcome.TAKEN;
+        }
+        return ((Decision.Answer) decision).outcome();
+    }
+
+    private Outcome assign(long shardEpoch, long viewEpoch) {
+        ShardAssignment next = new ShardAssignment(2, shardEpoch, MEMBER, 1, List.of(MEMBER), List.of(MEMBER));
+        return order(CallKind.SHARD, "2", ShardOrders.assign(next, viewEpoch));
+    }
+
+    private Mark mark(MarkKind kind, String key) {
+        return ControlState.mark(state, kind, key);
+    }
+
+    @Test
+    void anAssignmentTakesThePlaceOfTheOneBeforeItAndOfNoOther() {
+        long epoch = state.lineage();
+        assertEquals(Outcome.CLASH, assign(2, epoch));
+        assertEquals(Outcome.TAKEN, assign(1, epoch));
+        assertEquals(Outcome.CLASH, assign(1, epoch));
+        assertEquals(Outcome.CLASH, assign(2, epoch + 1), "another head's");
+        assertEquals(Outcome.TAKEN, assign(2, epoch));
+        ShardAssignment kept = ShardAssignment.read(mark(MarkKind.SHARD, "2").value());
+        assertEquals(2, kept.epoch());
+        assertEquals(MEMBER, kept.learners().get(0));
+    }
+
+    @Test
+    void whatIsReportedOfAWindowIsDecidedOnce() {
+        long epoch = state.lineage();
+        MeteredWindow first = new MeteredWindow(70, Map.of("a", 3L));
+        MeteredWindow differing = new MeteredWindow(70, Map.of("a", 4L));
+        assertEquals(Outcome.TAKEN, order(CallKind.METER, "", first.order(epoch)));
+        assertEquals(Outcome.CLASH, order(CallKind.METER, "", differing.order(epoch)));
+        assertEquals(Outcome.CLASH, order(CallKind.METER, "", new MeteredWindow(71, Map.of()).order(epoch + 1)));
+        assertEquals(first, MeteredWindow.read(mark(MarkKind.METERING, "").value()));
+        assertEquals(Outcome.TAKEN, order(CallKind.METER, "", new MeteredWindow(71, Map.of()).order(epoch)));
+    }
+
+    @Test
+    void aVersionIsRolledOutOnceAtATimeAndEndedByTheHead() {
+        byte[] start = "{\"service\":\"s\",\"targetRevision\":\"v2\",\"durationS\":12}".getBytes(UTF_8);
+        byte[] other = "{\"service\":\"s\",\"targetRevision\":\"v3\",\"durationS\":12}".getBytes(UTF_8);
+        long epoch = state.lineage();
+        assertEquals(Outcome.NO_SUCH, order(CallKind.VERSION, "x", start));
+        assertEquals(Outcome.INVALID, order(CallKind.VERSION, "s", "{\"durationS\":3}".getBytes(UTF_8)));
+        assertEquals(Outcome.TAKEN, order(CallKind.VERSION, "s", start));
+        assertEquals(Outcome.TAKEN, order(CallKind.VERSION, "s", start), "sent again");
+        assertEquals(Outcome.CLASH, order(CallKind.VERSION, "s", other));
+        assertEquals(Outcome.CLASH, order(CallKind.VERSION, "s", VersionRollout.end(Standing.REVERTED, epoch + 1)));
+        assertEquals(Outcome.TAKEN, order(CallKind.VERSION, "s", VersionRollout.end(Standing.REVERTED, epoch)));
+        assertEquals(
+                new VersionRollout("s", "v2", 12, Standing.REVERTED),
+                VersionRollout.read(mark(MarkKind.VERSION, "s").value()));
+        assertEquals(Outcome.TAKEN, order(CallKind.VERSION, "s", other), "the next one");
+    }
+
+    @Test
+    void aRetirementIsTakenAgain() {
+        assertEquals(Outcome.TAKEN, order(CallKind.RETIRE, "storage-1", new byte[0]));
+        assertEquals(Outcome.TAKEN, order(CallKind.RETIRE, "storage-1", new byte[0]));
+        assertEquals("on", mark(MarkKind.RETIREMENT, "storage-1").value());
+    }
+}
