--- a/src/main/java/ringspindle/quota/TenantTokens.java
+++ b/src/main/java/ringspindle/quota/TenantTokens.java
@@ -22,7 +22,7 @@
     /** A request waits for a token that comes so soon, and is refused at once if it takes longer. */
     private static final int SHORT_WAIT_MS = 150;
     /** A request waits no longer than this for an answer of any kind. */
-    private static final int PATIENCE_MS = 1500;
+    private static final int PATIENCE_MS = 700;
     /** For so long ahead tokens are asked for by what was taken lately. */
     private static final double AHEAD_S = 0.2;
 
--- a/src/test/java/ringspindle/quota/QuotaWorldTest.java
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -179,8 +179,8 @@
         TenantTokens<String> tokens = new TenantTokens<>();
         tokens.take(TENANT, "r", 0);
         tokens.ask(0);
-        assertEquals(List.of(), tokens.tick(1400));
+        assertEquals(List.of(), tokens.tick(650));
         assertTrue(tokens.isAskDue(), "the next is asked");
-        assertEquals(TenantTokens.Verdict.UNKNOWN, tokens.tick(1600).get(0).verdict());
+        assertEquals(TenantTokens.Verdict.UNKNOWN, tokens.tick(750).get(0).verdict());
     }
 }
