A member whose node has another disk is replaced at once; no 404 while leaders are unknown

Cause: after two lost disks a shard waited 2.5 s for members that could not come back; a node that knows no leader answered readings as if there were no job. Change: a node in touch with another disk counts as gone; readings on a host with batch routes get 503 while nobody is known to keep jobs.

--- a/src/main/java/ringspindle/proxy/JobAdmission.java
+++ b/src/main/java/ringspindle/proxy/JobAdmission.java
@@ -130,9 +130,16 @@
     /** Answers a call by a job's id; false if the request is none. */
     boolean handle(Request request, ClientResponse client, FleetConfig configuration) {
         Optional<JobPath> path = JobPath.of(request.getHttpURI().getPath());
-        if (path.isEmpty() || !proxy.services().jobs().isOpen()) {
+        if (path.isEmpty()) {
             return false;
         }
+        if (!proxy.services().jobs().isOpen()) {
+            boolean mayBeThere = !configuration.batchRoutes(host(request)).isEmpty();
+            if (mayBeThere) {
+                client.respond(Outcome.UNCLEAR, RETRY_AFTER_MS, proxy.isLeaving());
+            }
+            return mayBeThere;
+        }
         Optional<JobCallKind> kind = kind(request.getMethod(), path.get());
         if (kind.isEmpty()) {
             client.respond(Outcome.NO_SUCH, 0, proxy.isLeaving());
--- a/src/main/java/ringspindle/shard/PlacementPlanner.java
+++ b/src/main/java/ringspindle/shard/PlacementPlanner.java
@@ -129,14 +129,16 @@
             return staying;
         }
         boolean mayShrink = joined.size() >= copiesMin
-                || joined.containsAll(current.members())
-                || current.members().stream().allMatch(member -> joined.contains(member) || isGone(member, nowMs));
+                || current.members().stream()
+                        .allMatch(member -> joined.contains(member) || isGone(member, nodes, nowMs));
         return mayShrink ? joined : current.members();
     }
 
-    private boolean isGone(ShardMember member, long nowMs) {
+    /** True for a member that has been out of touch for long, or whose node has another disk by now. */
+    private boolean isGone(ShardMember member, Map<NodeId, StorageNodeStatus> nodes, long nowMs) {
         Long sinceMs = missingSinceMs.get(member.node());
-        return sinceMs != null && nowMs - sinceMs > RETURN_MS;
+        boolean replaced = nodes.containsKey(member.node()) && !inTouch(member, nodes);
+        return replaced || sinceMs != null && nowMs - sinceMs > RETURN_MS;
     }
 
     /** True if the leader of that very assignment, in its present process, says so of the replica. */
