Items of batch jobs take at most 0.45 of the engines' places, counted by the leader

Change: the leader of the shard counts the runs of all storage nodes against the capacity in service.

--- a/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
@@ -186,6 +186,20 @@
         rolloutTurns.setWithheldVersion(service, version);
     }
 
+    @Override
+    public synchronized int capacityInService(String service) {
+        int capacity = 0;
+        for (EngineEntry engine : engines.all()) {
+            boolean serves = engine.service().equals(service)
+                    && !engine.isDraining()
+                    && !engine.isHeartbeatMissing()
+                    && !engine.ejection().isEjected()
+                    && !evacuations.contains(engine.zone());
+            capacity += serves ? engine.capacity() : 0;
+        }
+        return capacity;
+    }
+
     @Override
     public synchronized Selection select(SelectionRequest request, long nowMs) {
         FleetConfig.Service service = service(request.service());
--- a/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
@@ -150,6 +150,9 @@
     /** Engines of a service that run that version of its software get nothing; empty for none. */
     void setWithheldVersion(String service, String version);
 
+    /** How many requests the engines of a service run at a time, of those that are in service now. */
+    int capacityInService(String service);
+
     /** Selects an engine and counts the request as running there: {@link #onAttemptEnded} must follow. */
     Selection select(SelectionRequest request, long nowMs);
 
--- a/src/main/java/ringspindle/proxy/ItemClient.java
+++ b/src/main/java/ringspindle/proxy/ItemClient.java
@@ -114,6 +114,11 @@
         connections.closeIdle(loadBalancer.knownEngineIds());
     }
 
+    /** How many requests the engines of a service run at a time. */
+    public int capacityInService(String service) {
+        return loadBalancer.capacityInService(service);
+    }
+
     /** How many items are under way. */
     public int active() {
         return active.size();
--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -24,6 +24,8 @@
 final class ItemDispatcher {
     /** The most items that one storage node runs for one leader. */
     private static final int RUNS_MAX = 40;
+    /** Part of the engines' capacity that items may take, beside live requests. */
+    private static final double ITEMS_PART = 0.45;
     /** A node that had no room at engines gets nothing new for so long. */
     private static final int PAUSE_MS = 120;
 
@@ -49,12 +51,19 @@
         inTouch.forEach(node -> executors.putIfAbsent(node, new Executor()));
     }
 
-    /** Has as many items of a shard run as there is room for. */
-    List<Order> dispatch(HostedShard shard, long nowMs) {
-        int room = executors.values().stream()
+    /**
+     * Has as many items of a shard run as there is room for.
+     *
+     * @param capacity requests that the engines of batch routes run at a time
+     */
+    List<Order> dispatch(HostedShard shard, int capacity, long nowMs) {
+        int ofExecutors = executors.values().stream()
                 .filter(executor -> executor.pausedUntilMs <= nowMs)
                 .mapToInt(executor -> Math.max(0, RUNS_MAX - executor.running))
                 .sum();
+        // one count for all executors: what others run each of them knows only a second late
+        int ofEngines = (int) (capacity * ITEMS_PART) - runs.size();
+        int room = Math.max(0, Math.min(ofExecutors, ofEngines));
         List<Order> orders = new ArrayList<>();
         for (ItemKey key : shard.queue().take(shard.jobs().jobs(), room, nowMs)) {
             Job job = shard.jobs().job(key.job());
--- a/src/main/java/ringspindle/storagenode/ItemExecutor.java
+++ b/src/main/java/ringspindle/storagenode/ItemExecutor.java
@@ -61,6 +61,20 @@
         call.begin();
     }
 
+    /** Requests that the engines of all batch routes run at a time. */
+    int capacity() {
+        FleetConfig config = proxy.configurationInForce();
+        return config == null
+                ? 0
+                : config.routes().stream()
+                        .filter(route -> route.kind() == FleetConfig.Kind.BATCH)
+                        .flatMap(route -> route.targets().stream())
+                        .map(FleetConfig.Target::service)
+                        .distinct()
+                        .mapToInt(client::capacityInService)
+                        .sum();
+    }
+
     private static String pathOnly(String path) {
         int query = path.indexOf('?');
         return query < 0 ? path : path.substring(0, query);
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -3,8 +3,9 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
@@ -65,6 +66,9 @@
     /** Storage nodes that are there, as far as is known. */
     private Set<NodeId> executorsKnown = Set.of();
 
+    /** Requests that the engines of batch routes run at a time, as of the last tick. */
+    private int capacity;
+
     private long ticks;
 
     /** Hosts what was found on disk. */
@@ -145,7 +149,7 @@
             }
         }
         if (shard.replica().leads()) {
-            order(dispatcher.dispatch(shard, nowMs));
+            order(dispatcher.dispatch(shard, capacity, nowMs));
         }
     }
 
@@ -299,22 +303,15 @@
     public void written(List<StorageWriter.Write> group, long segment) {
         long nowMs = clock.nowMs();
         synchronized (lock) {
-            Set<HostedShard> touched = new LinkedHashSet<>();
+            Map<HostedShard, Long> lastTokens = new LinkedHashMap<>();
             for (StorageWriter.Write write : group) {
                 HostedShard shard = shards.get(write.shard());
-                touched.add(shard);
+                lastTokens.merge(shard, write.token(), Math::max);
                 if (write.record() instanceof ShardEntry entry) {
                     shard.written(entry.seq(), segment);
                 }
             }
-            for (HostedShard shard : touched) {
-                long token = group.stream()
-                        .filter(write -> write.shard() == shard.number())
-                        .mapToLong(StorageWriter.Write::token)
-                        .max()
-                        .orElse(0);
-                carryOut(shard, shard.replica().stored(token, nowMs));
-            }
+            lastTokens.forEach((shard, token) -> carryOut(shard, shard.replica().stored(token, nowMs)));
         }
     }
 
@@ -393,5 +390,6 @@
             }
         }
         dispatcher.setExecutors(connected);
+        capacity = items.capacity();
     }
 }
