--- a/src/main/java/ringspindle/quota/TenantBuckets.java
+++ b/src/main/java/ringspindle/quota/TenantBuckets.java
@@ -32,6 +32,9 @@
     /** The tokens of one tenant. */
     private static final class Bucket {
         double tokens;
+        /** Requests of all nodes that were granted nothing, less what has come in for them since. */
+        double unmet;
+
         long refilledMs;
     }
 
@@ -60,14 +63,17 @@
         Bucket bucket = buckets.computeIfAbsent(asked.tenant(), tenant -> fresh(nowMs));
         double rate = limit.ratePerS() * (nowMs < cautiousUntilMs ? TAKEOVER_PART : STEADY_PART);
         double most = limit.burstSize() * BURST_FACTOR + BURST_MORE;
-        bucket.tokens = Math.min(most, bucket.tokens + rate * (nowMs - bucket.refilledMs) / MS_PER_S);
+        double refill = rate * (nowMs - bucket.refilledMs) / MS_PER_S;
+        bucket.tokens = Math.min(most, bucket.tokens + refill);
+        bucket.unmet = Math.max(0, bucket.unmet - refill);
         bucket.refilledMs = nowMs;
         int needed = (int) Math.min(asked.need(), bucket.tokens);
         bucket.tokens -= needed;
         int spare = (int) Math.max(0, bucket.tokens - most * EXTRA_FROM_PART);
         int extra = Math.min(asked.extra(), spare);
         bucket.tokens -= extra;
-        int waitMs = needed < asked.need() ? (int) Math.ceil((1 - bucket.tokens) / rate * MS_PER_S) : 0;
+        bucket.unmet += asked.need() - needed;
+        int waitMs = needed < asked.need() ? (int) Math.ceil(bucket.unmet / rate * MS_PER_S) : 0;
         return new QuotaLeave(asked.tenant(), needed + extra, waitMs);
     }
 
