--- a/src/main/java/ringspindle/controlplane/MeteringTask.java
+++ b/src/main/java/ringspindle/controlplane/MeteringTask.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpStatus;
 import ringspindle.config.PlatformSettings;
+import ringspindle.controlplane.fleet.DutyLease;
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.metering.UsageLedger;
 import ringspindle.protocol.Message.Mark;
@@ -26,6 +27,9 @@
     /** Reports of data nodes are waited for so long after the end of a window. */
     private static final int SETTLE_MS = 2500;
 
+    /** What a head that takes over waits beyond the time within which the role must not go back and forth. */
+    private static final int TAKEOVER_MARGIN_MS = 300;
+
     private static final int PERIOD_TICKS = 3;
     private static final int BACKOFF_MS = 300;
     private static final int BACKOFF_MAX_MS = 2400;
@@ -57,7 +61,8 @@
         this.serving = serving;
         this.ledger = ledger;
         this.platform = platform;
-        lease = new DutyLease(context.me(), context.config().platform().leaseMs());
+        int leaseMs = context.config().platform().leaseMs();
+        lease = new DutyLease(context.me(), Math.max(leaseMs, QuorumTracker.VALID_MS) + TAKEOVER_MARGIN_MS);
         wallClock = AnchoredWallClock.now(context.clock());
     }
 
@@ -117,21 +122,15 @@
             busy.set(false);
             return;
         }
-        String json = "{\"windowNumber\":" + window.window() + ",\"counts\":" + counts(window) + "}";
         platform.post(
                 context.config().platform().address().orElseThrow(),
                 PATH,
                 context.config().name(),
                 view.epoch(),
-                json,
+                window.report(),
                 status -> answered(window, status));
     }
 
-    private static String counts(MeteredWindow window) {
-        String written = window.write();
-        return written.substring(written.indexOf("\"counts\":") + "\"counts\":".length(), written.length() - 1);
-    }
-
     private void answered(MeteredWindow window, int status) {
         if (HttpStatus.isSuccess(status)) {
             taken = window.window();
--- a/src/main/java/ringspindle/controlplane/ShardTask.java
+++ b/src/main/java/ringspindle/controlplane/ShardTask.java
@@ -122,6 +122,10 @@
     private Map<NodeId, StorageNodeStatus> storageNodes(long nowMs) {
         Map<NodeId, StorageNodeStatus> nodes = new TreeMap<>();
         synchronized (fleet.lock) {
+            if (fleet.facts().store().all(FactKind.STORAGE).isEmpty()) {
+                // most deployments have none, and the sessions of all nodes need not be read
+                return nodes;
+            }
             Map<DataNodeFact, Boolean> sessions = fleet.dataNodes().all(nowMs);
             List<StorageReport> reports = fleet.facts().store().all(FactKind.STORAGE).stream()
                     .map(fact -> (StorageReport) Codec.decode(fact.value()))
--- a/src/main/java/ringspindle/controlplane/fleet/QuotaLeaseIssuer.java
+++ b/src/main/java/ringspindle/controlplane/fleet/QuotaLeaseIssuer.java
@@ -18,21 +18,15 @@
     private static final int TAKEOVER_MS = TTL_MS + 500;
 
     private static final int PERIOD_TICKS = 10;
-    private static final long NEVER = -1;
-    private static final long FIRST_EPOCH = 1;
 
-    private final NodeId me;
     private final FleetFacts facts;
     private final DataNodeDirectory dataNodes;
-    /** The newest epoch in which this node held the role, {@link #NEVER} before the first. */
-    private long heldEpoch = NEVER;
-
-    private long grantFromMs;
+    private final DutyLease lease;
 
     QuotaLeaseIssuer(NodeId me, FleetFacts facts, DataNodeDirectory dataNodes) {
-        this.me = me;
         this.facts = facts;
         this.dataNodes = dataNodes;
+        lease = new DutyLease(me, TAKEOVER_MS);
     }
 
     /**
@@ -42,24 +36,11 @@
      * @param quorate only then this node may act as the head
      */
     public void tick(View view, boolean quorate, long ticks, long nowMs) {
-        if (view == null || !quorate || !view.head().equals(me)) {
-            return;
-        }
-        if (!succeedsItself(view.epoch())) {
-            boolean firstHeadEver = heldEpoch == NEVER && view.epoch() == FIRST_EPOCH;
-            grantFromMs = firstHeadEver ? nowMs : nowMs + TAKEOVER_MS;
-        }
-        heldEpoch = view.epoch();
-        if (nowMs >= grantFromMs && ticks % PERIOD_TICKS == 0) {
+        if (lease.mayAct(view, quorate, nowMs) && ticks % PERIOD_TICKS == 0) {
             grant(view.epoch(), nowMs);
         }
     }
 
-    /** True if nobody else can have granted anything since this node did: no view of another head lies in between. */
-    private boolean succeedsItself(long epoch) {
-        return heldEpoch != NEVER && epoch - heldEpoch <= 1;
-    }
-
     private void grant(long epoch, long nowMs) {
         int sharers = dataNodes.sharing(nowMs);
         if (sharers == 0) {
--- a/src/main/java/ringspindle/dataplane/JobCaller.java
+++ b/src/main/java/ringspindle/dataplane/JobCaller.java
@@ -14,6 +14,7 @@
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.proxy.JobGateway;
+import ringspindle.shard.AssignmentFacts;
 import ringspindle.shard.ShardAssignment;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.Mesh;
@@ -54,6 +55,9 @@
     private final Mesh mesh;
     private final Executor pool;
     private final MonotonicClock clock;
+    /** Guarded by the lock of the facts. */
+    private final AssignmentFacts assignmentFacts = new AssignmentFacts();
+
     private final Map<Integer, NodeId> leaders = new HashMap<>();
     private final Map<Long, PendingCall> pending = new HashMap<>();
     private long lastId;
@@ -157,7 +161,7 @@
 
     @Override
     public void factsChanged(FactStore facts) {
-        List<ShardAssignment> assignments = ShardAssignment.readAll(facts.all(FactKind.SHARD));
+        List<ShardAssignment> assignments = assignmentFacts.read(facts.all(FactKind.SHARD));
         synchronized (lock) {
             assignments.forEach(each -> leaders.put(each.shard(), each.leader().node()));
         }
--- a/src/main/java/ringspindle/dataplane/QuotaCaller.java
+++ b/src/main/java/ringspindle/dataplane/QuotaCaller.java
@@ -1,6 +1,5 @@
 package ringspindle.dataplane;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
 import ringspindle.config.Tenant;
@@ -8,7 +7,6 @@
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
-import ringspindle.protocol.NodeKind;
 import ringspindle.protocol.TenantMessage.QuotaAsk;
 import ringspindle.protocol.TenantMessage.QuotaGrant;
 import ringspindle.proxy.QuotaGateway;
@@ -27,7 +25,7 @@
     private final Executor pool;
     private final MonotonicClock clock;
     private final TenantTokens<Answer> tokens = new TenantTokens<>();
-    private final List<NodeId> controlNodes = new ArrayList<>();
+    private final ControlPeers controlNodes = new ControlPeers();
 
     QuotaCaller(NodeId me, Mesh mesh, Executor pool, MonotonicClock clock) {
         this.me = me;
@@ -54,10 +52,12 @@
     }
 
     private void askIfDue(long nowMs) {
-        if (!controlNodes.isEmpty() && tokens.isAskDue()) {
-            QuotaAsk ask = new QuotaAsk(me, tokens.seq() + 1, tokens.ask(nowMs));
-            mesh.send(controlNodes.get(0), ask);
+        if (!tokens.isAskDue()) {
+            return;
         }
+        controlNodes
+                .current()
+                .ifPresent(node -> mesh.send(node, new QuotaAsk(me, tokens.seq() + 1, tokens.ask(nowMs))));
     }
 
     private void tell(List<TenantTokens.Told<Answer>> told) {
@@ -76,18 +76,15 @@
 
     @Override
     public void opened(Hello peer) {
-        if (peer.kind() == NodeKind.CONTROL) {
-            synchronized (lock) {
-                controlNodes.remove(peer.node());
-                controlNodes.add(peer.node());
-            }
+        synchronized (lock) {
+            controlNodes.opened(peer);
         }
     }
 
     @Override
     public void closed(NodeId peer) {
         synchronized (lock) {
-            controlNodes.remove(peer);
+            controlNodes.closed(peer);
         }
     }
 
@@ -112,9 +109,9 @@
         synchronized (lock) {
             boolean unanswered = tokens.isOverdue(nowMs);
             tell(tokens.tick(nowMs));
-            if (unanswered && controlNodes.size() > 1) {
+            if (unanswered) {
                 // the next one may be nearer to whoever grants
-                controlNodes.add(controlNodes.remove(0));
+                controlNodes.rotate();
             }
             askIfDue(nowMs);
         }
--- a/src/main/java/ringspindle/dataplane/UsageReporter.java
+++ b/src/main/java/ringspindle/dataplane/UsageReporter.java
@@ -1,14 +1,13 @@
 package ringspindle.dataplane;
 
-import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import ringspindle.gossip.FactStore;
 import ringspindle.metering.UsageCounter;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
-import ringspindle.protocol.NodeKind;
 import ringspindle.protocol.TenantMessage.UsageReport;
 import ringspindle.protocol.TenantMessage.UsageRow;
 import ringspindle.proxy.NodeServices;
@@ -28,7 +27,7 @@
     private final MonotonicClock clock;
     private final AnchoredWallClock wallClock;
     private final UsageCounter counter;
-    private final List<NodeId> controlNodes = new ArrayList<>();
+    private final ControlPeers controlNodes = new ControlPeers();
     private long ticks;
     private Set<UsageRow> told = Set.of();
 
@@ -49,15 +48,12 @@
 
     @Override
     public synchronized void opened(Hello peer) {
-        if (peer.kind() == NodeKind.CONTROL) {
-            controlNodes.remove(peer.node());
-            controlNodes.add(peer.node());
-        }
+        controlNodes.opened(peer);
     }
 
     @Override
     public synchronized void closed(NodeId peer) {
-        controlNodes.remove(peer);
+        controlNodes.closed(peer);
     }
 
     @Override
@@ -74,7 +70,8 @@
     @Override
     public synchronized void tick(long nowMs) {
         ticks++;
-        if (ticks % PERIOD_TICKS != 0 || controlNodes.isEmpty()) {
+        Optional<NodeId> controlNode = controlNodes.current();
+        if (ticks % PERIOD_TICKS != 0 || controlNode.isEmpty()) {
             return;
         }
         List<UsageRow> rows = counter.rows(wallClock.wallMs(nowMs));
@@ -83,7 +80,7 @@
                 whole ? rows : rows.stream().filter(row -> !told.contains(row)).toList();
         if (!due.isEmpty()) {
             told = Set.copyOf(rows);
-            mesh.send(controlNodes.get(0), new UsageReport(me, life, due));
+            mesh.send(controlNode.get(), new UsageReport(me, life, due));
         }
     }
 }
--- a/src/main/java/ringspindle/proxy/AdmittedRequest.java
+++ b/src/main/java/ringspindle/proxy/AdmittedRequest.java
@@ -61,9 +61,9 @@
         this.service = service;
         this.assignment = assignment;
         rules = policy().rules().orElse(rulesInForce);
-        String[] tokens = header(Headers.TOKEN_COUNT, "0,0").split(",");
-        promptTokens = parseCount(tokens[0]);
-        outputTokens = tokens.length > 1 ? parseCount(tokens[1]) : 0;
+        TokenCounts tokens = TokenCounts.of(request.getHeaders());
+        promptTokens = tokens.prompt();
+        outputTokens = tokens.output();
         rule = rules == null ? null : rules.match(attributes());
         String prefix = header(Headers.PROMPT_PREFIX, "");
         affinity = rule == null || rule.affinity() == null
@@ -241,12 +241,4 @@
         String value = request.getHeaders().get(name);
         return value == null ? otherwise : value;
     }
-
-    private static int parseCount(String text) {
-        try {
-            return Integer.parseInt(text.trim());
-        } catch (NumberFormatException notANumber) {
-            return 0;
-        }
-    }
 }
--- a/src/main/java/ringspindle/proxy/ItemCall.java
+++ b/src/main/java/ringspindle/proxy/ItemCall.java
@@ -48,18 +48,9 @@
         HttpFields headers = item.headers();
         String prefix = headers.get(Headers.PROMPT_PREFIX);
         affinity = Affinity.defaultKey(prefix == null ? "" : prefix);
-        String tokens = headers.get(Headers.TOKEN_COUNT);
-        String[] counts = (tokens == null ? "0,0" : tokens).split(",", -1);
-        ownTokens = Math.max(0, count(counts[0]) - affinity.sharedTokens());
-        outputTokens = counts.length > 1 ? count(counts[1]) : 0;
-    }
-
-    private static int count(String text) {
-        try {
-            return Integer.parseInt(text.trim());
-        } catch (NumberFormatException notANumber) {
-            return 0;
-        }
+        TokenCounts tokens = TokenCounts.of(headers);
+        ownTokens = Math.max(0, tokens.prompt() - affinity.sharedTokens());
+        outputTokens = tokens.output();
     }
 
     /** Begins to run the item. */
--- a/src/main/java/ringspindle/replication/MeteredWindow.java
+++ b/src/main/java/ringspindle/replication/MeteredWindow.java
@@ -25,17 +25,23 @@
 
     private static final JsonProvider JSON = JsonProvider.provider();
     private static final String WINDOW = "window";
+    private static final String REPORTED_WINDOW = "windowNumber";
     private static final String COUNTS = "counts";
 
     /** As JSON; {@code MeteredWindow.read(window.write()).equals(window)}. */
     public String write() {
-        return fields().build().toString();
+        return fields(WINDOW).build().toString();
     }
 
-    private JsonObjectBuilder fields() {
+    /** As the platform wants it. */
+    public String report() {
+        return fields(REPORTED_WINDOW).build().toString();
+    }
+
+    private JsonObjectBuilder fields(String windowName) {
         JsonObjectBuilder tenants = JSON.createObjectBuilder();
         counts.forEach((tenant, requests) -> tenants.add(tenant, (long) requests));
-        return JSON.createObjectBuilder().add(WINDOW, window).add(COUNTS, tenants);
+        return JSON.createObjectBuilder().add(windowName, window).add(COUNTS, tenants);
     }
 
     /** Reads what {@link #write} wrote. */
@@ -58,7 +64,7 @@
      * @param epoch of the view whose head gives the order
      */
     public byte[] order(long epoch) {
-        return fields().add(JsonOrder.EPOCH, epoch).build().toString().getBytes(UTF_8);
+        return fields(WINDOW).add(JsonOrder.EPOCH, epoch).build().toString().getBytes(UTF_8);
     }
 
     /** Windows are decided in order, each once, by the head of the view alone. */
--- a/src/main/java/ringspindle/shard/Leadership.java
+++ b/src/main/java/ringspindle/shard/Leadership.java
@@ -129,18 +129,14 @@
 
     /** Up to which entry all required replicas have the log on disk, if they are enough; what is committed already if not. */
     long committable(long ownStoredSeq) {
-        long copies = 1;
         long least = ownStoredSeq;
         for (FollowerProgress follower : followers.values()) {
-            if (!follower.isEstablished() && follower.isRequired()) {
-                return log.committed();
-            }
             if (follower.isRequired()) {
-                copies++;
+                // below 0 while it has not followed this leader
                 least = Math.min(least, follower.matchedSeq());
             }
         }
-        return copies < copiesMin ? log.committed() : Math.max(log.committed(), least);
+        return hasCopies() ? Math.max(log.committed(), least) : log.committed();
     }
 
     /** Notes whether this epoch goes on from all that was committed before. */
--- a/src/main/java/ringspindle/shard/ShardReplica.java
+++ b/src/main/java/ringspindle/shard/ShardReplica.java
@@ -94,16 +94,6 @@
         return new ShardPromise(shard, promisedEpoch, log.committed());
     }
 
-    /** True if it holds nothing and has promised nothing. */
-    public boolean isBlank() {
-        return promisedEpoch == 0 && log.lastSeq() == 0;
-    }
-
-    /** The newest assignment, null while none is known. */
-    public ShardAssignment assignment() {
-        return assignment;
-    }
-
     /** True if this replica is the leader of the newest epoch that it knows: records may be proposed. */
     public boolean isLeader() {
         return leadership != null;
--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -146,9 +146,4 @@
         }
         return orders;
     }
-
-    /** How many items run. */
-    int running() {
-        return runs.size();
-    }
 }
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -33,6 +33,7 @@
 import ringspindle.protocol.ShardMessage.ShardAck;
 import ringspindle.protocol.ShardMessage.ShardAppend;
 import ringspindle.protocol.ShardMessage.ShardEntry;
+import ringspindle.shard.AssignmentFacts;
 import ringspindle.shard.ReplicaOutput;
 import ringspindle.shard.ShardAssignment;
 import ringspindle.time.MonotonicClock;
@@ -60,6 +61,7 @@
     private final ItemDispatcher dispatcher = new ItemDispatcher();
     private final ItemOutcomes outcomes;
     private final List<HostedShard> shards;
+    private final AssignmentFacts assignmentFacts = new AssignmentFacts();
     private StorageWriter writer;
     private ItemExecutor items;
     private volatile NodeConfig config;
@@ -329,7 +331,7 @@
 
     @Override
     public void factsChanged(FactStore facts) {
-        List<ShardAssignment> assignments = ShardAssignment.readAll(facts.all(FactKind.SHARD));
+        List<ShardAssignment> assignments = assignmentFacts.read(facts.all(FactKind.SHARD));
         Set<NodeId> storageNodes = new TreeSet<>();
         for (Fact fact : facts.all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
--- a/src/main/java/ringspindle/tenancy/KeyLease.java
+++ b/src/main/java/ringspindle/tenancy/KeyLease.java
@@ -39,9 +39,4 @@
     public boolean isValid(long nowMs) {
         return validMs == Long.MAX_VALUE || nowMs - provenMs <= validMs;
     }
-
-    /** How long ago what is held was proven, in ms. */
-    public long ageMs(long nowMs) {
-        return nowMs - provenMs;
-    }
 }
