Storage reports are joined with nodes by address: two processes of one millisecond were mixed up

Cause: the head matched a storage node's report by the number of its process alone. The number is drawn from the time of day in ms, and storage nodes of one fleet start together: two with one number swapped disks in the first assignment, so that the named leader held another disk, never led, and no job of its shards was taken. Change: whose report it is comes from the key of the fact (StorageReportFact); StorageNodeTable joins reports and sessions by address and process.

--- a/src/main/java/ringspindle/controlplane/ShardTask.java
+++ b/src/main/java/ringspindle/controlplane/ShardTask.java
@@ -10,20 +10,18 @@
 import java.util.TreeMap;
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.logging.LogField;
-import ringspindle.membership.DataNodeFact;
-import ringspindle.protocol.Codec;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.Message.View;
 import ringspindle.protocol.NodeId;
-import ringspindle.protocol.NodeKind;
-import ringspindle.protocol.ShardMessage.StorageReport;
 import ringspindle.replication.CallKind;
 import ringspindle.replication.ShardOrders;
 import ringspindle.shard.PlacementPlanner;
 import ringspindle.shard.ShardAssignment;
 import ringspindle.shard.ShardMember;
 import ringspindle.shard.StorageNodeStatus;
+import ringspindle.shard.StorageNodeTable;
+import ringspindle.shard.StorageReportFact;
 
 /** Has the head of the view assign shards to storage nodes. Called by the tick alone. */
 final class ShardTask {
@@ -120,33 +118,23 @@
 
     /** Storage nodes that are in touch, have said which disk they have, and do not shut down. */
     private Map<NodeId, StorageNodeStatus> storageNodes(long nowMs) {
-        Map<NodeId, StorageNodeStatus> nodes = new TreeMap<>();
         synchronized (fleet.lock) {
-            if (fleet.facts().store().all(FactKind.STORAGE).isEmpty()) {
+            List<StorageReportFact> reports = fleet.facts().store().all(FactKind.STORAGE).stream()
+                    .map(StorageReportFact::read)
+                    .toList();
+            if (reports.isEmpty()) {
                 // most deployments have none, and the sessions of all nodes need not be read
-                return nodes;
+                return Map.of();
             }
-            Map<DataNodeFact, Boolean> sessions = fleet.dataNodes().all(nowMs);
-            List<StorageReport> reports = fleet.facts().store().all(FactKind.STORAGE).stream()
-                    .map(fact -> (StorageReport) Codec.decode(fact.value()))
-                    .toList();
-            sessions.forEach((session, inTouch) -> {
-                Hello hello = session.hello();
-                if (inTouch && hello.kind() == NodeKind.STORAGE) {
-                    reports.stream()
-                            .filter(report -> report.life() == hello.life())
-                            .findFirst()
-                            .ifPresent(report -> nodes.put(hello.node(), status(hello, report)));
+            List<Hello> inTouch = new ArrayList<>();
+            fleet.dataNodes().all(nowMs).forEach((session, holds) -> {
+                if (holds) {
+                    inTouch.add(session.hello());
                 }
             });
+            Set<String> retiring = new HashSet<>();
+            fleet.facts().store().all(FactKind.RETIREMENT).forEach(fact -> retiring.add(fact.key()));
+            return StorageNodeTable.join(inTouch, reports, retiring);
         }
-        return nodes;
-    }
-
-    /** Called with the fleet's lock held. */
-    private StorageNodeStatus status(Hello hello, StorageReport report) {
-        boolean retires = fleet.facts().store().get(FactKind.RETIREMENT, hello.name()) != null;
-        return new StorageNodeStatus(
-                hello.node(), hello.zone(), report.store(), report.boot(), retires, report.replicas());
     }
 }
--- a/src/main/java/ringspindle/storagenode/StorageAnnouncer.java
+++ b/src/main/java/ringspindle/storagenode/StorageAnnouncer.java
@@ -3,14 +3,12 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
-import ringspindle.protocol.Codec;
-import ringspindle.protocol.FactKind;
-import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.Message.News;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.ShardMessage.ReplicaRow;
 import ringspindle.protocol.ShardMessage.StorageReport;
 import ringspindle.protocol.ShardMessage.StoreIdentity;
+import ringspindle.shard.StorageReportFact;
 import ringspindle.transport.Mesh;
 
 /**
@@ -59,8 +57,6 @@
     }
 
     private News news() {
-        String key = me + "/" + Long.toHexString(identity.store());
-        return new News(
-                false, List.of(new Fact(FactKind.STORAGE, key, identity.boot(), version, Codec.encode(report))));
+        return new News(false, List.of(new StorageReportFact(me, report).write(version)));
     }
 }
