A leader says that it leads, and is replaced if it does not; status tells why a shard has none

Cause: the head took a leader in touch for one that leads; a wrong assignment or a hanging disk stayed for good, and nothing showed it.

--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -85,7 +85,7 @@
         HeadDuties headDuties = new HeadDuties(
                 new RolloutTask(me, fleet, engines, replication, reports),
                 new ExperimentTask(context, environment.incarnation(), fleet, replication),
-                new ShardTask(me, fleet, replication, config.lossesBorne()),
+                new ShardTask(me, replication, storageNodes(), config.lossesBorne()),
                 new MeteringTask(context, replication, serving, usage, platform),
                 new VersionRolloutTask(me, fleet, replication));
         tasks = new ControlNodeTasks(
--- a/src/main/java/ringspindle/controlplane/ShardTask.java
+++ b/src/main/java/ringspindle/controlplane/ShardTask.java
@@ -8,20 +8,16 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.logging.LogField;
-import ringspindle.protocol.FactKind;
-import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.Message.View;
 import ringspindle.protocol.NodeId;
 import ringspindle.replication.CallKind;
 import ringspindle.replication.ShardOrders;
 import ringspindle.shard.PlacementPlanner;
 import ringspindle.shard.ShardAssignment;
+import ringspindle.shard.ShardCondition;
 import ringspindle.shard.ShardMember;
 import ringspindle.shard.StorageNodeStatus;
-import ringspindle.shard.StorageNodeTable;
-import ringspindle.shard.StorageReportFact;
 
 /** Has the head of the view assign shards to storage nodes. Called by the tick alone. */
 final class ShardTask {
@@ -31,20 +27,22 @@
     private static final int LOOK_FIRST_MS = 1000;
 
     private final NodeId me;
-    private final FleetState fleet;
     private final ReplicationDriver replication;
+    private final StorageNodes storageNodes;
     private final int copiesMin;
     private PlacementPlanner planner;
     /** Since when this node has led, below 0 while it does not. */
     private long leadsSinceMs = -1;
     /** Shards with an order under way. */
     private final Set<Integer> ordered = new HashSet<>();
+    /** Shards without a leader, as they were logged last. */
+    private Map<Integer, ShardCondition> loggedLeaderless = Map.of();
 
     /** Assigns shards so that an entry is on one disk more than may be lost at once. */
-    ShardTask(NodeId me, FleetState fleet, ReplicationDriver replication, int lossesBorne) {
+    ShardTask(NodeId me, ReplicationDriver replication, StorageNodes storageNodes, int lossesBorne) {
         this.me = me;
-        this.fleet = fleet;
         this.replication = replication;
+        this.storageNodes = storageNodes;
         copiesMin = lossesBorne + 1;
         planner = new PlacementPlanner(copiesMin);
     }
@@ -66,8 +64,8 @@
         if (ticks % PERIOD_TICKS != 0) {
             return;
         }
-        Map<NodeId, StorageNodeStatus> nodes = storageNodes(nowMs);
-        Map<Integer, ShardAssignment> assignments = assignments();
+        Map<NodeId, StorageNodeStatus> nodes = storageNodes.inTouch(nowMs);
+        Map<Integer, ShardAssignment> assignments = storageNodes.assignments();
         if (nodes.isEmpty() && assignments.isEmpty()) {
             return;
         }
@@ -75,12 +73,28 @@
         if (nowMs - leadsSinceMs < LOOK_FIRST_MS) {
             return;
         }
+        logConditions(assignments, nodes);
         for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
             Optional<ShardAssignment> next = planner.next(shard, assignments.get(shard), nodes, nowMs);
             next.ifPresent(assignment -> order(assignment, view.epoch()));
         }
     }
 
+    /** Says which shards have no leader that takes calls, and why, whenever that changes. */
+    private void logConditions(Map<Integer, ShardAssignment> assignments, Map<NodeId, StorageNodeStatus> nodes) {
+        Map<Integer, ShardCondition> leaderless = new TreeMap<>();
+        for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
+            ShardCondition condition = ShardCondition.of(assignments.get(shard), nodes);
+            if (condition != ShardCondition.LED) {
+                leaderless.put(shard, condition);
+            }
+        }
+        if (!leaderless.equals(loggedLeaderless)) {
+            loggedLeaderless = leaderless;
+            LOG.atInfo().log("shards without a leader: %s; %s storage nodes in touch", leaderless, nodes.size());
+        }
+    }
+
     private void order(ShardAssignment assignment, long viewEpoch) {
         int shard = assignment.shard();
         synchronized (ordered) {
@@ -108,33 +122,4 @@
     private static List<NodeId> nodes(List<ShardMember> replicas) {
         return replicas.stream().map(ShardMember::node).toList();
     }
-
-    private Map<Integer, ShardAssignment> assignments() {
-        Map<Integer, ShardAssignment> assignments = new TreeMap<>();
-        fleet.read(store -> ShardAssignment.readAll(store.all(FactKind.SHARD)))
-                .forEach(assignment -> assignments.put(assignment.shard(), assignment));
-        return assignments;
-    }
-
-    /** Storage nodes that are in touch, have said which disk they have, and do not shut down. */
-    private Map<NodeId, StorageNodeStatus> storageNodes(long nowMs) {
-        synchronized (fleet.lock) {
-            List<StorageReportFact> reports = fleet.facts().store().all(FactKind.STORAGE).stream()
-                    .map(StorageReportFact::read)
-                    .toList();
-            if (reports.isEmpty()) {
-                // most deployments have none, and the sessions of all nodes need not be read
-                return Map.of();
-            }
-            List<Hello> inTouch = new ArrayList<>();
-            fleet.dataNodes().all(nowMs).forEach((session, holds) -> {
-                if (holds) {
-                    inTouch.add(session.hello());
-                }
-            });
-            Set<String> retiring = new HashSet<>();
-            fleet.facts().store().all(FactKind.RETIREMENT).forEach(fact -> retiring.add(fact.key()));
-            return StorageNodeTable.join(inTouch, reports, retiring);
-        }
-    }
 }
--- a/src/main/java/ringspindle/controlplane/StorageNodes.java
+++ b/src/main/java/ringspindle/controlplane/StorageNodes.java
@@ -1,17 +1,24 @@
 package ringspindle.controlplane;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Hello;
+import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
 import ringspindle.shard.ShardAssignment;
+import ringspindle.shard.ShardCondition;
+import ringspindle.shard.StorageNodeStatus;
+import ringspindle.shard.StorageNodeTable;
+import ringspindle.shard.StorageReportFact;
 
 /** Questions about storage nodes, answered from what this node knows of the fleet. Thread safe; without state of its own. */
 public final class StorageNodes {
@@ -40,12 +47,50 @@
 
     /** True if no shard is assigned to that node, as member or learner. */
     public boolean isEmptied(String name) {
-        List<ShardAssignment> assignments = fleet.read(store -> ShardAssignment.readAll(store.all(FactKind.SHARD)));
+        Collection<ShardAssignment> assignments = assignments().values();
         return greetings(false).stream()
                 .filter(hello -> hello.name().equals(name))
                 .noneMatch(hello -> assignments.stream().anyMatch(each -> each.names(hello.node())));
     }
 
+    /** Storage nodes that are in touch, have said which disk they have, and do not shut down. */
+    Map<NodeId, StorageNodeStatus> inTouch(long nowMs) {
+        synchronized (fleet.lock) {
+            List<StorageReportFact> reports = fleet.facts().store().all(FactKind.STORAGE).stream()
+                    .map(StorageReportFact::read)
+                    .toList();
+            if (reports.isEmpty()) {
+                // most deployments have none, and the sessions of all nodes need not be read
+                return Map.of();
+            }
+            Set<String> retiring = new HashSet<>();
+            fleet.facts().store().all(FactKind.RETIREMENT).forEach(fact -> retiring.add(fact.key()));
+            return StorageNodeTable.join(greetings(true), reports, retiring);
+        }
+    }
+
+    /** The assignments of shards as they are known here, by shard. */
+    public Map<Integer, ShardAssignment> assignments() {
+        Map<Integer, ShardAssignment> assignments = new TreeMap<>();
+        fleet.read(store -> ShardAssignment.readAll(store.all(FactKind.SHARD)))
+                .forEach(assignment -> assignments.put(assignment.shard(), assignment));
+        return assignments;
+    }
+
+    /** Whether each shard has a leader, by shard; empty where there are neither storage nodes nor assignments. */
+    public Map<Integer, ShardCondition> conditions() {
+        Map<NodeId, StorageNodeStatus> nodes = inTouch(context.nowMs());
+        Map<Integer, ShardAssignment> assignments = assignments();
+        Map<Integer, ShardCondition> conditions = new TreeMap<>();
+        if (nodes.isEmpty() && assignments.isEmpty()) {
+            return conditions;
+        }
+        for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
+            conditions.put(shard, ShardCondition.of(assignments.get(shard), nodes));
+        }
+        return conditions;
+    }
+
     private List<Hello> greetings(boolean inTouch) {
         List<Hello> greetings = new ArrayList<>();
         synchronized (fleet.lock) {
--- a/src/main/java/ringspindle/controlplane/server/StatusPage.java
+++ b/src/main/java/ringspindle/controlplane/server/StatusPage.java
@@ -6,10 +6,12 @@
 import jakarta.json.spi.JsonProvider;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import ringspindle.controlplane.ControlNode;
 import ringspindle.controlplane.FleetQueries;
 import ringspindle.controlplane.ServingState;
 import ringspindle.controlplane.ShutdownHandover;
+import ringspindle.controlplane.StorageNodes;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Fact;
@@ -21,6 +23,9 @@
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
 import ringspindle.replication.MarkKind;
+import ringspindle.shard.ShardAssignment;
+import ringspindle.shard.ShardCondition;
+import ringspindle.shard.ShardMember;
 
 /** The page on which a control node shows operators how it is. Tools read it: names and order are fixed. */
 public final class StatusPage {
@@ -42,10 +47,11 @@
             page.add("view", view(view)).add("duties", duties(view));
         }
         addState(page, node.replication().committed(), serving);
-        return page.add("sessions", sessions(node.queries().sessions()))
+        page.add("sessions", sessions(node.queries().sessions()))
                 .add("holders", holders(node.queries().holders()))
-                .add("nodes", dataNodes(node))
-                .build();
+                .add("nodes", dataNodes(node));
+        addShards(page, node.storageNodes());
+        return page.build();
     }
 
     private static JsonObjectBuilder view(View view) {
@@ -105,6 +111,33 @@
         return array;
     }
 
+    /** Shards of batch jobs, where there are storage nodes. */
+    private static void addShards(JsonObjectBuilder page, StorageNodes storageNodes) {
+        Map<Integer, ShardCondition> conditions = storageNodes.conditions();
+        if (conditions.isEmpty()) {
+            return;
+        }
+        Map<Integer, ShardAssignment> assignments = storageNodes.assignments();
+        JsonArrayBuilder array = JSON.createArrayBuilder();
+        conditions.forEach((shard, condition) -> {
+            JsonObjectBuilder row =
+                    JSON.createObjectBuilder().add("shard", shard).add("condition", condition.name());
+            ShardAssignment assignment = assignments.get(shard);
+            if (assignment != null) {
+                row.add("epoch", assignment.epoch())
+                        .add("leader", assignment.leader().node().toString())
+                        .add("members", replicas(assignment.members()))
+                        .add("learners", replicas(assignment.learners()));
+            }
+            array.add(row);
+        });
+        page.add("shards", array);
+    }
+
+    private static JsonArrayBuilder replicas(List<ShardMember> replicas) {
+        return names(replicas.stream().map(ShardMember::node).toList());
+    }
+
     private static JsonArrayBuilder holders(List<ShutdownHandover.Holder> holders) {
         JsonArrayBuilder array = JSON.createArrayBuilder();
         for (ShutdownHandover.Holder holder : holders) {
--- a/src/main/java/ringspindle/proxy/ItemClient.java
+++ b/src/main/java/ringspindle/proxy/ItemClient.java
@@ -24,7 +24,7 @@
  * call.begin();
  * }</pre>
  */
-public final class ItemClient {
+public final class ItemClient implements EngineMaintenance {
     /** An engine that says nothing for so long is given up. */
     static final int SILENCE_MS = 3000;
 
@@ -98,18 +98,18 @@
         return call;
     }
 
-    /** Gives up engines that are silent; to be called every few hundred milliseconds. */
+    @Override
     public void tick() {
         long nowMs = clock.nowMs();
         active.forEach(call -> call.checkSilence(nowMs));
     }
 
-    /** Asks ejected engines for their health, as far as that is due. */
+    @Override
     public void probeEngines() {
         prober.probe();
     }
 
-    /** Closes connections that are idle for too long, or lead to engines that are gone. */
+    @Override
     public void closeIdleConnections() {
         connections.closeIdle(loadBalancer.knownEngineIds());
     }
@@ -119,7 +119,7 @@
         return loadBalancer.capacityInService(service);
     }
 
-    /** How many items are under way. */
+    @Override
     public int active() {
         return active.size();
     }
--- a/src/main/java/ringspindle/shard/PlacementPlanner.java
+++ b/src/main/java/ringspindle/shard/PlacementPlanner.java
@@ -11,7 +11,6 @@
 import java.util.stream.Stream;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.ReplicaStanding;
-import ringspindle.protocol.ShardMessage.ReplicaRow;
 
 /**
  * Decides who holds a shard next, from the assignment as it stands and the storage nodes in touch. Whoever leads next was a
@@ -28,6 +27,10 @@
 
     private final int copiesMin;
     private final Map<NodeId, Long> missingSinceMs = new HashMap<>();
+    private final LeaderWatch leaders = new LeaderWatch();
+    /** Who leads each shard, by the assignments that were seen or decided last. */
+    private final Map<Integer, NodeId> leaderByShard = new HashMap<>();
+
     private long firstSeenMs = -1;
 
     /**
@@ -46,6 +49,9 @@
         }
         Set<NodeId> missing = new HashSet<>();
         for (ShardAssignment assignment : assignments) {
+            leaderByShard.put(assignment.shard(), assignment.leader().node());
+            boolean leads = isReported(assignment.leader(), ReplicaStanding.LEADING, assignment, nodes);
+            leaders.observe(assignment, leads, nowMs);
             for (ShardMember member : assignment.members()) {
                 if (!inTouch(member, nodes)) {
                     missing.add(member.node());
@@ -69,7 +75,10 @@
      */
     public Optional<ShardAssignment> next(
             int shard, ShardAssignment current, Map<NodeId, StorageNodeStatus> nodes, long nowMs) {
-        return current == null ? first(shard, nodes, nowMs) : after(current, nodes, nowMs);
+        Optional<ShardAssignment> next = current == null ? first(shard, nodes, nowMs) : after(current, nodes, nowMs);
+        next.ifPresent(
+                assignment -> leaderByShard.put(shard, assignment.leader().node()));
+        return next;
     }
 
     private Optional<ShardAssignment> first(int shard, Map<NodeId, StorageNodeStatus> nodes, long nowMs) {
@@ -78,7 +87,9 @@
         if (chosen.size() < copiesMin || waits) {
             return Optional.empty();
         }
-        StorageNodeStatus leader = chosen.get(0);
+        StorageNodeStatus leader = chosen.stream()
+                .min(Comparator.comparingLong(status -> shardsLed(shard, status.node())))
+                .orElseThrow();
         return Optional.of(new ShardAssignment(
                 shard,
                 1,
@@ -88,9 +99,16 @@
                 List.of()));
     }
 
+    /** How many other shards a node leads. */
+    private long shardsLed(int shard, NodeId node) {
+        return leaderByShard.entrySet().stream()
+                .filter(entry -> entry.getKey() != shard && entry.getValue().equals(node))
+                .count();
+    }
+
     private Optional<ShardAssignment> after(ShardAssignment current, Map<NodeId, StorageNodeStatus> nodes, long nowMs) {
         List<ShardMember> members = members(current, nodes, nowMs);
-        Optional<StorageNodeStatus> leader = leader(current, members, nodes);
+        Optional<StorageNodeStatus> leader = leader(current, members, nodes, nowMs);
         if (leader.isEmpty()) {
             return Optional.empty();
         }
@@ -151,20 +169,15 @@
         return leader != null
                 && leader.member().equals(assignment.leader())
                 && leader.boot() == assignment.leaderBoot()
-                && leader.reported().stream().anyMatch(row -> says(row, replica, standing, assignment));
-    }
-
-    private static boolean says(
-            ReplicaRow row, ShardMember replica, ReplicaStanding standing, ShardAssignment assignment) {
-        return row.shard() == assignment.shard()
-                && row.epoch() == assignment.epoch()
-                && row.node().equals(replica.node())
-                && row.standing() == standing;
+                && leader.reports(assignment, replica.node(), standing);
     }
 
-    /** The present leader if it is the same process still, else another member that is in touch. */
-    private static Optional<StorageNodeStatus> leader(
-            ShardAssignment current, List<ShardMember> members, Map<NodeId, StorageNodeStatus> nodes) {
+    /**
+     * The present leader if it is the same process still and leads, else another member that is in touch. One that does not lead
+     * though it should stays only where there is no other.
+     */
+    private Optional<StorageNodeStatus> leader(
+            ShardAssignment current, List<ShardMember> members, Map<NodeId, StorageNodeStatus> nodes, long nowMs) {
         List<StorageNodeStatus> able = members.stream()
                 .filter(member -> inTouch(member, nodes) && current.members().contains(member))
                 .map(member -> nodes.get(member.node()))
@@ -174,7 +187,18 @@
                         && status.boot() == current.leaderBoot()
                         && !status.leaving())
                 .findFirst();
-        return present.isPresent() ? present : able.stream().min(Comparator.comparing(StorageNodeStatus::leaving));
+        boolean overdue = present.isPresent() && leaders.isOverdue(current, nowMs);
+        if (present.isPresent() && !overdue) {
+            return present;
+        }
+        Optional<StorageNodeStatus> other = able.stream()
+                .filter(status -> !overdue || !status.leaving() && !status.equals(present.get()))
+                .min(Comparator.comparing(StorageNodeStatus::leaving)
+                        .thenComparing(status -> shardsLed(current.shard(), status.node())));
+        if (overdue && other.isPresent()) {
+            leaders.onReplaced(current.shard());
+        }
+        return other.isPresent() ? other : present;
     }
 
     private List<ShardMember> learners(
--- a/src/main/java/ringspindle/shard/ShardReplica.java
+++ b/src/main/java/ringspindle/shard/ShardReplica.java
@@ -7,6 +7,7 @@
 import java.util.function.Predicate;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.NodeId;
+import ringspindle.protocol.ReplicaStanding;
 import ringspindle.protocol.ShardMessage.LogEntry;
 import ringspindle.protocol.ShardMessage.ReplicaRow;
 import ringspindle.protocol.ShardMessage.ShardAck;
@@ -31,6 +32,11 @@
  * }</pre>
  */
 public final class ShardReplica {
+    /** A disk that has completed nothing for so long, though it should, does not keep up. */
+    private static final int DISK_STALLED_MS = 900;
+
+    private static final long NOTHING_OWED = -1;
+
     /** An answer that is due once a record is on disk. */
     private record PendingAck(long token, NodeId to, ShardAck ack) {}
 
@@ -51,6 +57,9 @@
 
     private long lastToken;
     private long storedToken;
+    /** Since when the disk has owed a write and completed none, {@link #NOTHING_OWED} while it owes none. */
+    private long diskOwesSinceMs = NOTHING_OWED;
+
     private ShardAssignment assignment;
     /** Null while another replica leads. */
     private Leadership leadership;
@@ -175,6 +184,7 @@
     public List<ReplicaOutput> stored(long token, long nowMs) {
         List<ReplicaOutput> out = new ArrayList<>();
         storedToken = Math.max(storedToken, token);
+        diskOwesSinceMs = storedToken < lastToken ? nowMs : NOTHING_OWED;
         while (!writes.isEmpty() && writes.peek().token() <= storedToken) {
             storedSeq = Math.max(storedSeq, writes.poll().seq());
         }
@@ -267,6 +277,9 @@
     /** Lets time go on. */
     public List<ReplicaOutput> tick(long nowMs) {
         List<ReplicaOutput> out = new ArrayList<>();
+        if (storedToken < lastToken && diskOwesSinceMs == NOTHING_OWED) {
+            diskOwesSinceMs = nowMs;
+        }
         if (leadership != null) {
             leadership.tick(nowMs);
             goOn(nowMs, out);
@@ -274,9 +287,20 @@
         return out;
     }
 
-    /** What there is to say of the other replicas of a shard that this one leads. */
+    /** What there is to say of the replicas of a shard that this one leads, itself among them. */
     public List<ReplicaRow> standings(long nowMs) {
-        return leadership == null ? List.of() : leadership.standings(nowMs);
+        if (leadership == null) {
+            return List.of();
+        }
+        List<ReplicaRow> rows = leadership.standings(nowMs);
+        if (leads() && !isDiskStalled(nowMs)) {
+            rows.add(new ReplicaRow(shard, leadership.epoch(), me, ReplicaStanding.LEADING.code()));
+        }
+        return rows;
+    }
+
+    private boolean isDiskStalled(long nowMs) {
+        return diskOwesSinceMs != NOTHING_OWED && nowMs - diskOwesSinceMs > DISK_STALLED_MS;
     }
 
     /** All entries that are held, oldest first. */
--- a/src/main/java/ringspindle/shard/StorageNodeStatus.java
+++ b/src/main/java/ringspindle/shard/StorageNodeStatus.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import ringspindle.protocol.NodeId;
+import ringspindle.protocol.ReplicaStanding;
 import ringspindle.protocol.ShardMessage.ReplicaRow;
 
 /**
@@ -18,4 +19,13 @@
     ShardMember member() {
         return new ShardMember(node, store);
     }
+
+    /** True if it reports, as leader under that very assignment, that standing of a replica. */
+    boolean reports(ShardAssignment assignment, NodeId replica, ReplicaStanding standing) {
+        return reported.stream()
+                .anyMatch(row -> row.shard() == assignment.shard()
+                        && row.epoch() == assignment.epoch()
+                        && row.node().equals(replica)
+                        && row.standing() == standing);
+    }
 }
--- a/src/main/java/ringspindle/storagenode/ItemExecutor.java
+++ b/src/main/java/ringspindle/storagenode/ItemExecutor.java
@@ -18,7 +18,7 @@
  * Runs items for the leaders of shards, this node's own among them. What a leader asked for ends with the connection to it: a leader
  * that is cut off has its items run elsewhere. Thread safe.
  */
-final class ItemExecutor {
+final class ItemExecutor implements ItemRunner {
     private static final byte[] NO_TEXT = {};
 
     /** Told how runs ended. */
@@ -41,8 +41,8 @@
         this.listener = listener;
     }
 
-    /** Begins to run an item. */
-    void run(NodeId leader, ItemRun run) {
+    @Override
+    public void run(NodeId leader, ItemRun run) {
         FleetConfig config = proxy.configurationInForce();
         if (config == null || !proxy.isReady()) {
             listener.ended(leader, new ItemEnd(run.id(), ItemOutcome.NO_CAPACITY.code(), NO_TEXT));
@@ -61,8 +61,8 @@
         call.begin();
     }
 
-    /** Requests that the engines of all batch routes run at a time. */
-    int capacity() {
+    @Override
+    public int capacity() {
         FleetConfig config = proxy.configurationInForce();
         return config == null
                 ? 0
@@ -96,16 +96,16 @@
         listener.ended(key.leader(), new ItemEnd(key.id(), outcome.code(), text));
     }
 
-    /** A leader does not want a run any more. */
-    void cancel(NodeId leader, ItemCancel cancel) {
+    @Override
+    public void cancel(NodeId leader, ItemCancel cancel) {
         ItemCall call = runs.remove(new RunKey(leader, cancel.id()));
         if (call != null) {
             call.cancel();
         }
     }
 
-    /** The connection to a leader is gone: all that it asked for ends. */
-    void closed(NodeId leader) {
+    @Override
+    public void closed(NodeId leader) {
         runs.keySet().stream()
                 .filter(key -> key.leader().equals(leader))
                 .toList()
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -43,7 +43,7 @@
  * The shards of a storage node: passes messages, completed writes and time to them, and carries out what they order. Owns the
  * replicas, the jobs and which items run where; guarded by one lock, under which messages and writes are only queued.
  */
-final class ShardHost implements NodeComponent, StorageWriter.Listener {
+final class ShardHost implements NodeComponent, RecordWriter.Listener {
     private static final int TICKS_BETWEEN_CHECKS = 10;
     /** Part of the disk that jobs may take before none is accepted. */
     private static final double FULL_PART = 0.8;
@@ -62,8 +62,8 @@
     private final ItemOutcomes outcomes;
     private final List<HostedShard> shards;
     private final AssignmentFacts assignmentFacts = new AssignmentFacts();
-    private StorageWriter writer;
-    private ItemExecutor items;
+    private RecordWriter writer;
+    private ItemRunner items;
     private volatile NodeConfig config;
     /** Storage nodes that are there, as far as is known. */
     private Set<NodeId> executorsKnown = Set.of();
@@ -96,16 +96,9 @@
     }
 
     /** Before anything else: where records and items go. */
-    void connect(StorageWriter storageWriter, ItemExecutor executor) {
-        writer = storageWriter;
-        items = executor;
-    }
-
-    /** Begins to write. */
-    void start() {
-        Thread thread = new Thread(writer, "storage-writer");
-        thread.setDaemon(true);
-        thread.start();
+    void connect(RecordWriter recordWriter, ItemRunner itemRunner) {
+        writer = recordWriter;
+        items = itemRunner;
     }
 
     /** Settings changed while running. */
@@ -138,7 +131,7 @@
             if (output instanceof ReplicaOutput.Send send) {
                 send(send.to(), send.message());
             } else if (output instanceof ReplicaOutput.Store store) {
-                writer.add(new StorageWriter.Write(shard.number(), store.record(), store.token()));
+                writer.add(new RecordWriter.Write(shard.number(), store.record(), store.token()));
             } else if (output instanceof ReplicaOutput.Committed committed) {
                 shard.committed(committed.entry(), nowMs).ifPresent(job -> order(dispatcher.cancel(shard, job)));
             } else if (output instanceof ReplicaOutput.Appointed appointed) {
@@ -302,11 +295,11 @@
     // ---- disk
 
     @Override
-    public void written(List<StorageWriter.Write> group, long segment) {
+    public void written(List<RecordWriter.Write> group, long segment) {
         long nowMs = clock.nowMs();
         synchronized (lock) {
             Map<HostedShard, Long> lastTokens = new LinkedHashMap<>();
-            for (StorageWriter.Write write : group) {
+            for (RecordWriter.Write write : group) {
                 HostedShard shard = shards.get(write.shard());
                 lastTokens.merge(shard, write.token(), Math::max);
                 if (write.record() instanceof ShardEntry entry) {
--- a/src/main/java/ringspindle/storagenode/StorageNode.java
+++ b/src/main/java/ringspindle/storagenode/StorageNode.java
@@ -63,7 +63,6 @@
         settings.listen(loadBalancer::updateSettings);
         settings.listen(node::settings);
         settings.listen(host::settings);
-        host.start();
         node.start();
         PeriodicTask.start(node::tick, scheduler, DataNode.TICK_MS);
         LOG.atInfo()
@@ -97,10 +96,18 @@
                 mesh.send(leader, end);
             }
         });
-        host.connect(new StorageWriter(log, host::head, host), executor);
+        StorageWriter writer = new StorageWriter(log, host::head, host);
+        host.connect(writer, executor);
+        startWriting(writer);
         return host;
     }
 
+    private static void startWriting(StorageWriter writer) {
+        Thread thread = new Thread(writer, "storage-writer");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
     private static void awaitHandover(ShardHost host) throws InterruptedException {
         for (int ms = 0; ms < LEAVE_MOST_MS && (ms < LEAVE_LEAST_MS || host.leadsAny()); ms += LEAVE_STEP_MS) {
             Thread.sleep(LEAVE_STEP_MS);
--- a/src/main/java/ringspindle/storagenode/StorageProxy.java
+++ b/src/main/java/ringspindle/storagenode/StorageProxy.java
@@ -5,7 +5,7 @@
 import ringspindle.experiment.ExperimentTable;
 import ringspindle.experiment.OutcomeTable;
 import ringspindle.protocol.Message.LedgerReport;
-import ringspindle.proxy.ItemClient;
+import ringspindle.proxy.EngineMaintenance;
 import ringspindle.proxy.Proxy;
 import ringspindle.routing.RequestLedger;
 import ringspindle.routing.ServingRules;
@@ -15,7 +15,7 @@
  * clients of its own. Thread safe.
  */
 final class StorageProxy implements Proxy {
-    private final ItemClient items;
+    private final EngineMaintenance engines;
     private final RequestLedger ledger = new RequestLedger();
     private final ExperimentTable experiments = new ExperimentTable();
     private final OutcomeTable outcomes = new OutcomeTable();
@@ -23,8 +23,8 @@
     private volatile boolean confirmed;
     private volatile boolean leaving;
 
-    StorageProxy(ItemClient items) {
-        this.items = items;
+    StorageProxy(EngineMaintenance engines) {
+        this.engines = engines;
     }
 
     /** The configuration in force, null while none is known to be. */
@@ -87,17 +87,17 @@
 
     @Override
     public void probeEngines() {
-        items.probeEngines();
-        items.tick();
+        engines.probeEngines();
+        engines.tick();
     }
 
     @Override
     public void closeIdleConnections() {
-        items.closeIdleConnections();
+        engines.closeIdleConnections();
     }
 
     @Override
     public Map<String, Long> endCounts() {
-        return Map.of("ITEMS ACTIVE", (long) items.active());
+        return Map.of("ITEMS ACTIVE", (long) engines.active());
     }
 }
--- a/src/main/java/ringspindle/storagenode/StorageWriter.java
+++ b/src/main/java/ringspindle/storagenode/StorageWriter.java
@@ -16,31 +16,11 @@
  * Writes records in order and in groups, on a thread of its own: a disk that hangs holds up nothing else. A group that is refused is
  * tried again until the disk takes it.
  */
-final class StorageWriter implements Runnable {
+final class StorageWriter implements RecordWriter, Runnable {
     private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     private static final int RETRY_MS = 200;
     private static final int GROUP_MAX = 512;
 
-    /**
-     * A record that is to be written.
-     *
-     * @param token comes back once it is on disk
-     */
-    record Write(int shard, Message record, long token) {}
-
-    /** Told of what is on disk, by the writer's thread. */
-    interface Listener {
-        /**
-         * A group of records lasts from now on.
-         *
-         * @param segment the file that they are in
-         */
-        void written(List<Write> group, long segment);
-
-        /** The number of the first file of which something is still needed. */
-        long firstNeededSegment();
-    }
-
     private final SegmentedLog log;
     private final Supplier<List<Message>> head;
     private final Listener listener;
@@ -59,13 +39,13 @@
         bytes = log.bytes();
     }
 
-    /** Queues a record; never waits for the disk. */
-    void add(Write write) {
+    @Override
+    public void add(Write write) {
         queue.add(write);
     }
 
-    /** Bytes on disk, as of the last group. */
-    long bytes() {
+    @Override
+    public long bytes() {
         return bytes;
     }
 
--- a/src/test/java/ringspindle/controlplane/HollowControlNode.java
+++ b/src/test/java/ringspindle/controlplane/HollowControlNode.java
@@ -123,6 +123,11 @@
                 : control.replication().view().voters().size();
     }
 
+    /** The node's inner address. */
+    public NodeId me() {
+        return control.me();
+    }
+
     /** True if the node is the head of the chain. */
     public boolean head() {
         return control.replication().view() != null
--- a/src/test/java/ringspindle/dataplane/HollowDataNode.java
+++ b/src/test/java/ringspindle/dataplane/HollowDataNode.java
@@ -8,6 +8,7 @@
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.protocol.Message.LedgerReport;
 import ringspindle.protocol.NodeKind;
+import ringspindle.proxy.JobGateway;
 import ringspindle.proxy.Proxy;
 import ringspindle.routing.RequestLedger;
 import ringspindle.routing.ServingRules;
@@ -19,6 +20,7 @@
     private final LoadBalancer loadBalancer;
     private final ExperimentTable experiments = new ExperimentTable();
     private final OutcomeTable outcomes = new OutcomeTable();
+    private JobCaller jobs;
     private boolean confirmed;
     private int failures;
     private long revision = -1;
@@ -28,13 +30,10 @@
     /** Starts a data node without a listener. */
     public HollowDataNode(NodeConfig config, NodeEnvironment means) throws Exception {
         loadBalancer = LoadBalancer.create(config);
-        data = new DataNode(
-                config,
-                NodeKind.DATA,
-                this,
-                loadBalancer,
-                means,
-                mesh -> new JobCaller(mesh, means.pool(), means.clock()));
+        data = new DataNode(config, NodeKind.DATA, this, loadBalancer, means, mesh -> {
+            jobs = new JobCaller(mesh, means.pool(), means.clock());
+            return jobs;
+        });
         data.start();
     }
 
@@ -58,6 +57,11 @@
         return loadBalancer;
     }
 
+    /** The way to the storage nodes. */
+    public JobGateway jobs() {
+        return jobs;
+    }
+
     /** The revision in force here, below 0 while there is none. */
     public long revision() {
         return revision;
--- a/src/test/java/ringspindle/protocol/KindCodesTest.java
+++ b/src/test/java/ringspindle/protocol/KindCodesTest.java
@@ -149,7 +149,7 @@
                 ItemOutcome::of);
         assertCodes(List.of("UNKNOWN", "ENDED", "FORGOTTEN"), JobMarkKind.values(), JobMarkKind::code, JobMarkKind::of);
         assertCodes(
-                List.of("UNKNOWN", "SYNCED", "LAGGING"),
+                List.of("UNKNOWN", "SYNCED", "LAGGING", "LEADING"),
                 ReplicaStanding.values(),
                 ReplicaStanding::code,
                 ReplicaStanding::of);
