Periodic work looks at what changed: facts decoded once, quiet engines passed over

Cause: profile of hollow nodes run without a compiler (-Xint, 36 data nodes, 60 engines, 6 control nodes), as most code of a short process is interpreted: of a data node 24% went to the look for due probes at all engines ten times a second, 15% to load sums of engines that had nothing, 6% to pending facts; control nodes decoded every node and engine again and again. Change: FactStore counts changes by kind and keeps facts by kind; DecodedFacts; engines that are quiet are passed over; the attempt window keeps its sums; pending() returns at once where nothing is new. Tests of load balancing (recorded decisions among them), gossip and architecture pass.

--- a/src/main/java/ringspindle/controlplane/fleet/DataNodeDirectory.java
+++ b/src/main/java/ringspindle/controlplane/fleet/DataNodeDirectory.java
@@ -8,6 +8,7 @@
 import java.util.StringJoiner;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
+import ringspindle.gossip.DecodedFacts;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
@@ -36,6 +37,7 @@
     private final NodeId me;
     private final SessionTable sessions;
     private final FleetFacts facts;
+    private final DecodedFacts<DataNodeFact> nodes;
     /** When each other control node was last in touch, as of the last tick. */
     private final Map<NodeId, Long> lastLinkedMs = new HashMap<>();
 
@@ -43,12 +45,13 @@
         this.me = me;
         this.sessions = sessions;
         this.facts = facts;
+        nodes = facts.nodes();
     }
 
     /** A node's session is told once; told anew if it changes, or if whoever told it is out of touch. */
     public void heard(SessionTable.Peer peer, Heartbeat heartbeat) {
-        Fact known = known(peer);
-        DataNodeFact told = known == null ? null : DataNodeFact.of(known.value());
+        DecodedFacts.Entry<DataNodeFact> known = known(peer);
+        DataNodeFact told = known == null ? null : known.value();
         boolean same = told != null
                 && told.flags() == heartbeat.flags()
                 && told.hello().life() == peer.hello().life()
@@ -58,8 +61,8 @@
         }
     }
 
-    private Fact known(SessionTable.Peer peer) {
-        return facts.store().get(FactKind.NODE, peer.hello().node().toString());
+    private DecodedFacts.Entry<DataNodeFact> known(SessionTable.Peer peer) {
+        return nodes.get(peer.hello().node().toString());
     }
 
     /** The session of a data node is gone. If it has one with another control node in touch, that one speaks of it. */
@@ -71,11 +74,11 @@
     }
 
     private boolean isToldElsewhere(SessionTable.Peer peer) {
-        Fact known = known(peer);
+        DecodedFacts.Entry<DataNodeFact> known = known(peer);
         if (known == null) {
             return false;
         }
-        DataNodeFact told = DataNodeFact.of(known.value());
+        DataNodeFact told = known.value();
         return !told.via().equals(me)
                 && !told.flags().isEmpty()
                 && told.hello().life() == peer.hello().life()
@@ -93,12 +96,13 @@
     }
 
     /** A restart has a new incarnation that must win, though the time of day that it is drawn from may go back. */
-    private static long incarnation(Fact known, long own) {
+    private static long incarnation(DecodedFacts.Entry<DataNodeFact> known, long own) {
         if (known == null) {
             return own;
         }
-        boolean restarted = DataNodeFact.of(known.value()).hello().life() != own;
-        return restarted ? Math.max(own, known.life() + 1) : known.life();
+        boolean restarted = known.value().hello().life() != own;
+        long incarnation = known.fact().life();
+        return restarted ? Math.max(own, incarnation + 1) : incarnation;
     }
 
     /**
@@ -127,15 +131,16 @@
 
     /** Data nodes that say so, where their facts count. */
     private List<Hello> nodesWhere(Predicate<DataNodeFact> says, BiPredicate<Fact, DataNodeFact> counts) {
-        List<Hello> nodes = new ArrayList<>();
-        for (Fact fact : facts.store().all(FactKind.NODE)) {
-            DataNodeFact node = DataNodeFact.of(fact.value());
+        List<Hello> greetings = new ArrayList<>();
+        for (DecodedFacts.Entry<DataNodeFact> entry : nodes.all()) {
+            Fact fact = entry.fact();
+            DataNodeFact node = entry.value();
             boolean takesClients = node.hello().kind() == NodeKind.DATA;
             if (takesClients && says.test(node) && counts.test(fact, node)) {
-                nodes.add(node.hello());
+                greetings.add(node.hello());
             }
         }
-        return nodes;
+        return greetings;
     }
 
     private boolean lastToldWithin(int periodMs, DataNodeFact dataNode, long nowMs) {
@@ -177,9 +182,9 @@
     /** Data nodes as known here, and whether their facts still hold. */
     public Map<DataNodeFact, Boolean> all(long nowMs) {
         Map<DataNodeFact, Boolean> dataNodes = new LinkedHashMap<>();
-        for (Fact fact : facts.store().all(FactKind.NODE)) {
-            DataNodeFact dataNode = DataNodeFact.of(fact.value());
-            dataNodes.put(dataNode, dataNode.ready() && holds(fact, dataNode, nowMs));
+        for (DecodedFacts.Entry<DataNodeFact> entry : nodes.all()) {
+            DataNodeFact dataNode = entry.value();
+            dataNodes.put(dataNode, dataNode.ready() && holds(entry.fact(), dataNode, nowMs));
         }
         return dataNodes;
     }
@@ -187,9 +192,9 @@
     /** Data nodes as known here, for log lines: each with what it says and whether that counts. */
     public String describe(boolean inTouch, long nowMs) {
         StringJoiner described = new StringJoiner(", ");
-        for (Fact fact : facts.store().all(FactKind.NODE)) {
-            DataNodeFact node = DataNodeFact.of(fact.value());
-            boolean counts = counts(fact, node, inTouch, nowMs);
+        for (DecodedFacts.Entry<DataNodeFact> entry : nodes.all()) {
+            DataNodeFact node = entry.value();
+            boolean counts = counts(entry.fact(), node, inTouch, nowMs);
             described.add(node.hello().name() + " " + says(node) + (counts ? "" : " (not counted)"));
         }
         return described.toString();
@@ -213,9 +218,9 @@
     /** How many data nodes may be sending requests: those with a session, and those that lost theirs a moment ago. */
     int sharing(long nowMs) {
         int sharing = 0;
-        for (Fact fact : facts.store().all(FactKind.NODE)) {
-            boolean inSession = !DataNodeFact.of(fact.value()).flags().isEmpty();
-            sharing += inSession || changedWithin(LOST_COUNTS_MS, fact, nowMs) ? 1 : 0;
+        for (DecodedFacts.Entry<DataNodeFact> entry : nodes.all()) {
+            boolean inSession = !entry.value().flags().isEmpty();
+            sharing += inSession || changedWithin(LOST_COUNTS_MS, entry.fact(), nowMs) ? 1 : 0;
         }
         return sharing;
     }
--- a/src/main/java/ringspindle/controlplane/fleet/FactDissemination.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FactDissemination.java
@@ -4,7 +4,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import ringspindle.gossip.RepairTrigger;
-import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Digest;
@@ -116,10 +115,10 @@
     }
 
     /** A data node needs the data nodes of its region, for gossip, and not what engines in turn still run. */
-    private static boolean isOfUse(Fact fact, String region) {
+    private boolean isOfUse(Fact fact, String region) {
         return switch (fact.kind()) {
             case TURN -> false;
-            case NODE -> DataNodeFact.of(fact.value()).hello().region().equals(region);
+            case NODE -> facts.nodes().get(fact.key()).value().hello().region().equals(region);
             default -> true;
         };
     }
--- a/src/main/java/ringspindle/controlplane/fleet/FleetFacts.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FleetFacts.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import ringspindle.config.NodeConfig;
+import ringspindle.gossip.DecodedFacts;
 import ringspindle.gossip.FactStore;
 import ringspindle.logging.LogField;
+import ringspindle.membership.DataNodeFact;
 import ringspindle.protocol.Codec;
 import ringspindle.protocol.FactKind;
 import ringspindle.protocol.Message.Engine;
@@ -32,8 +34,18 @@
     /** An engine that missed so many heartbeats counts as silent in a roll-out. */
     private static final int SILENT_HEARTBEATS = 3;
 
+    /** What the engines that count for the load of their region depend on. */
+    private record LoadMembersBasis(NodeConfig config, long engines, long silent, long leaving) {}
+
     private final MonotonicClock clock;
     private final FactStore store = FactStore.create();
+    private final DecodedFacts<DataNodeFact> nodes = new DecodedFacts<>(store, FactKind.NODE, DataNodeFact::of);
+    private final DecodedFacts<Engine> engines =
+            new DecodedFacts<>(store, FactKind.ENGINE, value -> (Engine) Codec.decode(value));
+    private List<LoadTotals.Member> loadMembers = List.of();
+    /** The settings and changes of facts that {@link #loadMembers} was made of. */
+    private LoadMembersBasis loadMembersBasis;
+
     private final EnginePresence presence;
     private final Map<String, Long> seenMs = new HashMap<>();
     private NodeConfig config;
@@ -54,6 +66,11 @@
         return store;
     }
 
+    /** Data nodes and storage nodes, by their addresses. */
+    DecodedFacts<DataNodeFact> nodes() {
+        return nodes;
+    }
+
     /** Which engines are heard, here and by peers. */
     EnginePresence presence() {
         return presence;
@@ -150,12 +167,26 @@
 
     /** Engines that count for the load of their region. */
     List<LoadTotals.Member> loadMembers() {
+        LoadMembersBasis basis = new LoadMembersBasis(
+                config,
+                store.changes(FactKind.ENGINE),
+                store.changes(FactKind.SILENT),
+                store.changes(FactKind.LEAVING));
+        if (!basis.equals(loadMembersBasis)) {
+            loadMembers = computeLoadMembers();
+            loadMembersBasis = basis;
+        }
+        return loadMembers;
+    }
+
+    private List<LoadTotals.Member> computeLoadMembers() {
         List<LoadTotals.Member> members = new ArrayList<>();
-        for (Fact fact : store.all(FactKind.ENGINE)) {
+        for (DecodedFacts.Entry<Engine> entry : engines.all()) {
+            Fact fact = entry.fact();
             Fact silence = store.get(FactKind.SILENT, fact.key());
             boolean heard = silence == null || silence.value()[0] == 0;
             if (heard && !isLeaving(fact.key())) {
-                Engine engine = (Engine) Codec.decode(fact.value());
+                Engine engine = entry.value();
                 members.add(new LoadTotals.Member(
                         EngineKey.of(fact.key()), engine.service(), config.regionOf(engine.zone()), engine.capacity()));
             }
@@ -171,8 +202,9 @@
     public List<RolloutPlanner.Member> rolloutMembers(String service) {
         List<RolloutPlanner.Member> members = new ArrayList<>();
         long nowMs = clock.nowMs();
-        for (Fact fact : store.all(FactKind.ENGINE)) {
-            Engine engine = (Engine) Codec.decode(fact.value());
+        for (DecodedFacts.Entry<Engine> entry : engines.all()) {
+            Fact fact = entry.fact();
+            Engine engine = entry.value();
             long ageMs = presence.ageMs(fact.key(), nowMs);
             if (engine.service().equals(service) && ageMs < ROLLOUT_SILENT_MS) {
                 members.add(new RolloutPlanner.Member(
--- a/src/main/java/ringspindle/dataplane/GossipState.java
+++ b/src/main/java/ringspindle/dataplane/GossipState.java
@@ -1,7 +1,10 @@
 package ringspindle.dataplane;
 
+import ringspindle.gossip.DecodedFacts;
 import ringspindle.gossip.FactStore;
+import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
+import ringspindle.protocol.FactKind;
 import ringspindle.protocol.NodeId;
 
 /**
@@ -18,6 +21,7 @@
 
     private final SessionTable sessions;
     private final FactStore facts = FactStore.create();
+    private final DecodedFacts<DataNodeFact> nodes = new DecodedFacts<>(facts, FactKind.NODE, DataNodeFact::of);
 
     GossipState(NodeId me) {
         sessions = SessionTable.forData(me);
@@ -29,6 +33,12 @@
         return sessions;
     }
 
+    /** Data nodes and storage nodes, by their addresses; the lock is held. */
+    DecodedFacts<DataNodeFact> nodes() {
+        assert Thread.holdsLock(lock);
+        return nodes;
+    }
+
     /** Facts; the lock is held. */
     FactStore facts() {
         assert Thread.holdsLock(lock);
--- a/src/main/java/ringspindle/dataplane/JobCaller.java
+++ b/src/main/java/ringspindle/dataplane/JobCaller.java
@@ -14,7 +14,6 @@
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.proxy.JobGateway;
-import ringspindle.shard.AssignmentFacts;
 import ringspindle.shard.ShardAssignment;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.Mesh;
@@ -55,8 +54,8 @@
     private final Mesh mesh;
     private final Executor pool;
     private final MonotonicClock clock;
-    /** Guarded by the lock of the facts. */
-    private final AssignmentFacts assignmentFacts = new AssignmentFacts();
+    /** How often assignments had changed when they were read; guarded by the lock of the facts. */
+    private long assignmentsOfChanges;
 
     private final Map<Integer, NodeId> leaders = new HashMap<>();
     private final Map<Long, PendingCall> pending = new HashMap<>();
@@ -161,7 +160,11 @@
 
     @Override
     public void factsChanged(FactStore facts) {
-        List<ShardAssignment> assignments = assignmentFacts.read(facts.all(FactKind.SHARD));
+        if (facts.changes(FactKind.SHARD) == assignmentsOfChanges) {
+            return;
+        }
+        assignmentsOfChanges = facts.changes(FactKind.SHARD);
+        List<ShardAssignment> assignments = ShardAssignment.readAll(facts.all(FactKind.SHARD));
         synchronized (lock) {
             assignments.forEach(each -> leaders.put(each.shard(), each.leader().node()));
         }
--- a/src/main/java/ringspindle/dataplane/PeerDialer.java
+++ b/src/main/java/ringspindle/dataplane/PeerDialer.java
@@ -10,10 +10,10 @@
 import java.util.TreeSet;
 import java.util.function.Supplier;
 import ringspindle.config.NodeConfig;
+import ringspindle.gossip.DecodedFacts;
 import ringspindle.membership.DataNodeFact;
 import ringspindle.membership.SessionTable;
 import ringspindle.protocol.FactKind;
-import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -160,7 +160,7 @@
 
     /** The next data node on the ring of this region; the one before dials here. */
     private void dialDataNode(long nowMs) {
-        long changes = gossip.facts().changes();
+        long changes = gossip.facts().changes(FactKind.NODE);
         if (changes != ringOfChanges) {
             nextDataNode = nextOnRing();
             ringOfChanges = changes;
@@ -175,14 +175,14 @@
     private NodeId nextOnRing() {
         NodeId next = null;
         NodeId first = null;
-        for (Fact fact : gossip.facts().all(FactKind.NODE)) {
-            DataNodeFact dataNode = DataNodeFact.of(fact.value());
+        for (DecodedFacts.Entry<DataNodeFact> entry : gossip.nodes().all()) {
+            DataNodeFact dataNode = entry.value();
             if (dataNode.hello().kind() != NodeKind.DATA
                     || !dataNode.flags().has(NodeFlags.READY)
                     || !dataNode.hello().region().equals(config.get().region())) {
                 continue;
             }
-            NodeId node = NodeId.of(fact.key());
+            NodeId node = NodeId.of(entry.fact().key());
             if (node.equals(me)) {
                 continue;
             }
--- a/src/main/java/ringspindle/gossip/FactStore.java
+++ b/src/main/java/ringspindle/gossip/FactStore.java
@@ -21,6 +21,9 @@
     /** Changes whenever a fact is taken or forgotten: what was computed from the facts holds as long as this is the same. */
     long changes();
 
+    /** The same for facts of one kind alone. */
+    long changes(FactKind kind);
+
     /** The fact, null if there is none; {@code store.get(FactKind.CONFIG, "")}. */
     Fact get(FactKind kind, String key);
 
--- a/src/main/java/ringspindle/gossip/VersionedFactStore.java
+++ b/src/main/java/ringspindle/gossip/VersionedFactStore.java
@@ -1,6 +1,8 @@
 package ringspindle.gossip;
 
 import com.google.common.collect.Sets;
+import it.unimi.dsi.fastutil.ints.Int2ObjectMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.longs.Long2ObjectRBTreeMap;
 import it.unimi.dsi.fastutil.longs.Long2ObjectSortedMap;
 import java.util.ArrayList;
@@ -56,7 +58,14 @@
         final Set<Version> known = new HashSet<>();
     }
 
+    /** The facts of one kind. */
+    private static final class KindTable {
+        final Long2ObjectSortedMap<Fact> byStamp = new Long2ObjectRBTreeMap<>();
+        long changes;
+    }
+
     private final Map<String, Entry> entries = new HashMap<>();
+    private final Int2ObjectMap<KindTable> kinds = new Int2ObjectOpenHashMap<>();
     private final Long2ObjectSortedMap<Entry> byStamp = new Long2ObjectRBTreeMap<>();
     private final Map<NodeId, PeerState> peers = new HashMap<>();
     private final long[] ranges = new long[RANGES];
@@ -102,6 +111,9 @@
         entry.stamp = ++lastStamp;
         ranges[range(id)] ^= entry.hash;
         byStamp.put(entry.stamp, entry);
+        KindTable kind = kind(fact.kindCode());
+        kind.byStamp.put(entry.stamp, fact);
+        kind.changes++;
         return true;
     }
 
@@ -113,6 +125,13 @@
     private void remove(String id, Entry entry) {
         ranges[range(id)] ^= entry.hash;
         byStamp.remove(entry.stamp);
+        KindTable kind = kind(entry.fact.kindCode());
+        kind.byStamp.remove(entry.stamp);
+        kind.changes++;
+    }
+
+    private KindTable kind(int kindCode) {
+        return kinds.computeIfAbsent(kindCode, code -> new KindTable());
     }
 
     private static int range(String id) {
@@ -144,15 +163,14 @@
         return entry == null ? null : entry.fact;
     }
 
+    @Override
+    public long changes(FactKind kind) {
+        return kind(kind.code()).changes;
+    }
+
     @Override
     public Collection<Fact> all(FactKind kind) {
-        List<Fact> facts = new ArrayList<>();
-        for (Entry entry : byStamp.values()) {
-            if (entry.fact.kindCode() == kind.code()) {
-                facts.add(entry.fact);
-            }
-        }
-        return facts;
+        return new ArrayList<>(kind(kind.code()).byStamp.values());
     }
 
     @Override
@@ -173,6 +191,9 @@
     @Override
     public List<Fact> pending(NodeId peer, int limit, Predicate<Fact> useful) {
         PeerState state = peer(peer);
+        if (state.sentStamp == lastStamp) {
+            return List.of();
+        }
         List<Fact> pending = new ArrayList<>();
         for (Entry entry : byStamp.tailMap(state.sentStamp + 1).values()) {
             if (pending.size() >= limit) {
@@ -184,6 +205,7 @@
                 pending.add(entry.fact);
             }
         }
+        state.sentStamp = lastStamp;
         return pending;
     }
 
--- a/src/main/java/ringspindle/loadbalancing/AttemptWindow.java
+++ b/src/main/java/ringspindle/loadbalancing/AttemptWindow.java
@@ -28,9 +28,14 @@
     private static final int COLUMNS = LATENCIES + LatencyHistogram.BUCKETS;
 
     private final int[] counts = new int[BUCKETS * KINDS * COLUMNS];
+    /** Sums of all buckets, by kind and column. */
+    private final int[] sums = new int[KINDS * COLUMNS];
+
     private final int[] running = new int[KINDS];
     private final long[] tokens = new long[KINDS];
     private long bucket = UNSET;
+    /** Counted cells of all buckets together. */
+    private int endedInWindow;
 
     /** An attempt starts. */
     void start(RequestKind kind, long attemptTokens, long nowMs) {
@@ -50,38 +55,53 @@
         running[k] = Math.max(0, running[k] - 1);
         // without attempts there are no tokens, whatever was counted
         tokens[k] = running[k] == 0 ? 0 : Math.max(0, tokens[k] - attemptTokens);
-        int row = row(bucket, kind);
         if (outcome == AttemptOutcome.ANSWERED) {
-            counts[row + ANSWERED]++;
+            count(kind, ANSWERED);
             if (firstMs >= 0) {
-                counts[row + LATENCIES + LatencyHistogram.bucketOf(firstMs)]++;
+                count(kind, LATENCIES + LatencyHistogram.bucketOf(firstMs));
             }
         } else if (outcome == AttemptOutcome.NOT_RUN) {
-            counts[row + NOT_RUN]++;
+            count(kind, NOT_RUN);
         } else if (outcome.againstEngine()) {
-            counts[row + FAILED]++;
+            count(kind, FAILED);
+        }
+    }
+
+    private void count(RequestKind kind, int column) {
+        int cell = kind.code() * COLUMNS + column;
+        counts[bucketStart(bucket) + cell]++;
+        sums[cell]++;
+        endedInWindow++;
+    }
+
+    /** True if nothing runs and no attempt ended within the window. */
+    boolean isEmpty(long nowMs) {
+        advance(nowMs);
+        boolean runs = false;
+        for (int ofKind : running) {
+            runs |= ofKind > 0;
         }
+        return !runs && endedInWindow == 0;
     }
 
     /** What the window holds of one kind. */
     AttemptCounts counts(RequestKind kind, long nowMs) {
         advance(nowMs);
-        int[] sum = new int[COLUMNS];
-        for (long summed = bucket - BUCKETS + 1; summed <= bucket; summed++) {
-            int row = row(summed, kind);
-            for (int column = 0; column < COLUMNS; column++) {
-                sum[column] += counts[row + column];
-            }
+        int k = kind.code();
+        if (endedInWindow == 0 && running[k] == 0) {
+            return AttemptCounts.NONE;
         }
+        int row = k * COLUMNS;
+        int latency = row + LATENCIES;
         LatencyHistogram latencies = new LatencyHistogram(
-                sum[LATENCIES],
-                sum[LATENCIES + 1],
-                sum[LATENCIES + 2],
-                sum[LATENCIES + 3],
-                sum[LATENCIES + 4],
-                sum[LATENCIES + 5]);
+                sums[latency],
+                sums[latency + 1],
+                sums[latency + 2],
+                sums[latency + 3],
+                sums[latency + 4],
+                sums[latency + 5]);
         return new AttemptCounts(
-                sum[ANSWERED], sum[NOT_RUN], sum[FAILED], running[kind.code()], tokens[kind.code()], latencies);
+                sums[row + ANSWERED], sums[row + NOT_RUN], sums[row + FAILED], running[k], tokens[k], latencies);
     }
 
     /** What the window holds of all kinds together. */
@@ -96,22 +116,36 @@
     /** Moves on to now and clears the buckets that are entered; time never goes back. */
     private void advance(long nowMs) {
         long now = Math.floorDiv(nowMs, BUCKET_MS);
-        if (bucket == UNSET || now - bucket >= BUCKETS) {
-            Arrays.fill(counts, 0);
-        } else {
-            for (long entered = bucket + 1; entered <= now; entered++) {
-                int from = bucketStart(entered);
-                Arrays.fill(counts, from, from + KINDS * COLUMNS, 0);
+        if (bucket != UNSET && now <= bucket) {
+            return;
+        }
+        if (endedInWindow > 0) {
+            if (now - bucket >= BUCKETS) {
+                Arrays.fill(counts, 0);
+                Arrays.fill(sums, 0);
+                endedInWindow = 0;
+            } else {
+                for (long entered = bucket + 1; entered <= now; entered++) {
+                    clear(entered);
+                }
             }
         }
-        bucket = Math.max(bucket, now);
+        bucket = now;
     }
 
-    private static int bucketStart(long bucket) {
-        return (int) Math.floorMod(bucket, BUCKETS) * KINDS * COLUMNS;
+    private void clear(long entered) {
+        int from = bucketStart(entered);
+        for (int cell = 0; cell < KINDS * COLUMNS; cell++) {
+            int old = counts[from + cell];
+            if (old > 0) {
+                sums[cell] -= old;
+                endedInWindow -= old;
+                counts[from + cell] = 0;
+            }
+        }
     }
 
-    private static int row(long bucket, RequestKind kind) {
-        return bucketStart(bucket) + kind.code() * COLUMNS;
+    private static int bucketStart(long bucket) {
+        return (int) Math.floorMod(bucket, BUCKETS) * KINDS * COLUMNS;
     }
 }
--- a/src/main/java/ringspindle/loadbalancing/EngineEntry.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineEntry.java
@@ -22,6 +22,9 @@
     private NodeId address;
     private RegionState region;
     private boolean draining;
+    /** Nothing of this node ran there lately, and it is not ejected. */
+    private boolean quiet = true;
+
     private boolean heartbeatMissing;
     private long heartbeatChangedMs;
 
@@ -117,6 +120,21 @@
         return !heartbeatMissing && !region.isUnreachable();
     }
 
+    /** True if there is nothing to report of it and nothing to ask it: periodic work passes it over. */
+    boolean isQuiet() {
+        return quiet;
+    }
+
+    /** Something is sent there. */
+    void markBusy() {
+        quiet = false;
+    }
+
+    /** Its load is reported now: it is quiet from now on if nothing runs, nothing ended lately, and it is not ejected. */
+    void updateQuiet(long nowMs) {
+        quiet = load.isIdle() && !ejection.isEjected() && attempts.isEmpty(nowMs);
+    }
+
     InFlightLoad load() {
         return load;
     }
--- a/src/main/java/ringspindle/loadbalancing/EngineTable.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTable.java
@@ -114,6 +114,9 @@
 
     /** Forgets engines whose heartbeats have been missing for longer than that and where nothing runs. */
     void removeAbandoned(long afterMs, long nowMs) {
+        if (heartbeatMissingIds.isEmpty()) {
+            return;
+        }
         byId.values().removeIf(engine -> {
             boolean abandoned = engine.isAbandoned(afterMs, nowMs);
             if (abandoned) {
--- a/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
@@ -154,6 +154,9 @@
     public synchronized LoadSummary summarizeLoad(long nowMs) {
         List<LoadSummary> summaries = new ArrayList<>();
         for (EngineEntry engine : engines.all()) {
+            if (engine.isQuiet()) {
+                continue;
+            }
             engine.load().markReported();
             for (RequestKind kind : RequestKind.values()) {
                 AttemptCounts counts = engine.attempts().counts(kind, nowMs);
@@ -161,6 +164,7 @@
                     summaries.add(LoadSummary.of(engine.key(), kind, counts));
                 }
             }
+            engine.updateQuiet(nowMs);
         }
         return LoadSummary.mergeAll(summaries);
     }
@@ -222,6 +226,7 @@
     private SelectedEngine selected(
             EngineEntry engine, SelectionRequest request, FleetConfig.Service service, long nowMs) {
         warmupLimiter.take(engine, service, nowMs);
+        engine.markBusy();
         engine.load().start(request.tokensInFlight());
         engine.attempts().start(request.kind(), request.tokensInFlight(), nowMs);
         return new SelectedEngine(engine.id(), engine.address(), engine.zone(), maxConnections(service));
@@ -308,6 +313,9 @@
     public synchronized List<HealthProbe> dueHealthProbes(long nowMs) {
         List<HealthProbe> probes = new ArrayList<>();
         for (EngineEntry engine : engines.all()) {
+            if (engine.isQuiet()) {
+                continue;
+            }
             OutlierEjection ejection = engine.ejection();
             ejection.checkSilence(engine.load(), costModel.tokenMs(), nowMs);
             if (!ejection.isProbeDue(nowMs) || engine.isDraining()) {
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -33,7 +33,6 @@
 import ringspindle.protocol.ShardMessage.ShardAck;
 import ringspindle.protocol.ShardMessage.ShardAppend;
 import ringspindle.protocol.ShardMessage.ShardEntry;
-import ringspindle.shard.AssignmentFacts;
 import ringspindle.shard.ReplicaOutput;
 import ringspindle.shard.ShardAssignment;
 import ringspindle.time.MonotonicClock;
@@ -61,7 +60,9 @@
     private final ItemDispatcher dispatcher = new ItemDispatcher();
     private final ItemOutcomes outcomes;
     private final List<HostedShard> shards;
-    private final AssignmentFacts assignmentFacts = new AssignmentFacts();
+    /** How often facts had changed that matter here when they were read; guarded by the lock of the facts. */
+    private long factChanges;
+
     private RecordWriter writer;
     private ItemRunner items;
     private volatile NodeConfig config;
@@ -324,7 +325,12 @@
 
     @Override
     public void factsChanged(FactStore facts) {
-        List<ShardAssignment> assignments = assignmentFacts.read(facts.all(FactKind.SHARD));
+        long changes = facts.changes(FactKind.SHARD) + facts.changes(FactKind.NODE);
+        if (changes == factChanges) {
+            return;
+        }
+        factChanges = changes;
+        List<ShardAssignment> assignments = ShardAssignment.readAll(facts.all(FactKind.SHARD));
         Set<NodeId> storageNodes = new TreeSet<>();
         for (Fact fact : facts.all(FactKind.NODE)) {
             DataNodeFact node = DataNodeFact.of(fact.value());
