Quotas hold however often the head changes: only one overlap to a window

Cause: two changes of the head within 5 s, with both old heads cut off and granting, were beyond the bound shown for quotas.

--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -46,6 +46,7 @@
     private final CounterDriver counters;
     private final EngineRegistry engines;
     private final FleetQueries queries;
+    private final QuotaHandler quotas;
     private final MessageDispatcher dispatcher;
     private final ControlNodeTasks tasks;
     private final UsageLedger usage = new UsageLedger();
@@ -81,6 +82,7 @@
         engines = new EngineRegistry(fleet, serving, replication);
         queries = new FleetQueries(context, fleet, quorum);
         HeartbeatExchange heartbeats = new HeartbeatExchange(context, fleet, replication, serving);
+        quotas = new QuotaHandler(context, replication, serving);
         dispatcher = dispatcher(heartbeats);
         HeadDuties headDuties = new HeadDuties(
                 new RolloutTask(me, fleet, engines, replication, reports),
@@ -120,7 +122,7 @@
                 heartbeats,
                 new FactHandler(fleet, serving),
                 new LoadHandler(fleet),
-                new QuotaHandler(context, replication, serving),
+                quotas,
                 new UsageHandler(context, replication, usage));
     }
 
@@ -155,6 +157,7 @@
     /** Does the periodic work that is due; called by one thread at a time. */
     public void tick() {
         tasks.tick();
+        quotas.tick();
     }
 
     /** Settings changed while running. */
--- a/src/main/java/ringspindle/controlplane/QuotaHandler.java
+++ b/src/main/java/ringspindle/controlplane/QuotaHandler.java
@@ -15,6 +15,7 @@
 import ringspindle.protocol.TenantMessage.QuotaGrant;
 import ringspindle.protocol.TenantMessage.QuotaLeave;
 import ringspindle.protocol.TenantMessage.QuotaNeed;
+import ringspindle.quota.HeadChanges;
 import ringspindle.quota.TenantBuckets;
 import ringspindle.quota.TenantLimit;
 
@@ -30,7 +31,8 @@
     private final NodeContext context;
     private final ReplicationDriver replication;
     private final ServingState serving;
-    private final TenantBuckets buckets = new TenantBuckets();
+    private final HeadChanges headChanges = new HeadChanges();
+    private final TenantBuckets buckets = new TenantBuckets(headChanges);
     private final Map<String, TenantLimit> limits = new HashMap<>();
     private long limitsRevision = -1;
 
@@ -40,6 +42,16 @@
         this.serving = serving;
     }
 
+    /** Time goes on: notes which view is in force. */
+    void tick() {
+        View view = replication.view();
+        if (view != null) {
+            synchronized (lock) {
+                headChanges.observe(view.epoch(), context.nowMs());
+            }
+        }
+    }
+
     /** A data node asks, itself or through another control node. */
     void received(NodeId from, QuotaAsk ask) {
         View view = replication.view();
@@ -61,6 +73,7 @@
             }
             long nowMs = context.nowMs();
             refreshLimits(committed);
+            headChanges.observe(view.epoch(), nowMs);
             buckets.lead(view.epoch(), nowMs);
             ask.rows().forEach(row -> leaves.add(grant(row, nowMs)));
         }
--- a/src/main/java/ringspindle/quota/TenantBuckets.java
+++ b/src/main/java/ringspindle/quota/TenantBuckets.java
@@ -11,7 +11,10 @@
  * <p>With R and B the rate and burst of a tenant, five seconds may see 1.1 (5 R + B) + 20 requests at engines. A bucket is refilled
  * with 0.85 R and holds 1.1 B + 15 at most, and tokens are good for {@link #TOKEN_MS}: that is at most 4.59 R + 1.1 B + 15 in any
  * five seconds. What is left, 0.91 R + 5, is for a change of the head: a head that takes over begins with 5 tokens and 0.6 R, until
- * whoever was head before it cannot grant any more, at most 1.5 s later. So two that overlap stay within the whole.
+ * whoever was head before it cannot grant any more, at most 1.5 s later. So two that overlap stay within the whole. That is enough for
+ * one change in five seconds. A head that takes over sooner after another change grants nothing until the one before it cannot grant
+ * any more, and begins without tokens ({@link HeadChanges}): then no two grant at a time, and however many heads there are, together
+ * they grant no more than one would.
  */
 public final class TenantBuckets {
     /** A token is good for so long after the data node asked for it. */
@@ -41,8 +44,21 @@
     private final Map<String, Bucket> buckets = new HashMap<>();
     private long epoch = NEVER;
     private long cautiousUntilMs;
+    /** Nothing is granted before. */
+    private long silentUntilMs;
+
+    private final HeadChanges changes;
     private double initialTokens = Double.MAX_VALUE;
 
+    /**
+     * Buckets that nothing was granted from yet.
+     *
+     * @param changes what this node saw of changes of the head; observed by the caller
+     */
+    public TenantBuckets(HeadChanges changes) {
+        this.changes = changes;
+    }
+
     /** This node is the head of that view; comes before each grant. */
     public void lead(long viewEpoch, long nowMs) {
         if (viewEpoch == epoch) {
@@ -53,13 +69,29 @@
         epoch = viewEpoch;
         if (!succeedsItself) {
             buckets.clear();
-            initialTokens = firstEver ? Double.MAX_VALUE : TAKEOVER_TOKENS;
-            cautiousUntilMs = firstEver ? nowMs : nowMs + TAKEOVER_MS;
+            takeOver(firstEver, nowMs);
+        }
+    }
+
+    private void takeOver(boolean firstEver, long nowMs) {
+        silentUntilMs = nowMs;
+        cautiousUntilMs = nowMs;
+        if (firstEver) {
+            initialTokens = Double.MAX_VALUE;
+        } else if (changes.mayOverlap()) {
+            initialTokens = TAKEOVER_TOKENS;
+            cautiousUntilMs = nowMs + TAKEOVER_MS;
+        } else {
+            initialTokens = 0;
+            silentUntilMs = nowMs + HeadChanges.OVERLAP_MS;
         }
     }
 
     /** Grants what may be had of what a node asks for. */
     public QuotaLeave grant(QuotaNeed asked, TenantLimit limit, long nowMs) {
+        if (nowMs < silentUntilMs) {
+            return new QuotaLeave(asked.tenant(), 0, (int) (silentUntilMs - nowMs));
+        }
         Bucket bucket = buckets.computeIfAbsent(asked.tenant(), tenant -> fresh(nowMs));
         double rate = limit.ratePerS() * (nowMs < cautiousUntilMs ? TAKEOVER_PART : STEADY_PART);
         double most = limit.burstSize() * BURST_FACTOR + BURST_MORE;
--- a/src/test/java/ringspindle/quota/QuotaWorldTest.java
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -27,22 +27,26 @@
     /** An answer on its way to a data node. */
     private record Answer(int node, long seq, QuotaLeave leave, long dueMs) {}
 
-    /** The fleet: data nodes, the head, and the head before it. */
+    /** A head that another one has followed. */
+    private record Deposed(TenantBuckets buckets, long grantsUntilMs) {}
+
+    /** The fleet: data nodes, the head, and the heads before it. */
     private static final class World {
         private final Random random;
         private final List<TenantTokens<Integer>> nodes = new ArrayList<>();
         private final Deque<Answer> network = new ArrayDeque<>();
         private final List<Long> admittedMs = new ArrayList<>();
-        private TenantBuckets head = new TenantBuckets();
-        /** The head before, which goes on granting to some nodes until its proof has run out. */
-        private TenantBuckets before;
+        private HeadChanges seenByNext = new HeadChanges();
+        private TenantBuckets head = new TenantBuckets(new HeadChanges());
+        /** Heads that were deposed and go on granting to some nodes until their proof has run out. */
+        private final List<Deposed> deposed = new ArrayList<>();
 
-        private long beforeUntilMs;
         private long epoch = 1;
         private long nowMs = 1_000_000;
 
         World(long seed) {
             random = new Random(seed);
+            seenByNext.observe(epoch, nowMs);
             for (int node = 0; node < NODES; node++) {
                 nodes.add(new TenantTokens<>());
             }
@@ -70,11 +74,11 @@
                 return;
             }
             List<QuotaNeed> rows = tokens.ask(nowMs);
-            boolean toOld = nowMs < beforeUntilMs && node % 2 == 0;
-            if (!toOld) {
-                head.lead(epoch, nowMs);
-            }
-            TenantBuckets asked = toOld ? before : head;
+            head.lead(epoch, nowMs);
+            deposed.removeIf(old -> nowMs >= old.grantsUntilMs());
+            // half of the nodes are cut off with heads of before
+            int side = node % (2 * Math.max(1, deposed.size()));
+            TenantBuckets asked = side < deposed.size() ? deposed.get(side).buckets() : head;
             rows.forEach(row -> network.add(
                     new Answer(node, tokens.seq(), asked.grant(row, LIMIT, nowMs), nowMs + 5 + random.nextInt(60))));
         }
@@ -92,10 +96,14 @@
 
         /** Another head takes over; the old one, cut off with half of the nodes, grants on until its proof has run out. */
         void takeOver() {
-            before = head;
-            beforeUntilMs = nowMs + 1500;
-            head = new TenantBuckets();
-            epoch += 2;
+            deposed.add(new Deposed(head, nowMs + 1500));
+            // every node saw the views so far; the next head is one that never led
+            epoch++;
+            HeadChanges seen = seenByNext;
+            seen.observe(epoch, nowMs);
+            head = new TenantBuckets(seen);
+            seenByNext = new HeadChanges();
+            seenByNext.observe(epoch, nowMs);
         }
 
         int mostInAWindow() {
@@ -130,6 +138,43 @@
         }
     }
 
+    /** Several heads follow each other within seconds, and each grants on for a while after it was deposed. */
+    @Test
+    void aHotTenantStaysWithinTheBoundHoweverOftenTheHeadChanges() {
+        for (long seed = 1; seed <= 40; seed++) {
+            Random random = new Random(seed);
+            World world = new World(seed);
+            world.run(5000 + random.nextInt(3000), now -> random.nextInt(12));
+            for (int change = 0; change < 6; change++) {
+                world.takeOver();
+                world.run(200 + random.nextInt(4000), now -> 10);
+            }
+            world.run(9000, now -> 10);
+            assertTrue(world.mostInAWindow() <= bound(), "seed " + seed + ": " + world.mostInAWindow());
+        }
+    }
+
+    /** Heads that all take their change for the only one are seen. */
+    @Test
+    void headsThatAllOverlapAreSeen() {
+        World world = new World(1);
+        world.run(6000, now -> 10);
+        for (int change = 0; change < 4; change++) {
+            world.takeOver();
+            world.head = new TenantBuckets(longQuiet(world));
+            world.run(1400, now -> 10);
+        }
+        world.run(6000, now -> 10);
+        assertTrue(world.mostInAWindow() > bound(), "" + world.mostInAWindow());
+    }
+
+    private static HeadChanges longQuiet(World world) {
+        HeadChanges changes = new HeadChanges();
+        changes.observe(world.epoch - 1, world.nowMs - 60_000);
+        changes.observe(world.epoch, world.nowMs);
+        return changes;
+    }
+
     /** A head that trusts its new buckets at once, while the old one still grants, is seen. */
     @Test
     void aHeadThatTakesOverWithFullBucketsIsSeen() {
@@ -158,7 +203,7 @@
     @Test
     void whatIsOverTheLimitIsToldSo() {
         TenantTokens<String> tokens = new TenantTokens<>();
-        TenantBuckets buckets = new TenantBuckets();
+        TenantBuckets buckets = new TenantBuckets(new HeadChanges());
         buckets.lead(1, 0);
         TenantLimit small = new TenantLimit(1, 0);
         for (int request = 0; request < 30; request++) {
