--- a/src/main/java/ringspindle/batch/JobTable.java
+++ b/src/main/java/ringspindle/batch/JobTable.java
@@ -60,6 +60,19 @@
         return Collections.unmodifiableCollection(jobs.values());
     }
 
+    /** How many jobs are not over. */
+    public int openCount() {
+        return (int) jobs.values().stream().filter(job -> !job.isClosed()).count();
+    }
+
+    /** Items without a result, of all jobs that are not over. */
+    public long waitingItems() {
+        return jobs.values().stream()
+                .filter(job -> !job.isClosed())
+                .mapToLong(job -> job.items().size() - job.resultCount())
+                .sum();
+    }
+
     /** Tokens that wait for a tenant on a route. */
     public long waitingTokens(String tenant, String route) {
         long tokens = 0;
--- a/src/main/java/ringspindle/cli/Cli.java
+++ b/src/main/java/ringspindle/cli/Cli.java
@@ -30,6 +30,7 @@
         commands.put("ledger", new LedgerCommand());
         commands.put("tallies", new CounterCommand());
         commands.put("experiment", new ExperimentCommand());
+        commands.put("storage", new StorageCommand());
     }
 
     /** The objects that hold the options of each command, by the command's name, for a {@link CommandLine} to fill in. */
--- a/src/main/java/ringspindle/config/NodeConfig.java
+++ b/src/main/java/ringspindle/config/NodeConfig.java
@@ -48,6 +48,7 @@
  * @param statusTtlS seconds for which a batch job and its results are kept after it was sent
  * @param diskMb room on the data disk in MiB, 0 if not known
  * @param lossesBorne control nodes and disks that may be lost at once
+ * @param batch how much items of batch jobs may take
  */
 public record NodeConfig(
         String name,
@@ -81,7 +82,8 @@
         int revokeMs,
         double statusTtlS,
         int diskMb,
-        int lossesBorne) {
+        int lossesBorne,
+        BatchSettings batch) {
     private static final int MS_PER_S = 1000;
 
     /** Reads and validates a settings file, in the format of Java's properties. */
@@ -149,6 +151,7 @@
                 revokeMs,
                 next.statusTtlS,
                 diskMb,
-                lossesBorne);
+                lossesBorne,
+                next.batch);
     }
 }
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -17,6 +17,7 @@
 final class NodeConfigReader {
     private static final String ZONE_PREFIX = "zone.";
     private static final int DEFAULT_WINDOW_S = 5;
+    private static final int NODE_RUNS_LIMIT = 1000;
 
     private final Properties properties;
     private final List<ConfigError> errors = new ArrayList<>();
@@ -62,7 +63,8 @@
                 Boolean.parseBoolean(text("bound.revocationStrict")) ? integer("bound.revokeMs", 5000) : 0,
                 number("bound.statusTtlS", 120),
                 integer("limit.diskMb", 0),
-                integer("loss.nodes", 1));
+                integer("loss.nodes", 1),
+                batch());
         return errors.isEmpty() ? new Valid<>(config) : new Invalid<>(List.copyOf(errors));
     }
 
@@ -77,6 +79,23 @@
                 integer("bound.leaseMs", 3000));
     }
 
+    private BatchSettings batch() {
+        BatchSettings otherwise = BatchSettings.DEFAULT;
+        return new BatchSettings(
+                inRange("batch.engineShare", otherwise.engineShare(), 0.01, 1),
+                inRange("batch.reservedShare", otherwise.reservedShare(), 0, 0.99),
+                (int) inRange("batch.nodeRunsMax", otherwise.nodeRunsMax(), 1, NODE_RUNS_LIMIT));
+    }
+
+    private double inRange(String key, double otherwise, double least, double most) {
+        double number = number(key, otherwise);
+        if (number < least || number > most) {
+            errors.add(new ConfigError.InvalidValue(key, text(key), "a number from " + least + " to " + most));
+            return otherwise;
+        }
+        return number;
+    }
+
     private void checkIp(String key, String ip) {
         if (ip.isEmpty()) {
             return;
--- a/src/main/java/ringspindle/config/Settings.java
+++ b/src/main/java/ringspindle/config/Settings.java
@@ -57,7 +57,8 @@
             new Setting("bound.warmupOverrun", NodeConfig::warmupOverrun),
             new Setting("bound.warmupSlack", NodeConfig::warmupSlack),
             new Setting("bound.evacuationMs", NodeConfig::evacuationMs),
-            new Setting("bound.ttlS", NodeConfig::ttlS));
+            new Setting("bound.ttlS", NodeConfig::ttlS),
+            new Setting("batch", NodeConfig::batch));
 
     private NodeConfig now;
     private final List<Listener> listeners = new CopyOnWriteArrayList<>();
--- a/src/main/java/ringspindle/proxy/ItemCall.java
+++ b/src/main/java/ringspindle/proxy/ItemCall.java
@@ -23,9 +23,6 @@
 
     private static final int CAPACITY_WAIT_MS = 100;
 
-    /** Part of an engine's capacity that is kept free of items, for live requests. */
-    static final double RESERVED_SHARE = 0.35;
-
     private static final byte[] NO_TEXT = {};
 
     private final ItemClient client;
@@ -84,7 +81,7 @@
 
     private LoadBalancer.SelectionRequest selectionRequest() {
         LoadBalancer.RoutingPreference preference = new LoadBalancer.RoutingPreference(
-                RESERVED_SHARE, CostWeights.DEFAULT.maxImbalance(), List.of(), List.of(), 0);
+                client.reservedShare(), CostWeights.DEFAULT.maxImbalance(), List.of(), List.of(), 0);
         String service = RouteSplit.service(item.route(), item.attemptId());
         return new LoadBalancer.SelectionRequest(
                 service,
--- a/src/main/java/ringspindle/proxy/ItemClient.java
+++ b/src/main/java/ringspindle/proxy/ItemClient.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
+import ringspindle.config.BatchSettings;
 import ringspindle.config.FleetConfig;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.protocol.ItemOutcome;
@@ -63,6 +64,7 @@
     private final Executor pool;
     private final Scheduler scheduler;
     private final MonotonicClock clock;
+    private volatile double reservedShare = BatchSettings.DEFAULT.reservedShare();
     private final Set<ItemCall> active = ConcurrentHashMap.newKeySet();
 
     private ItemClient(
@@ -91,6 +93,15 @@
         return new ItemClient(EngineHttpClient.start(pool, scheduler), loadBalancer, pool, scheduler, clock);
     }
 
+    /** From now on that part of an engine's places stays free for live requests. */
+    public void setReservedShare(double share) {
+        reservedShare = share;
+    }
+
+    double reservedShare() {
+        return reservedShare;
+    }
+
     /** A call that runs an item once it is told to begin. */
     public ItemCall create(Item item, Listener listener) {
         ItemCall call = new ItemCall(this, item, listener);
--- a/src/main/java/ringspindle/shard/ShardLog.java
+++ b/src/main/java/ringspindle/shard/ShardLog.java
@@ -73,6 +73,11 @@
         entries.removeIf(entry -> entry.seq() <= committed && entry.seq() != last && unneeded.test(entry));
     }
 
+    /** Bytes of all records that are held. */
+    long bytes() {
+        return entries.stream().mapToLong(entry -> entry.record().length).sum();
+    }
+
     /** Index of the first entry behind that number. */
     private int indexAfter(long seq) {
         int low = 0;
--- a/src/main/java/ringspindle/shard/ShardReplica.java
+++ b/src/main/java/ringspindle/shard/ShardReplica.java
@@ -303,6 +303,11 @@
         return diskOwesSinceMs != NOTHING_OWED && nowMs - diskOwesSinceMs > DISK_STALLED_MS;
     }
 
+    /** Bytes of the records that are held in memory. */
+    public long heldBytes() {
+        return log.bytes();
+    }
+
     /** All entries that are held, oldest first. */
     List<LogEntry> entries() {
         return log.after(0, Integer.MAX_VALUE, Long.MAX_VALUE);
--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -11,6 +11,7 @@
 import ringspindle.batch.Job;
 import ringspindle.batch.JobItem;
 import ringspindle.batch.RunQueue.ItemKey;
+import ringspindle.config.BatchSettings;
 import ringspindle.protocol.BatchMessage.ItemCancel;
 import ringspindle.protocol.BatchMessage.ItemRun;
 import ringspindle.protocol.BatchMessage.JobItemData;
@@ -22,10 +23,6 @@
  * gets nothing for a moment. Confined to the lock of {@link ShardHost}.
  */
 final class ItemDispatcher {
-    /** The most items that one storage node runs for one leader. */
-    private static final int RUNS_MAX = 40;
-    /** Part of the engines' capacity that items may take, beside live requests. */
-    private static final double ITEMS_PART = 0.45;
     /** A node that had no room at engines gets nothing new for so long. */
     private static final int PAUSE_MS = 120;
 
@@ -42,9 +39,25 @@
     }
 
     private final Map<NodeId, Executor> executors = new TreeMap<>();
+    private BatchSettings settings;
     private final Map<Long, Run> runs = new HashMap<>();
     private long lastRun;
 
+    /** A dispatcher of a leader that runs nothing yet. */
+    ItemDispatcher(BatchSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Settings changed while running; what runs goes on. */
+    void settings(BatchSettings changed) {
+        settings = changed;
+    }
+
+    /** How many items run. */
+    int running() {
+        return runs.size();
+    }
+
     /** Storage nodes that are in touch now; what ran at others is to be run again. */
     void setExecutors(Collection<NodeId> inTouch) {
         executors.keySet().retainAll(inTouch);
@@ -59,10 +72,10 @@
     List<Order> dispatch(HostedShard shard, int capacity, long nowMs) {
         int ofExecutors = executors.values().stream()
                 .filter(executor -> executor.pausedUntilMs <= nowMs)
-                .mapToInt(executor -> Math.max(0, RUNS_MAX - executor.running))
+                .mapToInt(executor -> Math.max(0, settings.nodeRunsMax() - executor.running))
                 .sum();
         // one count for all executors: what others run each of them knows only a second late
-        int ofEngines = (int) (capacity * ITEMS_PART) - runs.size();
+        int ofEngines = (int) (capacity * settings.engineShare()) - runs.size();
         int room = Math.max(0, Math.min(ofExecutors, ofEngines));
         List<Order> orders = new ArrayList<>();
         for (ItemKey key : shard.queue().take(shard.jobs().jobs(), room, nowMs)) {
@@ -80,7 +93,8 @@
 
     private Optional<NodeId> leastBusy(long nowMs) {
         return executors.entrySet().stream()
-                .filter(each -> each.getValue().pausedUntilMs <= nowMs && each.getValue().running < RUNS_MAX)
+                .filter(each ->
+                        each.getValue().pausedUntilMs <= nowMs && each.getValue().running < settings.nodeRunsMax())
                 .min(Comparator.comparingInt(each -> each.getValue().running))
                 .map(Map.Entry::getKey);
     }
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -57,7 +57,7 @@
     private final MonotonicClock clock;
     private final StorageProxy proxy;
     private final StorageAnnouncer announcer;
-    private final ItemDispatcher dispatcher = new ItemDispatcher();
+    private final ItemDispatcher dispatcher;
     private final ItemOutcomes outcomes;
     private final List<HostedShard> shards;
     /** How often facts had changed that matter here when they were read; guarded by the lock of the facts. */
@@ -92,6 +92,7 @@
         this.clock = clock;
         this.proxy = proxy;
         this.announcer = announcer;
+        dispatcher = new ItemDispatcher(config.batch());
         outcomes = new ItemOutcomes(dispatcher, proxy::configurationInForce);
         shards = stored.host(me, config.lossesBorne() + 1, clock.nowMs());
     }
@@ -105,8 +106,40 @@
     /** Settings changed while running. */
     void settings(NodeConfig changed) {
         config = changed;
+        synchronized (lock) {
+            dispatcher.settings(changed.batch());
+        }
     }
 
+    /** What this node tells of its shards, for metrics. */
+    Figures figures() {
+        synchronized (lock) {
+            List<HostedShard> led =
+                    shards.stream().filter(shard -> shard.replica().leads()).toList();
+            return new Figures(
+                    led.size(),
+                    led.stream().mapToInt(shard -> shard.jobs().openCount()).sum(),
+                    led.stream().mapToLong(shard -> shard.jobs().waitingItems()).sum(),
+                    dispatcher.running(),
+                    writer.bytes(),
+                    shards.stream()
+                            .mapToLong(shard -> shard.replica().heldBytes())
+                            .sum());
+        }
+    }
+
+    /**
+     * The state of a storage node in numbers.
+     *
+     * @param shardsLed shards that it leads and takes calls for
+     * @param jobsOpen jobs of these that are not over
+     * @param itemsWaiting items of these without a result
+     * @param itemsRunning items that it has run, here or at other nodes
+     * @param diskBytes size of its log on disk
+     * @param logBytes records of all its replicas in memory
+     */
+    record Figures(int shardsLed, int jobsOpen, long itemsWaiting, int itemsRunning, long diskBytes, long logBytes) {}
+
     /** What a new file on disk begins with. */
     List<Message> head() {
         synchronized (lock) {
--- a/src/main/java/ringspindle/storagenode/StorageNode.java
+++ b/src/main/java/ringspindle/storagenode/StorageNode.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicReference;
+import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.Scheduler;
 import ringspindle.config.NodeConfig;
@@ -11,6 +12,7 @@
 import ringspindle.dataplane.DataNode;
 import ringspindle.loadbalancing.LoadBalancer;
 import ringspindle.logging.LogField;
+import ringspindle.metrics.MetricsEndpoint;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
 import ringspindle.proxy.ItemClient;
@@ -53,6 +55,7 @@
         StoredState stored = StoredState.load(log, environment.random());
         LoadBalancer loadBalancer = LoadBalancer.create(config);
         ItemClient items = ItemClient.start(loadBalancer, pool, scheduler, environment.clock());
+        items.setReservedShare(config.batch().reservedShare());
         StorageProxy proxy = new StorageProxy(items);
         AtomicReference<ShardHost> hosted = new AtomicReference<>();
         DataNode node = new DataNode(config, NodeKind.STORAGE, proxy, loadBalancer, environment, mesh -> {
@@ -63,7 +66,9 @@
         settings.listen(loadBalancer::updateSettings);
         settings.listen(node::settings);
         settings.listen(host::settings);
+        settings.listen(changed -> items.setReservedShare(changed.batch().reservedShare()));
         node.start();
+        startMetrics(config, threads, host);
         PeriodicTask.start(node::tick, scheduler, DataNode.TICK_MS);
         LOG.atInfo()
                 .with(LogField.NODE, config.name())
@@ -77,6 +82,15 @@
         LOG.atInfo().with(LogField.NODE, config.name()).log("storage node ends");
     }
 
+    private static void startMetrics(NodeConfig config, Threads threads, ShardHost host) throws Exception {
+        if (config.metrics().isEmpty()) {
+            return;
+        }
+        Server server = new Server(threads.pool(), threads.scheduler(), null);
+        MetricsEndpoint.add(server, config.metrics().get(), StorageNodeMetrics.of(host));
+        server.start();
+    }
+
     private static ShardHost host(
             NodeConfig config,
             StoredState stored,
--- a/src/test/java/ringspindle/ArchitectureTest.java
+++ b/src/test/java/ringspindle/ArchitectureTest.java
@@ -148,6 +148,7 @@
                             "gossip",
                             "loadbalancing",
                             "membership",
+                            "metrics",
                             "protocol",
                             "proxy",
                             "routing",
--- a/src/test/java/ringspindle/cli/CliTest.java
+++ b/src/test/java/ringspindle/cli/CliTest.java
@@ -145,6 +145,25 @@
                 ExitCode.USAGE, run("config", "check", folder.resolve("none").toString()));
     }
 
+    @Test
+    void shardsAreShownAndStorageNodesRetired() throws Exception {
+        String shards = "{\"node\":\"c\",\"shards\":[{\"shard\":3,\"condition\":\"LEADER_OUT_OF_TOUCH\",\"epoch\":2,"
+                + "\"leader\":\"10.0.0.1:7002\",\"members\":[\"10.0.0.1:7002\"],\"learners\":[]},"
+                + "{\"shard\":4,\"condition\":\"NOT_ASSIGNED\"}]}";
+        assertEquals(ExitCode.OK, run("storage", "-c", control(200, shards)));
+        assertTrue(out.toString(UTF_8).contains("LEADER_OUT_OF_TOUCH"), out.toString(UTF_8));
+        assertTrue(out.toString(UTF_8).contains("NOT_ASSIGNED"), out.toString(UTF_8));
+        assertEquals(ExitCode.OK, run("storage", "-c", control(200, "{\"node\":\"c\"}")));
+        assertTrue(out.toString(UTF_8).contains("no storage nodes"), out.toString(UTF_8));
+        assertEquals(ExitCode.OK, run("storage", "retire", "s-1", "-c", control(200, "")));
+        assertEquals("POST /ringspindle/retire/s-1 HTTP/1.1 ", asked.get(asked.size() - 1));
+        assertEquals(ExitCode.REFUSED, run("storage", "retire", "s-1", "-c", control(409, "")));
+        assertEquals(ExitCode.OK, run("storage", "retirement", "s-1", "-c", control(200, "{\"state\":\"active\"}")));
+        assertTrue(out.toString(UTF_8).contains("s-1 active"), out.toString(UTF_8));
+        assertEquals(ExitCode.USAGE, run("storage", "retire", "-c", control(200, "")));
+        assertEquals(ExitCode.USAGE, run("storage", "empty", "s-1", "-c", control(200, "")));
+    }
+
     @Test
     void rolloutsAreOrdered() throws Exception {
         String node = control(200, "{\"rollouts\":[]}");
