Items run as fast as jobs are due: a pace by deadline in place of a fixed share

Change: RunPace counts how many items have to run for every job to be done 2.5 s before it is due; batch.policy = deadline (share: as before), batch.leastShare; run times are measured. Reading of calls and figures leave ShardHost.

--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -64,10 +64,11 @@
      *
      * @param queuedTokensMax tokens of a tenant that may wait, over all nodes; 0 for no limit
      * @param maxWaitS seconds after which an item may be given up, 0 for never
+     * @param completionMs milliseconds after which all results of a job are due, 0 for at once
      */
-    public record BatchLimits(long queuedTokensMax, int maxWaitS) {
+    public record BatchLimits(long queuedTokensMax, int maxWaitS, int completionMs) {
         /** Of a route that limits nothing. */
-        public static final BatchLimits NONE = new BatchLimits(0, 0);
+        public static final BatchLimits NONE = new BatchLimits(0, 0, 0);
     }
 
     /** What a route's requests do, which decides whether they may be sent again. */
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -115,7 +115,10 @@
                 json.getBoolean("sticky", false),
                 integer(json, "tokenGapMs", DEFAULT_TOKEN_GAP_MS),
                 allowedRegions(json, "route " + name),
-                new BatchLimits((long) number(json, "maxQueuedTokens", 0), integer(json, "maxWaitS", 0)),
+                new BatchLimits(
+                        (long) number(json, "maxQueuedTokens", 0),
+                        integer(json, "maxWaitS", 0),
+                        integer(json, "targetCompletionMs", 0)),
                 json.getBoolean("public", false));
     }
 
--- a/src/main/java/ringspindle/config/NodeConfigReader.java
+++ b/src/main/java/ringspindle/config/NodeConfigReader.java
@@ -28,9 +28,7 @@
 
     Validated<NodeConfig> read() {
         String ip = required("node.ip");
-        int innerPort = innerPort();
         checkIp("node.ip", ip);
-        List<NodeId> seeds = seeds();
         NodeConfig config = new NodeConfig(
                 required("node.name"),
                 ip,
@@ -43,9 +41,9 @@
                 endpoint("listen.control"),
                 endpoint("listen.registry"),
                 endpoint("listen.metrics"),
-                innerPort,
+                innerPort(),
                 bindIp(ip),
-                seeds,
+                seeds(),
                 regionsByZone(),
                 integer("limit.memoryMb", 512),
                 integer("engine.beatMs", 1000),
@@ -60,7 +58,7 @@
                 integer("bound.evacuationMs", 5000),
                 number("bound.ttlS", 5),
                 platform(),
-                Boolean.parseBoolean(text("bound.revocationStrict")) ? integer("bound.revokeMs", 5000) : 0,
+                revokeMs(),
                 number("bound.statusTtlS", 120),
                 integer("limit.diskMb", 0),
                 integer("loss.nodes", 1),
@@ -68,6 +66,10 @@
         return errors.isEmpty() ? new Valid<>(config) : new Invalid<>(List.copyOf(errors));
     }
 
+    private int revokeMs() {
+        return Boolean.parseBoolean(text("bound.revocationStrict")) ? integer("bound.revokeMs", 5000) : 0;
+    }
+
     private PlatformSettings platform() {
         Set<String> duties =
                 Set.copyOf(Splitter.on(',').trimResults().omitEmptyStrings().splitToList(text("platform.duties")));
@@ -81,12 +83,28 @@
 
     private BatchSettings batch() {
         BatchSettings otherwise = BatchSettings.DEFAULT;
+        double engineShare = inRange("batch.engineShare", otherwise.engineShare(), 0.01, 1);
         return new BatchSettings(
-                inRange("batch.engineShare", otherwise.engineShare(), 0.01, 1),
+                batchPolicy(),
+                engineShare,
+                inRange("batch.leastShare", Math.min(engineShare, otherwise.leastShare()), 0, engineShare),
                 inRange("batch.reservedShare", otherwise.reservedShare(), 0, 0.99),
                 (int) inRange("batch.nodeRunsMax", otherwise.nodeRunsMax(), 1, NODE_RUNS_LIMIT));
     }
 
+    private BatchSettings.Policy batchPolicy() {
+        String name = text("batch.policy");
+        return switch (name) {
+            case "" -> BatchSettings.DEFAULT.policy();
+            case "share" -> BatchSettings.Policy.SHARE;
+            case "deadline" -> BatchSettings.Policy.DEADLINE;
+            default -> {
+                errors.add(new ConfigError.InvalidValue("batch.policy", name, "share or deadline"));
+                yield BatchSettings.DEFAULT.policy();
+            }
+        };
+    }
+
     private double inRange(String key, double otherwise, double least, double most) {
         double number = number(key, otherwise);
         if (number < least || number > most) {
--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import ringspindle.batch.Job;
 import ringspindle.batch.JobItem;
+import ringspindle.batch.RunPace;
 import ringspindle.batch.RunQueue.ItemKey;
 import ringspindle.config.BatchSettings;
 import ringspindle.protocol.BatchMessage.ItemCancel;
@@ -26,8 +28,13 @@
     /** A node that had no room at engines gets nothing new for so long. */
     private static final int PAUSE_MS = 120;
 
+    /** What an item is taken to run for before any has. */
+    private static final double RUN_MS_INITIAL = 2000;
+    /** Weight of the last run in the mean of run times. */
+    private static final double RUN_MS_WEIGHT = 0.05;
+
     /** An item that runs somewhere. */
-    record Run(HostedShard shard, ItemKey key, NodeId executor) {}
+    record Run(HostedShard shard, ItemKey key, NodeId executor, long startedMs) {}
 
     /** A message to the executor of an item. */
     record Order(NodeId executor, Message message) {}
@@ -39,13 +46,21 @@
     }
 
     private final Map<NodeId, Executor> executors = new TreeMap<>();
+    /** When the results of a job are due, on this node's steady clock. */
+    private final ToLongFunction<Job> dueMs;
+
     private BatchSettings settings;
+    /** How long items run that complete: a mean that follows the last ones. */
+    private double runMs = RUN_MS_INITIAL;
+
     private final Map<Long, Run> runs = new HashMap<>();
+    private List<HostedShard> led = List.of();
     private long lastRun;
 
     /** A dispatcher of a leader that runs nothing yet. */
-    ItemDispatcher(BatchSettings settings) {
+    ItemDispatcher(BatchSettings settings, ToLongFunction<Job> dueMs) {
         this.settings = settings;
+        this.dueMs = dueMs;
     }
 
     /** Settings changed while running; what runs goes on. */
@@ -75,7 +90,7 @@
                 .mapToInt(executor -> Math.max(0, settings.nodeRunsMax() - executor.running))
                 .sum();
         // one count for all executors: what others run each of them knows only a second late
-        int ofEngines = (int) (capacity * settings.engineShare()) - runs.size();
+        int ofEngines = places(capacity, nowMs) - runs.size();
         int room = Math.max(0, Math.min(ofExecutors, ofEngines));
         List<Order> orders = new ArrayList<>();
         for (ItemKey key : shard.queue().take(shard.jobs().jobs(), room, nowMs)) {
@@ -85,12 +100,26 @@
             if (data.isEmpty() || executor.isEmpty()) {
                 shard.queue().again(key, nowMs + PAUSE_MS);
             } else {
-                orders.add(run(shard, job, key, data.get(), executor.get()));
+                orders.add(run(shard, job, key, data.get(), executor.get(), nowMs));
             }
         }
         return orders;
     }
 
+    /** How many items of all shards may run at a time. */
+    private int places(int capacity, long nowMs) {
+        int most = (int) (capacity * settings.engineShare());
+        if (settings.policy() == BatchSettings.Policy.SHARE) {
+            return most;
+        }
+        int needed = 0;
+        for (HostedShard led : led) {
+            needed += RunPace.places(led.jobs().jobs(), dueMs, runMs, nowMs);
+        }
+        int least = (int) Math.ceil(capacity * settings.leastShare());
+        return Math.min(most, Math.max(least, needed));
+    }
+
     private Optional<NodeId> leastBusy(long nowMs) {
         return executors.entrySet().stream()
                 .filter(each ->
@@ -99,9 +128,9 @@
                 .map(Map.Entry::getKey);
     }
 
-    private Order run(HostedShard shard, Job job, ItemKey key, JobItemData data, NodeId executor) {
+    private Order run(HostedShard shard, Job job, ItemKey key, JobItemData data, NodeId executor, long nowMs) {
         long id = ++lastRun;
-        runs.put(id, new Run(shard, key, executor));
+        runs.put(id, new Run(shard, key, executor, nowMs));
         executors.get(executor).running++;
         JobItem item = job.items().get(key.item());
         ItemRun run =
@@ -109,6 +138,16 @@
         return new Order(executor, run);
     }
 
+    /** A run has completed an item: how long it took counts for those that follow. */
+    void completed(Run run, long nowMs) {
+        runMs += (nowMs - run.startedMs() - runMs) * RUN_MS_WEIGHT;
+    }
+
+    /** The shards that this node leads. */
+    void setLed(List<HostedShard> shards) {
+        led = shards;
+    }
+
     /** A run has ended; empty if it is not known any more. */
     Optional<Run> ended(NodeId executor, long id) {
         Run run = runs.get(id);
--- a/src/main/java/ringspindle/storagenode/ItemOutcomes.java
+++ b/src/main/java/ringspindle/storagenode/ItemOutcomes.java
@@ -43,7 +43,10 @@
             shard.queue().routeFound(key);
         }
         return switch (outcome) {
-            case COMPLETED -> shard.list(key, JobItem.State.COMPLETED, end.text(), nowMs);
+            case COMPLETED -> {
+                dispatcher.completed(run, nowMs);
+                yield shard.list(key, JobItem.State.COMPLETED, end.text(), nowMs);
+            }
             case IMPOSSIBLE -> giveUp(shard, key, nowMs);
             case FAILED -> failed(shard, key, nowMs);
             case NO_ROUTE -> routeMissing(shard, key, nowMs);
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.Executor;
-import ringspindle.batch.JobSubmission;
+import ringspindle.batch.Job;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.NodeConfig;
 import ringspindle.dataplane.NodeComponent;
@@ -22,7 +22,6 @@
 import ringspindle.protocol.BatchMessage.JobCall;
 import ringspindle.protocol.BatchMessage.JobReply;
 import ringspindle.protocol.FactKind;
-import ringspindle.protocol.JobCallKind;
 import ringspindle.protocol.JobStatus;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Fact;
@@ -92,7 +91,7 @@
         this.clock = clock;
         this.proxy = proxy;
         this.announcer = announcer;
-        dispatcher = new ItemDispatcher(config.batch());
+        dispatcher = new ItemDispatcher(config.batch(), this::dueMs);
         outcomes = new ItemOutcomes(dispatcher, proxy::configurationInForce);
         shards = stored.host(me, config.lossesBorne() + 1, clock.nowMs());
     }
@@ -112,34 +111,12 @@
     }
 
     /** What this node tells of its shards, for metrics. */
-    Figures figures() {
+    StorageFigures figures() {
         synchronized (lock) {
-            List<HostedShard> led =
-                    shards.stream().filter(shard -> shard.replica().leads()).toList();
-            return new Figures(
-                    led.size(),
-                    led.stream().mapToInt(shard -> shard.jobs().openCount()).sum(),
-                    led.stream().mapToLong(shard -> shard.jobs().waitingItems()).sum(),
-                    dispatcher.running(),
-                    writer.bytes(),
-                    shards.stream()
-                            .mapToLong(shard -> shard.replica().heldBytes())
-                            .sum());
+            return StorageFigures.of(shards, dispatcher.running(), writer.bytes());
         }
     }
 
-    /**
-     * The state of a storage node in numbers.
-     *
-     * @param shardsLed shards that it leads and takes calls for
-     * @param jobsOpen jobs of these that are not over
-     * @param itemsWaiting items of these without a result
-     * @param itemsRunning items that it has run, here or at other nodes
-     * @param diskBytes size of its log on disk
-     * @param logBytes records of all its replicas in memory
-     */
-    record Figures(int shardsLed, int jobsOpen, long itemsWaiting, int itemsRunning, long diskBytes, long logBytes) {}
-
     /** What a new file on disk begins with. */
     List<Message> head() {
         synchronized (lock) {
@@ -256,47 +233,29 @@
 
     private void received(NodeId from, JobCall call) {
         HostedShard.Reply reply = (status, body) -> mesh.send(from, new JobReply(call.id(), status.code(), body));
-        boolean known = call.shard() >= 0 && call.shard() < shards.size();
-        if (!known) {
-            reply.send(JobStatus.INVALID, new byte[0]);
+        // read before the lock is taken: it takes its time
+        JobCallReading reading = JobCallReading.of(call, proxy.configurationInForce(), shards.size());
+        if (reading instanceof JobCallReading.Refused refused) {
+            reply.send(refused.status(), refused.text().getBytes(UTF_8));
             return;
         }
-        JobSubmission submission = null;
-        FleetConfig configuration = proxy.configurationInForce();
-        FleetConfig.Route route = configuration == null ? null : configuration.route(call.route());
-        FleetConfig.BatchLimits limits = route == null ? FleetConfig.BatchLimits.NONE : route.batch();
-        if (call.kind() == JobCallKind.SUBMIT) {
-            if (route == null) {
-                // what may wait is not known here
-                reply.send(JobStatus.NOT_LEADER, new byte[0]);
-                return;
-            }
-            // read before the lock is taken: it takes its time
-            submission = JobSubmission.read(call, limits.maxWaitS());
-            if (submission instanceof JobSubmission.Refused refused) {
-                reply.send(JobStatus.INVALID, refused.error().text().getBytes(UTF_8));
-                return;
-            }
-        }
+        JobCallReading.Proper proper = (JobCallReading.Proper) reading;
         synchronized (lock) {
             HostedShard shard = shards.get(call.shard());
             if (!shard.replica().leads()) {
                 reply.send(JobStatus.NOT_LEADER, new byte[0]);
                 return;
             }
-            carryOut(shard, take(shard, call, (JobSubmission.Proper) submission, limits, reply));
+            carryOut(shard, take(shard, proper, reply));
         }
     }
 
-    private List<ReplicaOutput> take(
-            HostedShard shard,
-            JobCall call,
-            JobSubmission.Proper submission,
-            FleetConfig.BatchLimits limits,
-            HostedShard.Reply reply) {
+    private List<ReplicaOutput> take(HostedShard shard, JobCallReading.Proper reading, HostedShard.Reply reply) {
         long nowMs = clock.nowMs();
+        JobCall call = reading.call();
         return switch (call.kind()) {
-            case SUBMIT -> shard.submit(submission, limits.queuedTokensMax(), isFull(), reply, nowMs);
+            case SUBMIT ->
+                shard.submit(reading.submission(), reading.limits().queuedTokensMax(), isFull(), reply, nowMs);
             case RESULTS -> shard.results(call, reply, nowMs);
             case ITEM -> shard.item(call, reply, nowMs);
             case END -> shard.end(call, reply, nowMs);
@@ -390,8 +349,10 @@
         List<ReplicaRow> standings = new ArrayList<>();
         synchronized (lock) {
             ticks++;
-            boolean leads = shards.stream().anyMatch(shard -> shard.replica().leads());
-            if (leads) {
+            List<HostedShard> led =
+                    shards.stream().filter(shard -> shard.replica().leads()).toList();
+            dispatcher.setLed(led);
+            if (!led.isEmpty()) {
                 chooseExecutors();
             }
             for (HostedShard shard : shards) {
@@ -412,6 +373,13 @@
         }
     }
 
+    /** When the results of a job are due; at once where its route does not say, or is not known. */
+    private long dueMs(Job job) {
+        FleetConfig configuration = proxy.configurationInForce();
+        FleetConfig.Route route = configuration == null ? null : configuration.route(job.route());
+        return job.learntMs() + (route == null ? 0 : route.batch().completionMs());
+    }
+
     /** Storage nodes that are connected run items, this one among them; the others are dialled. */
     private void chooseExecutors() {
         Set<NodeId> connected = new TreeSet<>();
--- a/src/test/java/ringspindle/config/SettingsTest.java
+++ b/src/test/java/ringspindle/config/SettingsTest.java
@@ -47,12 +47,17 @@
         assertEquals(BatchSettings.DEFAULT, good(file()).batch());
         Settings settings = new Settings(good(file()));
         settings.reload(file("batch.engineShare", "0.2", "batch.reservedShare", "0.5", "batch.nodeRunsMax", "7"));
-        assertEquals(new BatchSettings(0.2, 0.5, 7), settings.now().batch());
+        assertEquals(
+                new BatchSettings(BatchSettings.Policy.DEADLINE, 0.2, 0.1, 0.5, 7),
+                settings.now().batch());
         for (String bad : List.of("0", "1.5", "-1", "much")) {
             Settings.Reload reload = settings.reload(file("batch.engineShare", bad));
             assertEquals(1, reload.errors().size(), bad);
         }
         assertEquals(1, settings.reload(file("batch.nodeRunsMax", "0")).errors().size());
+        assertEquals(1, settings.reload(file("batch.policy", "none")).errors().size());
+        assertEquals(
+                1, settings.reload(file("batch.leastShare", "0.6")).errors().size());
         assertEquals(0.2, settings.now().batch().engineShare(), "a bad file changes nothing");
     }
 
