Usage windows are numbered by the median of the time of day, not by one reading at the start

Cause: a process that started while its machine's time of day was off counted into the wrong windows for its whole life. Change: FilteredWallClock samples the time of day once a second and takes the median of the last 31; used where requests are counted and where windows are decided.

--- a/src/main/java/ringspindle/controlplane/MeteringTask.java
+++ b/src/main/java/ringspindle/controlplane/MeteringTask.java
@@ -16,7 +16,7 @@
 import ringspindle.replication.CallKind;
 import ringspindle.replication.MarkKind;
 import ringspindle.replication.MeteredWindow;
-import ringspindle.time.AnchoredWallClock;
+import ringspindle.time.FilteredWallClock;
 
 /**
  * Has the head of the view report usage to the platform: the counts of a window are decided by a majority before they are first sent,
@@ -42,7 +42,7 @@
     private final UsageLedger ledger;
     private final PlatformClient platform;
     private final DutyLease lease;
-    private final AnchoredWallClock wallClock;
+    private final FilteredWallClock wallClock;
     private final AtomicBoolean busy = new AtomicBoolean();
     /** The last window that the platform took from this node. */
     private volatile long taken = NONE;
@@ -63,12 +63,13 @@
         this.platform = platform;
         int leaseMs = context.config().platform().leaseMs();
         lease = new DutyLease(context.me(), Math.max(leaseMs, QuorumTracker.VALID_MS) + TAKEOVER_MARGIN_MS);
-        wallClock = AnchoredWallClock.now(context.clock());
+        wallClock = FilteredWallClock.system(context.nowMs());
     }
 
     /** Decides or sends what is due. */
     void tick(View view, boolean quorate, long ticks, long nowMs) {
         PlatformSettings settings = context.config().platform();
+        wallClock.tick(nowMs);
         if (!settings.wants(PlatformSettings.METERING) || !lease.mayAct(view, quorate, nowMs)) {
             return;
         }
--- a/src/main/java/ringspindle/dataplane/UsageReporter.java
+++ b/src/main/java/ringspindle/dataplane/UsageReporter.java
@@ -11,7 +11,7 @@
 import ringspindle.protocol.TenantMessage.UsageReport;
 import ringspindle.protocol.TenantMessage.UsageRow;
 import ringspindle.proxy.NodeServices;
-import ringspindle.time.AnchoredWallClock;
+import ringspindle.time.FilteredWallClock;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.Mesh;
 
@@ -25,7 +25,7 @@
     private final long life;
     private final Mesh mesh;
     private final MonotonicClock clock;
-    private final AnchoredWallClock wallClock;
+    private final FilteredWallClock wallClock;
     private final UsageCounter counter;
     private final ControlPeers controlNodes = new ControlPeers();
     private long ticks;
@@ -37,7 +37,7 @@
         this.life = life;
         this.mesh = mesh;
         this.clock = clock;
-        wallClock = AnchoredWallClock.now(clock);
+        wallClock = FilteredWallClock.system(clock.nowMs());
         counter = new UsageCounter(windowMs);
     }
 
@@ -70,6 +70,7 @@
     @Override
     public synchronized void tick(long nowMs) {
         ticks++;
+        wallClock.tick(nowMs);
         Optional<NodeId> controlNode = controlNodes.current();
         if (ticks % PERIOD_TICKS != 0 || controlNode.isEmpty()) {
             return;
