--- a/src/main/java/ringspindle/batch/RunQueue.java
+++ b/src/main/java/ringspindle/batch/RunQueue.java
@@ -1,12 +1,16 @@
 package ringspindle.batch;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.PriorityQueue;
 import java.util.Set;
 
 /**
@@ -17,17 +21,45 @@
     /** An item of a job. */
     public record ItemKey(String job, int item) {}
 
-    /** Where an item stands that is neither listed nor simply waiting. */
-    private static final class Progress {
-        boolean busy;
-        long notBeforeMs;
-        /** Since when there has been no route for it, below 0 while there is one. */
-        long routeMissingSinceMs = -1;
+    /** An item that waits for a time. */
+    private record Delayed(int item, long notBeforeMs) {}
+
+    /** The items of one job that have no result. */
+    private static final class JobRuns {
+        final Deque<Integer> ready = new ArrayDeque<>();
+        final PriorityQueue<Delayed> delayed = new PriorityQueue<>(Comparator.comparingLong(Delayed::notBeforeMs));
+        /** Items that were taken and have not come back. */
+        final Set<Integer> taken = new HashSet<>();
+
+        JobRuns(Job job) {
+            for (JobItem item : job.items()) {
+                if (!item.isListed()) {
+                    ready.add(item.index());
+                }
+            }
+        }
+
+        /** The next item that may be taken now, empty if there is none. */
+        Optional<Integer> poll(Job job, long nowMs) {
+            while (!delayed.isEmpty() && delayed.peek().notBeforeMs() <= nowMs) {
+                ready.add(delayed.poll().item());
+            }
+            while (!ready.isEmpty()) {
+                int item = ready.poll();
+                if (!job.items().get(item).isListed()) {
+                    taken.add(item);
+                    return Optional.of(item);
+                }
+            }
+            return Optional.empty();
+        }
     }
 
-    private final Map<ItemKey, Progress> progress = new HashMap<>();
+    private final Map<String, JobRuns> runs = new HashMap<>();
+    /** Since when there has been no route for an item. */
+    private final Map<ItemKey, Long> routeMissingSinceMs = new HashMap<>();
 
-    /** The next items to run, at most so many; each counts as busy from now on. */
+    /** The next items to run, at most so many; each counts as taken from now on. */
     public List<ItemKey> take(Collection<Job> jobs, int limit, long nowMs) {
         List<ItemKey> taken = new ArrayList<>();
         for (Job job : jobs) {
@@ -42,41 +74,32 @@
     }
 
     private void take(Job job, int limit, long nowMs, List<ItemKey> taken) {
-        for (JobItem item : job.items()) {
-            if (taken.size() >= limit) {
+        JobRuns ofJob = runs.computeIfAbsent(job.id(), id -> new JobRuns(job));
+        while (taken.size() < limit) {
+            Optional<Integer> item = ofJob.poll(job, nowMs);
+            if (item.isEmpty()) {
                 return;
             }
-            if (item.isListed()) {
-                continue;
-            }
-            ItemKey key = new ItemKey(job.id(), item.index());
-            Progress state = progress.computeIfAbsent(key, each -> new Progress());
-            if (!state.busy && state.notBeforeMs <= nowMs) {
-                state.busy = true;
-                taken.add(key);
-            }
+            taken.add(new ItemKey(job.id(), item.get()));
         }
     }
 
-    /** It may be taken again, but not before then. */
+    /** An item that was taken may be taken again, but not before then. */
     public void again(ItemKey key, long notBeforeMs) {
-        Progress state = progress.computeIfAbsent(key, each -> new Progress());
-        state.busy = false;
-        state.notBeforeMs = notBeforeMs;
+        JobRuns ofJob = runs.get(key.job());
+        if (ofJob != null && ofJob.taken.remove(key.item())) {
+            ofJob.delayed.add(new Delayed(key.item(), notBeforeMs));
+        }
     }
 
     /** There was no route for it; returns for how long that has been so, in ms. */
     public long routeMissing(ItemKey key, long nowMs) {
-        Progress state = progress.computeIfAbsent(key, each -> new Progress());
-        if (state.routeMissingSinceMs < 0) {
-            state.routeMissingSinceMs = nowMs;
-        }
-        return nowMs - state.routeMissingSinceMs;
+        return nowMs - routeMissingSinceMs.computeIfAbsent(key, each -> nowMs);
     }
 
     /** There was a route for it. */
     public void routeFound(ItemKey key) {
-        Optional.ofNullable(progress.get(key)).ifPresent(state -> state.routeMissingSinceMs = -1);
+        routeMissingSinceMs.remove(key);
     }
 
     /** Items that wait and whose job is older than it allows them to wait. */
@@ -94,6 +117,7 @@
     public void retain(Collection<Job> jobs) {
         Set<String> open = new HashSet<>();
         jobs.stream().filter(job -> !job.isClosed()).forEach(job -> open.add(job.id()));
-        progress.keySet().removeIf(key -> !open.contains(key.job()));
+        runs.keySet().retainAll(open);
+        routeMissingSinceMs.keySet().removeIf(key -> !open.contains(key.job()));
     }
 }
--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -54,7 +54,9 @@
     private double runMs = RUN_MS_INITIAL;
 
     private final Map<Long, Run> runs = new HashMap<>();
-    private List<HostedShard> led = List.of();
+    /** How many items of all shards may run at a time, as of the last tick. */
+    private int places;
+
     private long lastRun;
 
     /** A dispatcher of a leader that runs nothing yet. */
@@ -79,18 +81,14 @@
         inTouch.forEach(node -> executors.putIfAbsent(node, new Executor()));
     }
 
-    /**
-     * Has as many items of a shard run as there is room for.
-     *
-     * @param capacity requests that the engines of batch routes run at a time
-     */
-    List<Order> dispatch(HostedShard shard, int capacity, long nowMs) {
+    /** Has as many items of a shard run as there is room for. */
+    List<Order> dispatch(HostedShard shard, long nowMs) {
         int ofExecutors = executors.values().stream()
                 .filter(executor -> executor.pausedUntilMs <= nowMs)
                 .mapToInt(executor -> Math.max(0, settings.nodeRunsMax() - executor.running))
                 .sum();
         // one count for all executors: what others run each of them knows only a second late
-        int ofEngines = places(capacity, nowMs) - runs.size();
+        int ofEngines = places - runs.size();
         int room = Math.max(0, Math.min(ofExecutors, ofEngines));
         List<Order> orders = new ArrayList<>();
         for (ItemKey key : shard.queue().take(shard.jobs().jobs(), room, nowMs)) {
@@ -106,18 +104,24 @@
         return orders;
     }
 
-    /** How many items of all shards may run at a time. */
-    private int places(int capacity, long nowMs) {
+    /**
+     * Counts anew how many items may run at a time; to be called with every tick.
+     *
+     * @param led the shards that this node leads
+     * @param capacity requests that the engines of batch routes run at a time
+     */
+    void updatePlaces(List<HostedShard> led, int capacity, long nowMs) {
         int most = (int) (capacity * settings.engineShare());
         if (settings.policy() == BatchSettings.Policy.SHARE) {
-            return most;
+            places = most;
+            return;
         }
         int needed = 0;
-        for (HostedShard led : led) {
-            needed += RunPace.places(led.jobs().jobs(), dueMs, runMs, nowMs);
+        for (HostedShard shard : led) {
+            needed += RunPace.places(shard.jobs().jobs(), dueMs, runMs, nowMs);
         }
         int least = (int) Math.ceil(capacity * settings.leastShare());
-        return Math.min(most, Math.max(least, needed));
+        places = Math.min(most, Math.max(least, needed));
     }
 
     private Optional<NodeId> leastBusy(long nowMs) {
@@ -143,11 +147,6 @@
         runMs += (nowMs - run.startedMs() - runMs) * RUN_MS_WEIGHT;
     }
 
-    /** The shards that this node leads. */
-    void setLed(List<HostedShard> shards) {
-        led = shards;
-    }
-
     /** A run has ended; empty if it is not known any more. */
     Optional<Run> ended(NodeId executor, long id) {
         Run run = runs.get(id);
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -68,9 +68,6 @@
     /** Storage nodes that are there, as far as is known. */
     private Set<NodeId> executorsKnown = Set.of();
 
-    /** Requests that the engines of batch routes run at a time, as of the last tick. */
-    private int capacity;
-
     private long ticks;
 
     /** Hosts what was found on disk. */
@@ -155,7 +152,7 @@
             }
         }
         if (shard.replica().leads()) {
-            order(dispatcher.dispatch(shard, capacity, nowMs));
+            order(dispatcher.dispatch(shard, nowMs));
         }
     }
 
@@ -351,9 +348,9 @@
             ticks++;
             List<HostedShard> led =
                     shards.stream().filter(shard -> shard.replica().leads()).toList();
-            dispatcher.setLed(led);
             if (!led.isEmpty()) {
                 chooseExecutors();
+                dispatcher.updatePlaces(led, items.capacity(), nowMs);
             }
             for (HostedShard shard : shards) {
                 carryOut(shard, shard.replica().tick(nowMs));
@@ -392,6 +389,5 @@
             }
         }
         dispatcher.setExecutors(connected);
-        capacity = items.capacity();
     }
 }
