Only a change of the head counts for quotas, not a view that keeps it; command tenants

Change: HeadChanges compares the heads of views; what was not seen still counts as a change. tenants lists tenants of the configuration with what is granted of their limits, never keys. TenantLimit holds what a bucket is made of. Measured: QuotaWorldTest with views that keep their head; CliTest.

--- a/src/main/java/ringspindle/cli/Cli.java
+++ b/src/main/java/ringspindle/cli/Cli.java
@@ -31,6 +31,7 @@
         commands.put("tallies", new CounterCommand());
         commands.put("experiment", new ExperimentCommand());
         commands.put("storage", new StorageCommand());
+        commands.put("tenants", new TenantsCommand());
     }
 
     /** The objects that hold the options of each command, by the command's name, for a {@link CommandLine} to fill in. */
--- a/src/main/java/ringspindle/cli/package-info.java
+++ b/src/main/java/ringspindle/cli/package-info.java
@@ -3,6 +3,6 @@
  *
  * <p>Owns no state beyond one run. Uses {@code api} for the calls, {@code config}, {@code routing}, {@code
  * loadbalancing} and {@code telemetry} for the control plane's own checks and rankings, {@code transport} for the HTTP
- * client, and, for the self-test only, {@code controlplane} and {@code dataplane}. Nothing but {@code Main} uses it.
+ * client, {@code quota} for what is granted of a limit, and, for the self-test only, {@code controlplane} and {@code dataplane}. Nothing but {@code Main} uses it.
  */
 package ringspindle.cli;
--- a/src/main/java/ringspindle/controlplane/QuotaHandler.java
+++ b/src/main/java/ringspindle/controlplane/QuotaHandler.java
@@ -47,7 +47,7 @@
         View view = replication.view();
         if (view != null) {
             synchronized (lock) {
-                headChanges.observe(view.epoch(), context.nowMs());
+                headChanges.observe(view.epoch(), view.head(), context.nowMs());
             }
         }
     }
@@ -73,7 +73,7 @@
             }
             long nowMs = context.nowMs();
             refreshLimits(committed);
-            headChanges.observe(view.epoch(), nowMs);
+            headChanges.observe(view.epoch(), view.head(), nowMs);
             buckets.lead(view.epoch(), nowMs);
             ask.rows().forEach(row -> leaves.add(grant(row, nowMs)));
         }
--- a/src/main/java/ringspindle/proxy/EngineMaintenance.java
+++ b/src/main/java/ringspindle/proxy/EngineMaintenance.java
@@ -2,6 +2,29 @@
 
 /** The periodic work on engines of whoever runs requests there. */
 public interface EngineMaintenance {
+    /** No engines: nothing to do. */
+    EngineMaintenance NONE = new EngineMaintenance() {
+        @Override
+        public void probeEngines() {
+            // there are none
+        }
+
+        @Override
+        public void tick() {
+            // there are none
+        }
+
+        @Override
+        public void closeIdleConnections() {
+            // there are none
+        }
+
+        @Override
+        public int active() {
+            return 0;
+        }
+    };
+
     /** Asks ejected engines for their health, as far as that is due. */
     void probeEngines();
 
--- a/src/main/java/ringspindle/quota/TenantBuckets.java
+++ b/src/main/java/ringspindle/quota/TenantBuckets.java
@@ -20,12 +20,9 @@
     /** A token is good for so long after the data node asked for it. */
     public static final int TOKEN_MS = 400;
 
-    private static final double STEADY_PART = 0.85;
     private static final double TAKEOVER_PART = 0.6;
     private static final int TAKEOVER_MS = 2500;
     private static final double TAKEOVER_TOKENS = 5;
-    private static final double BURST_FACTOR = 1.1;
-    private static final double BURST_MORE = 15;
     private static final double MS_PER_S = 1000;
     /** Tokens that are only expected to be needed come from a bucket that is at least so full. */
     private static final double EXTRA_FROM_PART = 0.5;
@@ -93,8 +90,8 @@
             return new QuotaLeave(asked.tenant(), 0, (int) (silentUntilMs - nowMs));
         }
         Bucket bucket = buckets.computeIfAbsent(asked.tenant(), tenant -> fresh(nowMs));
-        double rate = limit.ratePerS() * (nowMs < cautiousUntilMs ? TAKEOVER_PART : STEADY_PART);
-        double most = limit.burstSize() * BURST_FACTOR + BURST_MORE;
+        double rate = nowMs < cautiousUntilMs ? limit.ratePerS() * TAKEOVER_PART : limit.refillPerS();
+        double most = limit.bucketSize();
         double refill = rate * (nowMs - bucket.refilledMs) / MS_PER_S;
         bucket.tokens = Math.min(most, bucket.tokens + refill);
         bucket.unmet = Math.max(0, bucket.unmet - refill);
--- a/src/test/java/ringspindle/ArchitectureTest.java
+++ b/src/test/java/ringspindle/ArchitectureTest.java
@@ -135,6 +135,7 @@
                             "experiment",
                             "loadbalancing",
                             "protocol",
+                            "quota",
                             "routing",
                             "telemetry",
                             "transport")),
--- a/src/test/java/ringspindle/batch/RunPaceTest.java
+++ b/src/test/java/ringspindle/batch/RunPaceTest.java
@@ -6,8 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import ringspindle.protocol.BatchMessage.JobAccepted;
-import ringspindle.protocol.BatchMessage.JobItemData;
 import ringspindle.protocol.BatchMessage.JobListed;
 
 /** How many items run at a time: enough that jobs are done in time, and few while they have time. */
@@ -18,11 +16,7 @@
     private final JobTable table = new JobTable();
 
     private void accept(String id, int items, long nowMs) {
-        List<JobItemData> data = new ArrayList<>();
-        for (int item = 0; item < items; item++) {
-            data.add(new JobItemData(id + "-" + item, "/b/x", 10, new byte[0], new byte[0]));
-        }
-        table.apply(new JobAccepted(id, "b", "h", "", 60, data), nowMs);
+        AcceptedJobs.accept(table, id, items, 60, nowMs);
     }
 
     private int places(long nowMs) {
--- a/src/test/java/ringspindle/batch/RunQueueTest.java
+++ b/src/test/java/ringspindle/batch/RunQueueTest.java
@@ -3,15 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import ringspindle.batch.RunQueue.ItemKey;
-import ringspindle.protocol.BatchMessage.JobAccepted;
-import ringspindle.protocol.BatchMessage.JobItemData;
 import ringspindle.protocol.BatchMessage.JobListed;
 
 /** Items of the oldest jobs first, none at two places, none lost, none before its pause is over. */
@@ -22,11 +19,7 @@
     private final RunQueue queue = new RunQueue();
 
     private void accept(String id, int items, long nowMs) {
-        List<JobItemData> data = new ArrayList<>();
-        for (int item = 0; item < items; item++) {
-            data.add(new JobItemData(id + "-" + item, "/b/x", 10, new byte[0], new byte[0]));
-        }
-        table.apply(new JobAccepted(id, "b", "h", "", MAX_WAIT_S, data), nowMs);
+        AcceptedJobs.accept(table, id, items, MAX_WAIT_S, nowMs);
     }
 
     private void list(ItemKey key) {
@@ -85,11 +78,7 @@
             Set<ItemKey> running = new HashSet<>();
             for (long nowMs = 0; nowMs < 60_000; nowMs += 50) {
                 if (nowMs % 1000 == 0 && nowMs < 20_000) {
-                    List<JobItemData> data = new ArrayList<>();
-                    for (int item = 0; item < 1 + random.nextInt(30); item++) {
-                        data.add(new JobItemData("i" + item, "/b/x", 10, new byte[0], new byte[0]));
-                    }
-                    jobs.apply(new JobAccepted("j" + nowMs, "b", "h", "", 0, data), nowMs);
+                    AcceptedJobs.accept(jobs, "j" + nowMs, 1 + random.nextInt(30), 0, nowMs);
                 }
                 for (ItemKey key : runs.take(jobs.jobs(), random.nextInt(8), nowMs)) {
                     assertTrue(running.add(key), "seed " + seed + ": " + key + " runs already");
--- a/src/test/java/ringspindle/cli/CliTest.java
+++ b/src/test/java/ringspindle/cli/CliTest.java
@@ -29,7 +29,9 @@
 class CliTest {
     private static final String CONFIG =
             "{\"revision\":4,\"routes\":[{\"name\":\"c\",\"host\":\"h\",\"pathPrefix\":\"/c/\",\"routeKind\":"
-                    + "\"idempotent\",\"deadlineMs\":1,\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}]}";
+                    + "\"idempotent\",\"deadlineMs\":1,\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}],"
+                    + "\"tenants\":[{\"name\":\"kaje80\",\"priority\":1,\"ratePerS\":40,\"burstSize\":10,"
+                    + "\"apiKeys\":[\"secret-1\",\"secret-2\"]}]}";
 
     @TempDir
     Path folder;
@@ -164,6 +166,17 @@
         assertEquals(ExitCode.USAGE, run("storage", "empty", "s-1", "-c", control(200, "")));
     }
 
+    @Test
+    void tenantsAreShownWithoutTheirKeys() throws Exception {
+        String node = control(200, "");
+        assertEquals(ExitCode.OK, run("tenants", "-c", node));
+        assertTrue(out.toString(UTF_8).contains("kaje80  1"), out.toString(UTF_8));
+        assertTrue(out.toString(UTF_8).contains("34.0"), "refill of 40 a second");
+        assertTrue(!out.toString(UTF_8).contains("secret"), "no key is shown");
+        assertEquals(ExitCode.OK, run("tenants", "other", "-c", node));
+        assertTrue(out.toString(UTF_8).contains("no tenants"), out.toString(UTF_8));
+    }
+
     @Test
     void rolloutsAreOrdered() throws Exception {
         String node = control(200, "{\"rollouts\":[]}");
--- a/src/test/java/ringspindle/quota/QuotaWorldTest.java
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -1,6 +1,7 @@
 package ringspindle.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
@@ -10,6 +11,7 @@
 import java.util.Random;
 import java.util.function.LongToIntFunction;
 import org.junit.jupiter.api.Test;
+import ringspindle.protocol.NodeId;
 import ringspindle.protocol.TenantMessage.QuotaLeave;
 import ringspindle.protocol.TenantMessage.QuotaNeed;
 
@@ -46,7 +48,7 @@
 
         World(long seed) {
             random = new Random(seed);
-            seenByNext.observe(epoch, nowMs);
+            seenByNext.observe(epoch, headOf(epoch), nowMs);
             for (int node = 0; node < NODES; node++) {
                 nodes.add(new TenantTokens<>());
             }
@@ -100,10 +102,10 @@
             // every node saw the views so far; the next head is one that never led
             epoch++;
             HeadChanges seen = seenByNext;
-            seen.observe(epoch, nowMs);
+            seen.observe(epoch, headOf(epoch), nowMs);
             head = new TenantBuckets(seen);
             seenByNext = new HeadChanges();
-            seenByNext.observe(epoch, nowMs);
+            seenByNext.observe(epoch, headOf(epoch), nowMs);
         }
 
         int mostInAWindow() {
@@ -119,6 +121,24 @@
         }
     }
 
+    private static NodeId headOf(long epoch) {
+        return NodeId.of("10.0.0." + epoch + ":7000");
+    }
+
+    /** Views that keep their head are no change; a view that was not seen may have been one. */
+    @Test
+    void onlyChangesOfTheHeadCount() {
+        HeadChanges changes = new HeadChanges();
+        changes.observe(1, headOf(1), 0);
+        changes.observe(2, headOf(1), 9000);
+        changes.observe(3, headOf(3), 9500);
+        assertTrue(changes.mayOverlap());
+        changes.observe(4, headOf(4), 12_000);
+        assertFalse(changes.mayOverlap(), "two changes in one window");
+        changes.observe(6, headOf(6), 60_000);
+        assertFalse(changes.mayOverlap(), "view 5 was not seen");
+    }
+
     private static int bound() {
         double within = LIMIT.ratePerS() * WINDOW_MS / 1000 + LIMIT.burstSize();
         return (int) (within * 1.1 + 20);
@@ -170,8 +190,8 @@
 
     private static HeadChanges longQuiet(World world) {
         HeadChanges changes = new HeadChanges();
-        changes.observe(world.epoch - 1, world.nowMs - 60_000);
-        changes.observe(world.epoch, world.nowMs);
+        changes.observe(world.epoch - 1, headOf(world.epoch - 1), world.nowMs - 60_000);
+        changes.observe(world.epoch, headOf(world.epoch), world.nowMs);
         return changes;
     }
 
--- a/src/test/java/ringspindle/storagenode/HollowStorageNode.java
+++ b/src/test/java/ringspindle/storagenode/HollowStorageNode.java
@@ -39,7 +39,7 @@
             throws Exception {
         StoredState stored =
                 new StoredState(new StoreIdentity(environment.random().getAsLong(), 1), new ArrayList<>());
-        StorageProxy proxy = new StorageProxy(new NoEngines());
+        StorageProxy proxy = new StorageProxy(EngineMaintenance.NONE);
         LoadBalancer loadBalancer = LoadBalancer.create(config);
         NodeId me = DataNode.identity(config, NodeKind.STORAGE);
         node = new DataNode(config, NodeKind.STORAGE, proxy, loadBalancer, environment, mesh -> {
@@ -104,29 +104,6 @@
         }
     }
 
-    /** Nothing to look after. */
-    private static final class NoEngines implements EngineMaintenance {
-        @Override
-        public void probeEngines() {
-            // there are none
-        }
-
-        @Override
-        public void tick() {
-            // there are none
-        }
-
-        @Override
-        public void closeIdleConnections() {
-            // there are none
-        }
-
-        @Override
-        public int active() {
-            return 0;
-        }
-    }
-
     /** Items that are done as soon as they are begun. */
     private record InstantItems(BiConsumer<NodeId, ItemEnd> ended) implements ItemRunner {
         @Override
