A head that founds the fleet has nobody before it: full buckets, also when views follow

Cause: the head of view 1 was first asked for tokens in a later view that it led too; the buckets took it for a head that follows another: empty, and silent for 1.6 s. Change: HeadChanges counts tenures over views that keep their head, and knows the head that founded the fleet (no memory at the first start). All buckets fill from the takeover on, whenever they are first asked for.

--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -1,12 +1,12 @@
 package ringspindle.controlplane;
 
-import java.io.IOException;
 import java.util.List;
 import ringspindle.config.NodeConfig;
 import ringspindle.controlplane.fleet.FleetState;
 import ringspindle.controlplane.fleet.NodeContext;
 import ringspindle.controlplane.server.ControlApiHandler;
 import ringspindle.metering.UsageLedger;
+import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -75,14 +75,15 @@
         serving = new ServingState(context.clock(), quorum);
         fleet = new FleetState(context, self);
         CommittedFacts committedFacts = new CommittedFacts(context.pool(), fleet, serving);
-        ReplicatedState state = replicatedState(me, environment);
+        List<Message> found = storage.replication().load();
+        ReplicatedState state = replicatedState(me, environment, found);
         replication = new ReplicationDriver(context, state, calls, storage.replication(), quorum, committedFacts);
         counters = new CounterDriver(
                 context, storage.counters(), environment.random().getAsLong() | STORE_BIT);
         engines = new EngineRegistry(fleet, serving, replication);
         queries = new FleetQueries(context, fleet, quorum);
         HeartbeatExchange heartbeats = new HeartbeatExchange(context, fleet, replication, serving);
-        quotas = new QuotaHandler(context, replication, serving);
+        quotas = new QuotaHandler(context, replication, serving, config.bootstrap() && found.isEmpty());
         dispatcher = dispatcher(heartbeats);
         HeadDuties headDuties = new HeadDuties(
                 new RolloutTask(me, fleet, engines, replication, reports),
@@ -103,12 +104,12 @@
                 headDuties);
     }
 
-    private ReplicatedState replicatedState(NodeId me, NodeEnvironment environment) throws IOException {
+    private ReplicatedState replicatedState(NodeId me, NodeEnvironment environment, List<Message> found) {
         return ReplicatedState.create(
                 me,
                 seeds(config),
                 config.bootstrap(),
-                storage.replication().load(),
+                found,
                 environment.random().getAsLong(),
                 ReplicationDriver.votersWanted(config.lossesBorne()));
     }
--- a/src/main/java/ringspindle/controlplane/QuotaHandler.java
+++ b/src/main/java/ringspindle/controlplane/QuotaHandler.java
@@ -31,15 +31,22 @@
     private final NodeContext context;
     private final ReplicationDriver replication;
     private final ServingState serving;
-    private final HeadChanges headChanges = new HeadChanges();
-    private final TenantBuckets buckets = new TenantBuckets(headChanges);
+    private final HeadChanges headChanges;
+    private final TenantBuckets buckets;
     private final Map<String, TenantLimit> limits = new HashMap<>();
     private long limitsRevision = -1;
 
-    QuotaHandler(NodeContext context, ReplicationDriver replication, ServingState serving) {
+    /**
+     * Grants nothing yet.
+     *
+     * @param foundsFleet true if this process started without any memory at the first start of the fleet
+     */
+    QuotaHandler(NodeContext context, ReplicationDriver replication, ServingState serving, boolean foundsFleet) {
         this.context = context;
         this.replication = replication;
         this.serving = serving;
+        headChanges = new HeadChanges(foundsFleet);
+        buckets = new TenantBuckets(headChanges);
     }
 
     /** Time goes on: notes which view is in force. */
@@ -68,13 +75,13 @@
         State committed = replication.committed();
         List<QuotaLeave> leaves = new ArrayList<>();
         synchronized (lock) {
-            if (committed == null || !serving.quorate()) {
+            if (committed == null || !serving.quorate() || serving.provenAgoMs() > HeadChanges.PROOF_MS) {
                 return;
             }
             long nowMs = context.nowMs();
             refreshLimits(committed);
             headChanges.observe(view.epoch(), view.head(), nowMs);
-            buckets.lead(view.epoch(), nowMs);
+            buckets.lead();
             ask.rows().forEach(row -> leaves.add(grant(row, nowMs)));
         }
         context.mesh().send(from, new QuotaGrant(ask.origin(), ask.seq(), leaves));
