Engines without a free connection are passed over; scarce connections are not kept idle

A node chose engines to which its one connection was in use, and 61 nodes with one idle connection each to engines that accept 24 were reset: 502 for requests that nothing was tried for. Change: ConnectionLimit is a node's share; an engine where it is used up is no candidate; where nodes outnumber connections each is closed after use. What may run only once goes over a new connection also where a node may hold one.

--- a/src/main/java/ringspindle/loadbalancing/CandidateFilter.java
+++ b/src/main/java/ringspindle/loadbalancing/CandidateFilter.java
@@ -25,8 +25,12 @@
         this.costModel = costModel;
     }
 
-    /** The candidates of a request. Engines that have been silent for too long are ejected on the way. */
-    Candidates find(SelectionRequest request, long nowMs) {
+    /**
+     * The candidates of a request. Engines that have been silent for too long are ejected on the way.
+     *
+     * @param maxConnections how many connections this node may hold to one engine
+     */
+    Candidates find(SelectionRequest request, int maxConnections, long nowMs) {
         List<EngineEntry> healthy = new ArrayList<>(engines.all().size());
         List<EngineEntry> permitted = request.preference() == null ? List.of() : new ArrayList<>();
         Set<String> inTurn = rolloutTurns.ids(request.service());
@@ -51,7 +55,7 @@
             }
         }
         spareDegraded(healthy, request.random(), nowMs);
-        return new Candidates(healthy, permitted, anyAvailable, anyReachable);
+        return new Candidates(healthy, permitted, anyAvailable, anyReachable, maxConnections);
     }
 
     private static boolean isPermitted(EngineEntry engine, SelectionRequest request) {
--- a/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
@@ -30,10 +30,8 @@
     private static final int EVACUATION_WARMUP_MARGIN_MS = 1000;
     /** An engine is forgotten when it misses so many heartbeats. */
     private static final long ABANDONED_HEARTBEATS = 20;
-    /** Part of a service's connections that the nodes share out. */
-    private static final double SHARED_CONNECTIONS_PART = 0.9;
 
-    private static final int DEFAULT_MAX_CONNECTIONS = 16;
+    private static final ConnectionLimit DEFAULT_CONNECTIONS = new ConnectionLimit(16, true);
     private static final String DEFAULT_HEALTH_PATH = "/health";
 
     private static final int RETRY_AFTER_WARMUP_MS = 250;
@@ -207,12 +205,13 @@
     @Override
     public synchronized Selection select(SelectionRequest request, long nowMs) {
         FleetConfig.Service service = service(request.service());
-        Candidates candidates = candidateFilter.find(request, nowMs);
+        ConnectionLimit connections = connections(service);
+        Candidates candidates = candidateFilter.find(request, connections.max(), nowMs);
         SelectionPolicy policy = request.preference() == null ? leastCostPolicy : routingRulePolicy;
         EngineChoice choice = policy.choose(request, service, candidates, nowMs);
         return choice.engine() == null
                 ? noCapacity(candidates, choice.limitedByWarmup())
-                : selected(choice.engine(), request, service, nowMs);
+                : selected(choice.engine(), request, service, connections, nowMs);
     }
 
     private static NoCapacity noCapacity(Candidates candidates, boolean limitedByWarmup) {
@@ -224,19 +223,22 @@
 
     /** Counts the request as running there. */
     private SelectedEngine selected(
-            EngineEntry engine, SelectionRequest request, FleetConfig.Service service, long nowMs) {
+            EngineEntry engine,
+            SelectionRequest request,
+            FleetConfig.Service service,
+            ConnectionLimit connections,
+            long nowMs) {
         warmupLimiter.take(engine, service, nowMs);
         engine.markBusy();
         engine.load().start(request.tokensInFlight());
         engine.attempts().start(request.kind(), request.tokensInFlight(), nowMs);
-        return new SelectedEngine(engine.id(), engine.address(), engine.zone(), maxConnections(service));
+        return new SelectedEngine(engine.id(), engine.address(), engine.zone(), connections);
     }
 
-    private int maxConnections(FleetConfig.Service service) {
-        if (service == null) {
-            return DEFAULT_MAX_CONNECTIONS;
-        }
-        return Math.max(1, (int) (service.maxConnections() * SHARED_CONNECTIONS_PART / quotaShare.maxNodes()));
+    private ConnectionLimit connections(FleetConfig.Service service) {
+        return service == null
+                ? DEFAULT_CONNECTIONS
+                : ConnectionLimit.shareOf(service.maxConnections(), quotaShare.maxNodes());
     }
 
     private FleetConfig.Service service(String name) {
--- a/src/main/java/ringspindle/loadbalancing/LeastCostPolicy.java
+++ b/src/main/java/ringspindle/loadbalancing/LeastCostPolicy.java
@@ -22,7 +22,7 @@
         double bestCost = Double.MAX_VALUE;
         boolean limitedByWarmup = false;
         for (EngineEntry engine : candidates.healthy()) {
-            if (candidates.isPassedOver(engine)) {
+            if (!candidates.isOpen(engine)) {
                 continue;
             }
             if (!warmupLimiter.permits(engine, service, nowMs)) {
@@ -42,7 +42,7 @@
     private static EngineEntry prefixHolder(SelectionRequest request, Candidates candidates, long nowMs) {
         double meanTokens = meanTokens(candidates.healthy(), nowMs);
         for (EngineEntry engine : PrefixAffinity.rank(candidates.healthy(), request)) {
-            if (!candidates.isPassedOver(engine)
+            if (candidates.isOpen(engine)
                     && PrefixAffinity.isBalanced(
                             engine, request, request.weights().maxImbalance(), meanTokens, nowMs)) {
                 return engine;
--- a/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/LoadBalancer.java
@@ -94,9 +94,9 @@
     /**
      * The engine that was selected.
      *
-     * @param maxConnections how many connections this node may hold to it
+     * @param connections how many connections this node may hold to it
      */
-    record SelectedEngine(String id, NodeId address, String zone, int maxConnections) implements Selection {}
+    record SelectedEngine(String id, NodeId address, String zone, ConnectionLimit connections) implements Selection {}
 
     /**
      * No engine has capacity now.
--- a/src/main/java/ringspindle/loadbalancing/RoutingRulePolicy.java
+++ b/src/main/java/ringspindle/loadbalancing/RoutingRulePolicy.java
@@ -61,7 +61,7 @@
         double reservedShare = request.preference().reservedShare();
         List<EngineEntry> open = new ArrayList<>(candidates.healthy().size());
         for (EngineEntry engine : candidates.healthy()) {
-            if (!candidates.isPassedOver(engine)
+            if (candidates.isOpen(engine)
                     && warmupLimiter.permits(engine, service, nowMs)
                     && engine.load().running(nowMs) < places(engine, reservedShare)) {
                 open.add(engine);
--- a/src/main/java/ringspindle/proxy/EngineConnectionPool.java
+++ b/src/main/java/ringspindle/proxy/EngineConnectionPool.java
@@ -14,6 +14,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.util.Promise;
+import ringspindle.loadbalancing.ConnectionLimit;
 import ringspindle.protocol.NodeId;
 import ringspindle.time.MonotonicClock;
 
@@ -52,6 +53,8 @@
         final ArrayDeque<PooledConnection> idle = new ArrayDeque<>();
         Destination destination;
         int open;
+        /** False where none may stay open that is not in use. */
+        boolean keepsIdle = true;
         /** For how long resets have taught that idle ones stay good. */
         long trustMs = Long.MAX_VALUE;
 
@@ -76,16 +79,18 @@
      * Takes the idle connection used last or opens one. What may run only once goes over no idle connection of doubtful
      * age: an engine may have forgotten it, and after a reset nobody knows whether the request ran.
      *
-     * @param openMax how many connections this node may have open to the engine
+     * @param limit how many connections this node may have open to the engine
      */
-    void acquire(String instanceId, NodeId address, int openMax, boolean repeatable, Acquisition acquisition) {
+    void acquire(
+            String instanceId, NodeId address, ConnectionLimit limit, boolean repeatable, Acquisition acquisition) {
         EngineConnections engine = engines.computeIfAbsent(instanceId, id -> new EngineConnections());
         List<PooledConnection> doubtful = new ArrayList<>(0);
         PooledConnection reused;
         Destination destination = null;
         synchronized (engine) {
-            reused = takeIdle(engine, repeatable, openMax, doubtful);
-            if (reused == null && engine.open < openMax) {
+            engine.keepsIdle = limit.keepsIdle();
+            reused = takeIdle(engine, repeatable, limit.max(), doubtful);
+            if (reused == null && engine.open < limit.max()) {
                 engine.open++;
                 destination = destination(engine, instanceId, address);
             }
@@ -105,8 +110,12 @@
         long nowMs = clock.nowMs();
         while (!engine.idle.isEmpty()) {
             long idledMs = nowMs - engine.idle.peekLast().idleSinceMs;
-            if (!repeatable && idledMs > Math.min(SURE_MS, engine.trustMs) && engine.open < openMax) {
+            if (!repeatable && idledMs > Math.min(SURE_MS, engine.trustMs)) {
                 // the others are idle for longer still
+                if (engine.open >= openMax) {
+                    doubtful.add(engine.idle.pollFirst());
+                    engine.open--;
+                }
                 return null;
             }
             PooledConnection connection = engine.idle.pollLast();
@@ -178,7 +187,7 @@
             return;
         }
         synchronized (engine) {
-            if (engine.idle.size() < IDLE_MAX) {
+            if (engine.keepsIdle && engine.idle.size() < IDLE_MAX) {
                 connection.idleSinceMs = clock.nowMs();
                 connection.connection().rest();
                 connection.keepAliveMs = keepAliveS == KeepAlive.NOT_STATED
--- a/src/test/java/ringspindle/loadbalancing/LoadBalancerTest.java
+++ b/src/test/java/ringspindle/loadbalancing/LoadBalancerTest.java
@@ -54,6 +54,30 @@
         assertEquals("none", LoadBalancers.id(loadBalancer.select(LoadBalancers.anyRequest(), 9000)));
     }
 
+    /** A hundred connections for ninety nodes: a node has one to each engine, and goes to another engine while it is in use. */
+    @Test
+    void anEngineWithoutAFreeConnectionIsPassedOver() {
+        LoadBalancer loadBalancer = LoadBalancers.create("a1", "a");
+        loadBalancer.updateLease(new Lease(1, 90, 100_000), 0);
+        loadBalancer.updateEngine("i-a", LoadBalancers.engine("a1", 1, 0, false), 1, 0);
+        loadBalancer.updateEngine("i-b", LoadBalancers.engine("b1", 2, 0, false), 1, 0);
+        SelectionRequest sharing =
+                SelectionRequests.of("s").prompt(4711, 13_000, 100).output(50).build();
+        SelectedEngine first = (SelectedEngine) loadBalancer.select(sharing, 10);
+        SelectedEngine second = (SelectedEngine) loadBalancer.select(sharing, 10);
+        assertEquals(new ConnectionLimit(1, true), first.connections());
+        assertNotEquals(first.id(), second.id());
+        assertEquals("none", LoadBalancers.id(loadBalancer.select(sharing, 10)));
+        loadBalancer.onAttemptEnded(first.id(), sharing, AttemptOutcome.ANSWERED, 20, 30);
+        assertEquals(first.id(), LoadBalancers.id(loadBalancer.select(sharing, 40)));
+    }
+
+    @Test
+    void moreNodesThanConnectionsKeepNoneIdle() {
+        assertEquals(new ConnectionLimit(3, true), ConnectionLimit.shareOf(100, 30));
+        assertEquals(new ConnectionLimit(1, false), ConnectionLimit.shareOf(100, 91));
+    }
+
     @Test
     void clientsThatLeaveNeverGetAnEngineEjected() {
         LoadBalancer loadBalancer = LoadBalancers.create("a1", "a");
