Two random engines of each distance are compared where many nodes share the load

Sums of load are a second old, and all 73 nodes sent to the engines that they showed as idle, items of jobs too. Change: RandomSubset draws two engines from the node's zone, the rest of its region and every other region, anew for each request; only these and the holder of the prefix are compared. Up to 16 nodes compare all engines as before, so the small sites decide as they did.

--- a/src/main/java/ringspindle/loadbalancing/CostModel.java
+++ b/src/main/java/ringspindle/loadbalancing/CostModel.java
@@ -1,5 +1,6 @@
 package ringspindle.loadbalancing;
 
+import java.util.List;
 import ringspindle.config.NodeConfig;
 import ringspindle.loadbalancing.LoadBalancer.SelectionRequest;
 
@@ -34,11 +35,13 @@
 
     private static final double TIE_BREAK_STEP_MS = 0.002;
 
+    private final QuotaShare quotaShare;
     private NodeConfig settings;
     private double tokenMs = INITIAL_TOKEN_MS;
 
-    CostModel(NodeConfig settings) {
+    CostModel(NodeConfig settings, QuotaShare quotaShare) {
         this.settings = settings;
+        this.quotaShare = quotaShare;
     }
 
     void updateSettings(NodeConfig newSettings) {
@@ -73,9 +76,10 @@
         return engine.slowStart().isWarmingUp(nowMs) ? cost + WARMING_UP_MS : cost;
     }
 
-    /** The engine with the least cost, the first of those that cost the same; null if there are none. */
-    EngineEntry cheapest(
-            Iterable<EngineEntry> engines, EngineEntry prefixHolder, SelectionRequest request, long nowMs) {
+    /** Of the engines that are compared, the one with the least cost, the first of those that cost the same; null if there are none. */
+    EngineEntry cheapest(List<EngineEntry> open, EngineEntry prefixHolder, SelectionRequest request, long nowMs) {
+        List<EngineEntry> engines =
+                RandomSubset.of(open, prefixHolder, request, settings.zone(), quotaShare.maxNodes());
         EngineEntry best = null;
         double bestCost = Double.MAX_VALUE;
         for (EngineEntry engine : engines) {
--- a/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
+++ b/src/main/java/ringspindle/loadbalancing/EngineTableLoadBalancer.java
@@ -56,7 +56,7 @@
         this.settings = settings;
         retryBudget = new RetryBudget(settings, quotaShare);
         warmupLimiter = new WarmupLimiter(settings, quotaShare);
-        costModel = new CostModel(settings);
+        costModel = new CostModel(settings, quotaShare);
         candidateFilter = new CandidateFilter(engines, evacuations, rolloutTurns, costModel);
         leastCostPolicy = new LeastCostPolicy(costModel, warmupLimiter);
         routingRulePolicy = new RoutingRulePolicy(settings, costModel, warmupLimiter);
--- a/src/main/java/ringspindle/loadbalancing/LeastCostPolicy.java
+++ b/src/main/java/ringspindle/loadbalancing/LeastCostPolicy.java
@@ -1,5 +1,6 @@
 package ringspindle.loadbalancing;
 
+import java.util.ArrayList;
 import java.util.List;
 import ringspindle.config.FleetConfig;
 import ringspindle.loadbalancing.LoadBalancer.SelectionRequest;
@@ -18,8 +19,7 @@
     public EngineChoice choose(
             SelectionRequest request, FleetConfig.Service service, Candidates candidates, long nowMs) {
         EngineEntry prefixHolder = request.affinityKey() == 0 ? null : prefixHolder(request, candidates, nowMs);
-        EngineEntry best = null;
-        double bestCost = Double.MAX_VALUE;
+        List<EngineEntry> open = new ArrayList<>(candidates.healthy().size());
         boolean limitedByWarmup = false;
         for (EngineEntry engine : candidates.healthy()) {
             if (!candidates.isOpen(engine)) {
@@ -29,12 +29,9 @@
                 limitedByWarmup = true;
                 continue;
             }
-            double cost = costModel.cost(engine, prefixHolder, request, nowMs);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = engine;
-            }
+            open.add(engine);
         }
+        EngineEntry best = costModel.cheapest(open, prefixHolder, request, nowMs);
         return best == null ? EngineChoice.none(limitedByWarmup) : EngineChoice.of(best);
     }
 
