The patience with a leader doubles once a replacement, not with each look at it

Cause: PlacementPlanner told LeaderWatch of a replacement at each look while the order for it was under way, five times a second: the patience went to 20 s at once, and an order that failed was given again only then. Change: LeaderWatch doubles the patience when it sees the epoch that follows an overdue leader; onReplaced is gone. Measured: LeaderWatchTest with orders that take a second and two that fail: replaced after three orders, and again after 5 s (fails on the code before, where the first order that failed was not given again within 8 s).

--- a/src/main/java/ringspindle/shard/LeaderWatch.java
+++ b/src/main/java/ringspindle/shard/LeaderWatch.java
@@ -24,17 +24,29 @@
         long sinceMs;
 
         int patienceMs = PATIENCE_MS;
+
+        Watched(long sinceMs) {
+            this.sinceMs = sinceMs;
+        }
+
+        boolean isOverdue(long nowMs) {
+            return !leads && nowMs - sinceMs > patienceMs;
+        }
     }
 
     private final Map<Integer, Watched> shards = new HashMap<>();
 
     /**
-     * Takes note of whether the leader of an assignment says that it leads.
+     * Takes note of whether the leader of an assignment says that it leads. An assignment that follows one whose leader was overdue
+     * replaces it: only then, and not with each look at it, the patience doubles, as the order for it may take its time or fail.
      *
      * @param leads it has said so of this very epoch
      */
     void observe(ShardAssignment assignment, boolean leads, long nowMs) {
-        Watched watched = shards.computeIfAbsent(assignment.shard(), shard -> new Watched());
+        Watched watched = shards.computeIfAbsent(assignment.shard(), shard -> new Watched(nowMs));
+        if (watched.epoch != assignment.epoch() && watched.isOverdue(nowMs)) {
+            watched.patienceMs = Math.min(PATIENCE_MAX_MS, 2 * watched.patienceMs);
+        }
         if (watched.epoch != assignment.epoch() || watched.leads != leads) {
             watched.epoch = assignment.epoch();
             watched.leads = leads;
@@ -48,15 +60,6 @@
     /** True if the leader of that epoch should have said by now that it leads. */
     boolean isOverdue(ShardAssignment assignment, long nowMs) {
         Watched watched = shards.get(assignment.shard());
-        return watched != null
-                && watched.epoch == assignment.epoch()
-                && !watched.leads
-                && nowMs - watched.sinceMs > watched.patienceMs;
-    }
-
-    /** The leader is replaced as it was overdue. */
-    void onReplaced(int shard) {
-        Watched watched = shards.get(shard);
-        watched.patienceMs = Math.min(PATIENCE_MAX_MS, 2 * watched.patienceMs);
+        return watched != null && watched.epoch == assignment.epoch() && watched.isOverdue(nowMs);
     }
 }
--- a/src/main/java/ringspindle/shard/PlacementPlanner.java
+++ b/src/main/java/ringspindle/shard/PlacementPlanner.java
@@ -195,9 +195,6 @@
                 .filter(status -> !overdue || !status.leaving() && !status.equals(present.get()))
                 .min(Comparator.comparing(StorageNodeStatus::leaving)
                         .thenComparing(status -> shardsLed(current.shard(), status.node())));
-        if (overdue && other.isPresent()) {
-            leaders.onReplaced(current.shard());
-        }
         return other.isPresent() ? other : present;
     }
 
--- a/src/test/java/ringspindle/shard/LeaderWatchTest.java
+++ b/src/test/java/ringspindle/shard/LeaderWatchTest.java
@@ -21,6 +21,13 @@
     private ShardAssignment assignment;
     private long nowMs;
     private int changes;
+    /** For how long an order for a new assignment is under way. */
+    private int orderMs;
+    /** Orders that come to nothing. */
+    private int ordersLost;
+
+    private ShardAssignment ordered;
+    private long orderedMs;
 
     private static NodeId node(int number) {
         return NodeId.of("10.0.0." + number + ":7002");
@@ -45,11 +52,29 @@
         for (long untilMs = nowMs + forMs; nowMs < untilMs; nowMs += STEP_MS) {
             Map<NodeId, StorageNodeStatus> nodes = nodes(leaderSpeaks);
             planner.observe(nodes, assignment == null ? List.of() : List.of(assignment), nowMs);
-            planner.next(0, assignment, nodes, nowMs).ifPresent(next -> {
-                assignment = next;
-                changes++;
-            });
+            planner.next(0, assignment, nodes, nowMs).ifPresent(this::order);
+            settle();
+        }
+    }
+
+    private void order(ShardAssignment next) {
+        if (ordered == null) {
+            ordered = next;
+            orderedMs = nowMs;
+        }
+    }
+
+    private void settle() {
+        if (ordered == null || nowMs - orderedMs < orderMs) {
+            return;
+        }
+        if (ordersLost > 0) {
+            ordersLost--;
+        } else {
+            assignment = ordered;
+            changes++;
         }
+        ordered = null;
     }
 
     @Test
@@ -71,6 +96,18 @@
         assertTrue(changes >= 6 && changes <= 8, changes + " changes");
     }
 
+    /** However long an order takes, and if it fails, the next leader is given twice the time and not more. */
+    @Test
+    void anOrderThatTakesASecondOrFailsCountsOnce() {
+        run(4000, true);
+        orderMs = 1000;
+        ordersLost = 2;
+        run(8000, false);
+        assertEquals(2, assignment.epoch(), "replaced after 2.5 s and three orders");
+        run(8000, false);
+        assertEquals(3, assignment.epoch(), "and again after 5 s");
+    }
+
     @Test
     void afterALeaderHasLedForLongThePatienceIsShortAgain() {
         run(4000, true);
