An engine that runs all it can holds no prefix

Cause: a holder of a prefix counted as balanced by tokens alone, with a slack of 60,000: long prompts queued at engines that ran more than their places while others were idle. Change: PrefixAffinity asks for a free place too, as far as sums show it; the next engine by rank reads the prefix.

--- a/src/main/java/ringspindle/loadbalancing/PrefixAffinity.java
+++ b/src/main/java/ringspindle/loadbalancing/PrefixAffinity.java
@@ -20,10 +20,11 @@
         return ranked;
     }
 
-    /** Whether the engine has no more than its share of the load if it takes the request as well. */
+    /** Whether the engine has a free place, and no more than its share of the load if it takes the request as well. */
     static boolean isBalanced(
             EngineEntry engine, SelectionRequest request, double maxImbalance, double meanTokens, long nowMs) {
         double tokens = engine.load().tokens(nowMs) + request.uncachedTokens();
-        return tokens <= maxImbalance * meanTokens + IMBALANCE_SLACK_TOKENS;
+        return engine.load().running(nowMs) < engine.capacity()
+                && tokens <= maxImbalance * meanTokens + IMBALANCE_SLACK_TOKENS;
     }
 }
