--- a/src/main/java/ringspindle/controlplane/ShardTask.java
+++ b/src/main/java/ringspindle/controlplane/ShardTask.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import ringspindle.logging.LogField;
 import ringspindle.protocol.Message.View;
 import ringspindle.protocol.NodeId;
@@ -82,13 +81,8 @@
 
     /** Says which shards have no leader that takes calls, and why, whenever that changes. */
     private void logConditions(Map<Integer, ShardAssignment> assignments, Map<NodeId, StorageNodeStatus> nodes) {
-        Map<Integer, ShardCondition> leaderless = new TreeMap<>();
-        for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
-            ShardCondition condition = ShardCondition.of(assignments.get(shard), nodes);
-            if (condition != ShardCondition.LED) {
-                leaderless.put(shard, condition);
-            }
-        }
+        Map<Integer, ShardCondition> leaderless = ShardCondition.ofAll(assignments, nodes);
+        leaderless.values().removeIf(condition -> condition == ShardCondition.LED);
         if (!leaderless.equals(loggedLeaderless)) {
             loggedLeaderless = leaderless;
             LOG.atInfo().log("shards without a leader: %s; %s storage nodes in touch", leaderless, nodes.size());
--- a/src/main/java/ringspindle/controlplane/StorageNodes.java
+++ b/src/main/java/ringspindle/controlplane/StorageNodes.java
@@ -81,14 +81,7 @@
     public Map<Integer, ShardCondition> conditions() {
         Map<NodeId, StorageNodeStatus> nodes = inTouch(context.nowMs());
         Map<Integer, ShardAssignment> assignments = assignments();
-        Map<Integer, ShardCondition> conditions = new TreeMap<>();
-        if (nodes.isEmpty() && assignments.isEmpty()) {
-            return conditions;
-        }
-        for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
-            conditions.put(shard, ShardCondition.of(assignments.get(shard), nodes));
-        }
-        return conditions;
+        return nodes.isEmpty() && assignments.isEmpty() ? Map.of() : ShardCondition.ofAll(assignments, nodes);
     }
 
     private List<Hello> greetings(boolean inTouch) {
--- a/src/main/java/ringspindle/shard/ShardCondition.java
+++ b/src/main/java/ringspindle/shard/ShardCondition.java
@@ -1,6 +1,7 @@
 package ringspindle.shard;
 
 import java.util.Map;
+import java.util.TreeMap;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.ReplicaStanding;
 
@@ -19,6 +20,21 @@
     /** Its leader is in touch and has not said that it leads: replicas have not answered, or its disk hangs. */
     LEADER_DOES_NOT_LEAD;
 
+    /**
+     * The condition of every shard, by shard.
+     *
+     * @param assignments those there are, by shard
+     * @param nodes storage nodes in touch
+     */
+    public static Map<Integer, ShardCondition> ofAll(
+            Map<Integer, ShardAssignment> assignments, Map<NodeId, StorageNodeStatus> nodes) {
+        Map<Integer, ShardCondition> conditions = new TreeMap<>();
+        for (int shard = 0; shard < ShardAssignment.SHARDS; shard++) {
+            conditions.put(shard, of(assignments.get(shard), nodes));
+        }
+        return conditions;
+    }
+
     /**
      * The condition of a shard.
      *
