Replies about jobs reach only the process that asked for them

Cause: a data node numbered its calls to leaders from 1 in each process, and a leader sent what it held (readings, submissions that wait for a commit) to the address, whichever process was there by then.

Evidence: with both sides traced, call 1 about job first11 was sent by the killed process, call 1 about second11 by the next one 0.7 s later; the leader answered the first one 0.26 s after that, and the second process took the answer for its own. The other hypotheses (the leader reads a wrong job, one process mixes its calls) are ruled out by the same trace: each reply was about the job of the call that it answered.

Change: ids of calls start at a random number, as those between control nodes do. A leader answers a call only while the connection stands that it came over (JobCallers), which also covers data nodes of an older version beside new storage nodes.

--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -41,7 +41,8 @@
         ProxyHandler proxy = new ProxyHandler(config, loadBalancer, pool, scheduler, clock);
         NodeId me = DataNode.identity(config, NodeKind.DATA);
         DataNode node = new DataNode(config, NodeKind.DATA, proxy, loadBalancer, environment, mesh -> {
-            JobCaller jobs = new JobCaller(mesh, pool, clock);
+            JobCaller jobs =
+                    new JobCaller(mesh, pool, clock, environment.random().getAsLong());
             QuotaCaller quotas = new QuotaCaller(me, mesh, pool, clock);
             proxy.services().setJobs(jobs);
             proxy.services().setQuotas(quotas);
--- a/src/main/java/ringspindle/dataplane/JobCaller.java
+++ b/src/main/java/ringspindle/dataplane/JobCaller.java
@@ -1,5 +1,6 @@
 package ringspindle.dataplane;
 
+import com.google.common.flogger.FluentLogger;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,10 +23,14 @@
  * Passes clients' calls about batch jobs to the leaders of their shards. A call may be sent again, to the same leader or the next
  * one: jobs are taken once by their ids, and readings change nothing.
  *
+ * <p>Replies are matched by call id and sender alone, and a leader may hold one for a process that ran here before; ids therefore
+ * start at a random number.
+ *
  * <p>Owns who leads what, and the calls under way; guarded by a lock of its own, under which no other is taken. Replies are
  * handed on by threads of the pool.
  */
 final class JobCaller implements JobGateway, NodeComponent {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
     /** After a leader refused a call, or could not be reached, it is not sent for so long. */
     private static final int RESEND_MS = 100;
 
@@ -61,10 +66,16 @@
     private final Map<Long, PendingCall> pending = new HashMap<>();
     private long lastId;
 
-    JobCaller(Mesh mesh, Executor pool, MonotonicClock clock) {
+    /**
+     * Creates a caller without calls under way.
+     *
+     * @param startId a random number: no other process at this address may use the same ids
+     */
+    JobCaller(Mesh mesh, Executor pool, MonotonicClock clock, long startId) {
         this.mesh = mesh;
         this.pool = pool;
         this.clock = clock;
+        lastId = startId;
     }
 
     @Override
@@ -133,6 +144,7 @@
         synchronized (lock) {
             PendingCall answered = pending.get(reply.id());
             if (answered == null || !from.equals(answered.sentTo)) {
+                LOG.atFine().log("%s replies to call %s, for which nobody waits here", from, reply.id());
                 return;
             }
             if (reply.status() == JobStatus.NOT_LEADER) {
--- a/src/main/java/ringspindle/storagenode/HostedShard.java
+++ b/src/main/java/ringspindle/storagenode/HostedShard.java
@@ -42,8 +42,11 @@
 
     /** A caller that is told one status and body, once. */
     interface Reply {
-        /** Ends the call. */
+        /** Ends the call; does nothing if {@link #isWanted} is false. */
         void send(JobStatus status, byte[] body);
+
+        /** False once the connection that the call came over is gone. */
+        boolean isWanted();
     }
 
     /** A reading that is held until there is a result. */
@@ -319,6 +322,7 @@
     /** Answers readings whose time is up, and forgets jobs that are over and old enough. */
     List<ReplicaOutput> tick(long statusTtlMs, long nowMs) {
         List<ReplicaOutput> out = new ArrayList<>();
+        readings.removeIf(held -> !held.reply().isWanted());
         List<HeldReading> due =
                 readings.stream().filter(held -> held.untilMs() <= nowMs).toList();
         readings.removeAll(due);
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -15,16 +15,12 @@
 import ringspindle.config.NodeConfig;
 import ringspindle.dataplane.NodeComponent;
 import ringspindle.gossip.FactStore;
-import ringspindle.membership.DataNodeFact;
 import ringspindle.protocol.BatchMessage.ItemCancel;
 import ringspindle.protocol.BatchMessage.ItemEnd;
 import ringspindle.protocol.BatchMessage.ItemRun;
 import ringspindle.protocol.BatchMessage.JobCall;
-import ringspindle.protocol.BatchMessage.JobReply;
-import ringspindle.protocol.FactKind;
 import ringspindle.protocol.JobStatus;
 import ringspindle.protocol.Message;
-import ringspindle.protocol.Message.Fact;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.protocol.NodeKind;
@@ -58,9 +54,9 @@
     private final StorageAnnouncer announcer;
     private final ItemDispatcher dispatcher;
     private final ItemOutcomes outcomes;
+    private final JobCallers callers;
     private final List<HostedShard> shards;
-    /** How often facts had changed that matter here when they were read; guarded by the lock of the facts. */
-    private long factChanges;
+    private final PlacementFacts placementFacts = new PlacementFacts();
 
     private RecordWriter writer;
     private ItemRunner items;
@@ -90,6 +86,7 @@
         this.announcer = announcer;
         dispatcher = new ItemDispatcher(config.batch(), this::dueMs);
         outcomes = new ItemOutcomes(dispatcher, proxy::configurationInForce);
+        callers = new JobCallers(mesh);
         shards = stored.host(me, config.lossesBorne() + 1, clock.nowMs());
     }
 
@@ -191,6 +188,7 @@
         }
         long nowMs = clock.nowMs();
         synchronized (lock) {
+            callers.opened(peer.node());
             for (HostedShard shard : shards) {
                 carryOut(shard, shard.replica().connected(peer.node(), nowMs));
             }
@@ -201,6 +199,10 @@
     public void closed(NodeId peer) {
         items.closed(peer);
         synchronized (lock) {
+            if (!mesh.connected(peer)) {
+                // else a newer connection stands, over which calls may have come already
+                callers.closed(peer);
+            }
             dispatcher.lost(peer, clock.nowMs());
         }
     }
@@ -229,15 +231,18 @@
     // ---- calls
 
     private void received(NodeId from, JobCall call) {
-        HostedShard.Reply reply = (status, body) -> mesh.send(from, new JobReply(call.id(), status.code(), body));
+        HostedShard.Reply reply;
+        synchronized (lock) {
+            reply = callers.reply(from, call.id());
+        }
         // read before the lock is taken: it takes its time
         JobCallReading reading = JobCallReading.of(call, proxy.configurationInForce(), shards.size());
-        if (reading instanceof JobCallReading.Refused refused) {
-            reply.send(refused.status(), refused.text().getBytes(UTF_8));
-            return;
-        }
-        JobCallReading.Proper proper = (JobCallReading.Proper) reading;
         synchronized (lock) {
+            if (reading instanceof JobCallReading.Refused refused) {
+                reply.send(refused.status(), refused.text().getBytes(UTF_8));
+                return;
+            }
+            JobCallReading.Proper proper = (JobCallReading.Proper) reading;
             HostedShard shard = shards.get(call.shard());
             if (!shard.replica().leads()) {
                 reply.send(JobStatus.NOT_LEADER, new byte[0]);
@@ -314,27 +319,14 @@
 
     @Override
     public void factsChanged(FactStore facts) {
-        long changes = facts.changes(FactKind.SHARD) + facts.changes(FactKind.NODE);
-        if (changes == factChanges) {
-            return;
-        }
-        factChanges = changes;
-        List<ShardAssignment> assignments = ShardAssignment.readAll(facts.all(FactKind.SHARD));
-        Set<NodeId> storageNodes = new TreeSet<>();
-        for (Fact fact : facts.all(FactKind.NODE)) {
-            DataNodeFact node = DataNodeFact.of(fact.value());
-            if (node.hello().kind() == NodeKind.STORAGE && node.ready()) {
-                storageNodes.add(node.hello().node());
-            }
-        }
-        pool.execute(() -> take(assignments, storageNodes));
+        placementFacts.readIfChanged(facts).ifPresent(placement -> pool.execute(() -> take(placement)));
     }
 
-    private void take(List<ShardAssignment> assignments, Set<NodeId> storageNodes) {
+    private void take(PlacementFacts.Placement placement) {
         long nowMs = clock.nowMs();
         synchronized (lock) {
-            executorsKnown = storageNodes;
-            for (ShardAssignment assignment : assignments) {
+            executorsKnown = placement.storageNodes();
+            for (ShardAssignment assignment : placement.assignments()) {
                 HostedShard shard = shards.get(assignment.shard());
                 carryOut(shard, shard.replica().assign(assignment, nowMs));
             }
--- a/src/test/java/ringspindle/controlplane/CallIdsTest.java
+++ b/src/test/java/ringspindle/controlplane/CallIdsTest.java
@@ -10,15 +10,14 @@
 import ringspindle.api.Outcome;
 import ringspindle.config.NodeConfig;
 import ringspindle.config.Validated;
-import ringspindle.protocol.Message;
 import ringspindle.protocol.Message.Call;
 import ringspindle.protocol.Message.Heartbeat;
 import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.Message.Reply;
 import ringspindle.protocol.NodeFlags;
 import ringspindle.protocol.NodeId;
-import ringspindle.transport.Mesh;
 import ringspindle.transport.NodeEnvironment;
+import ringspindle.transport.RecordingMesh;
 
 /**
  * A reply to a call of an earlier process must not complete a call of the current one. This could happen if call ids
@@ -30,49 +29,6 @@
     private static final NodeId THIRD = NodeId.of("10.0.0.3:7000");
     private static final long INCARNATION = 9;
 
-    /** Records the messages sent to the head. */
-    private static final class RecordingMesh implements Mesh {
-        final List<Message> toHead = new ArrayList<>();
-        Listener listener;
-
-        @Override
-        public void open(Listener newListener) {
-            listener = newListener;
-        }
-
-        @Override
-        public void dial(NodeId peer) {
-            // both peers are connected from the start
-        }
-
-        @Override
-        public void send(NodeId peer, Message message) {
-            if (peer.equals(HEAD)) {
-                toHead.add(message);
-            }
-        }
-
-        @Override
-        public int pendingBytes(NodeId peer) {
-            return 0;
-        }
-
-        @Override
-        public boolean connected(NodeId peer) {
-            return true;
-        }
-
-        @Override
-        public void drop(NodeId peer) {
-            // no peer is silent in this test
-        }
-
-        @Override
-        public void close() {
-            // nothing to close
-        }
-    }
-
     private final RecordingMesh mesh = new RecordingMesh();
     private final List<Outcome> outcomes = new ArrayList<>();
     private long nowMs = 1000;
@@ -107,22 +63,18 @@
                 new NodeEnvironment(() -> nowMs, INCARNATION, () -> startId, Runnable::run, hello -> mesh),
                 (delayMs, task) -> {});
         for (NodeId node : List.of(HEAD, THIRD)) {
-            mesh.listener.opened(new Hello(node, 1, 0, node.bits(), node.toString(), "z", "r"));
+            mesh.listener().opened(new Hello(node, 1, 0, node.bits(), node.toString(), "z", "r"));
             // the node sends one heartbeat when a connection opens, which these echo
-            mesh.listener.received(
-                    node, new Heartbeat(1, node.equals(HEAD) ? 1 : 2, NodeFlags.READY, 1, 0, 0, List.of()));
+            mesh.listener()
+                    .received(node, new Heartbeat(1, node.equals(HEAD) ? 1 : 2, NodeFlags.READY, 1, 0, 0, List.of()));
         }
         control.tick();
     }
 
     private long call() {
-        mesh.toHead.clear();
+        mesh.clear();
         control.put(0, new byte[0], outcomes::add);
-        return mesh.toHead.stream()
-                .filter(message -> message instanceof Call)
-                .map(message -> ((Call) message).id())
-                .findFirst()
-                .orElseThrow();
+        return mesh.sentTo(HEAD, Call.class).get(0).id();
     }
 
     @Test
@@ -130,10 +82,10 @@
         long startId = 0x7123456789abcdefL;
         start(startId);
         assertEquals(startId + 1, call());
-        mesh.listener.received(HEAD, new Reply((INCARNATION << 20) + 1, Outcome.TAKEN.ordinal(), new byte[0]));
-        mesh.listener.received(HEAD, new Reply(startId, Outcome.TAKEN.ordinal(), new byte[0]));
+        mesh.listener().received(HEAD, new Reply((INCARNATION << 20) + 1, Outcome.TAKEN.ordinal(), new byte[0]));
+        mesh.listener().received(HEAD, new Reply(startId, Outcome.TAKEN.ordinal(), new byte[0]));
         assertEquals(List.of(), outcomes, "replies to calls of an earlier process");
-        mesh.listener.received(HEAD, new Reply(startId + 1, Outcome.OTHER_VERSION.ordinal(), new byte[0]));
+        mesh.listener().received(HEAD, new Reply(startId + 1, Outcome.OTHER_VERSION.ordinal(), new byte[0]));
         assertEquals(List.of(Outcome.OTHER_VERSION), outcomes);
     }
 
@@ -141,7 +93,7 @@
     void callIdsMayOverflow() throws Exception {
         start(Long.MAX_VALUE);
         assertEquals(Long.MIN_VALUE, call());
-        mesh.listener.received(HEAD, new Reply(Long.MIN_VALUE, Outcome.TAKEN.ordinal(), new byte[0]));
+        mesh.listener().received(HEAD, new Reply(Long.MIN_VALUE, Outcome.TAKEN.ordinal(), new byte[0]));
         assertEquals(List.of(Outcome.TAKEN), outcomes);
     }
 }
--- a/src/test/java/ringspindle/dataplane/HollowDataNode.java
+++ b/src/test/java/ringspindle/dataplane/HollowDataNode.java
@@ -31,7 +31,8 @@
     public HollowDataNode(NodeConfig config, NodeEnvironment means) throws Exception {
         loadBalancer = LoadBalancer.create(config);
         data = new DataNode(config, NodeKind.DATA, this, loadBalancer, means, mesh -> {
-            jobs = new JobCaller(mesh, means.pool(), means.clock());
+            jobs = new JobCaller(
+                    mesh, means.pool(), means.clock(), means.random().getAsLong());
             return jobs;
         });
         data.start();
--- a/src/test/java/ringspindle/dataplane/MessageDispatcherTest.java
+++ b/src/test/java/ringspindle/dataplane/MessageDispatcherTest.java
@@ -67,7 +67,7 @@
                 dialer,
                 loadBalancer,
                 proxy,
-                new JobCaller(mesh, Runnable::run, () -> 0));
+                new JobCaller(mesh, Runnable::run, () -> 0, 0));
         dispatcher.opened(CONTROL);
     }
 
