Runs of items are numbered from a random number on

What callers could see: a completed item with the text of another item (MIXED), after the leader of its shard was restarted. Found by looking for the cause of the mixed results on related paths; not seen in a deployment.

Cause: a storage node knows a run by its leader's address and an id that each process of the leader counted from 1. The end of a run of the process before ended the run of the same id of the next one.

Change: ids of runs start at a random number.

--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -59,10 +59,16 @@
 
     private long lastRun;
 
-    /** A dispatcher of a leader that runs nothing yet. */
-    ItemDispatcher(BatchSettings settings, ToLongFunction<Job> dueMs) {
+    /**
+     * A dispatcher of a leader that runs nothing yet.
+     *
+     * @param startId a random number: executors know runs by this node's address and their ids, so no other process here may use
+     *     the same ids
+     */
+    ItemDispatcher(BatchSettings settings, ToLongFunction<Job> dueMs, long startId) {
         this.settings = settings;
         this.dueMs = dueMs;
+        lastRun = startId;
     }
 
     /** Settings changed while running; what runs goes on. */
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -32,6 +32,7 @@
 import ringspindle.shard.ShardAssignment;
 import ringspindle.time.MonotonicClock;
 import ringspindle.transport.Mesh;
+import ringspindle.transport.NodeEnvironment;
 
 /**
  * The shards of a storage node: passes messages, completed writes and time to them, and carries out what they order. Owns the
@@ -72,19 +73,19 @@
             NodeConfig config,
             StoredState stored,
             Mesh mesh,
-            Executor pool,
-            MonotonicClock clock,
+            NodeEnvironment environment,
             StorageProxy proxy,
             StorageAnnouncer announcer) {
         this.me = me;
         this.config = config;
         this.stored = stored;
         this.mesh = mesh;
-        this.pool = pool;
-        this.clock = clock;
+        pool = environment.pool();
+        clock = environment.clock();
         this.proxy = proxy;
         this.announcer = announcer;
-        dispatcher = new ItemDispatcher(config.batch(), this::dueMs);
+        dispatcher = new ItemDispatcher(
+                config.batch(), this::dueMs, environment.random().getAsLong());
         outcomes = new ItemOutcomes(dispatcher, proxy::configurationInForce);
         callers = new JobCallers(mesh);
         shards = stored.host(me, config.lossesBorne() + 1, clock.nowMs());
--- a/src/main/java/ringspindle/storagenode/StorageNode.java
+++ b/src/main/java/ringspindle/storagenode/StorageNode.java
@@ -101,8 +101,7 @@
             StorageProxy proxy) {
         NodeId me = DataNode.identity(config, NodeKind.STORAGE);
         StorageAnnouncer announcer = new StorageAnnouncer(me, environment.incarnation(), stored.identity(), mesh);
-        ShardHost host =
-                new ShardHost(me, config, stored, mesh, environment.pool(), environment.clock(), proxy, announcer);
+        ShardHost host = new ShardHost(me, config, stored, mesh, environment, proxy, announcer);
         ItemExecutor executor = new ItemExecutor(items, proxy, (leader, end) -> {
             if (leader.equals(me)) {
                 host.ended(me, end);
--- a/src/test/java/ringspindle/storagenode/HollowStorageNode.java
+++ b/src/test/java/ringspindle/storagenode/HollowStorageNode.java
@@ -28,6 +28,7 @@
     }
 
     private final DataNode node;
+    private final List<NodeId> leadersDropped = new ArrayList<>();
     private ShardHost host;
 
     /**
@@ -44,7 +45,7 @@
         NodeId me = DataNode.identity(config, NodeKind.STORAGE);
         node = new DataNode(config, NodeKind.STORAGE, proxy, loadBalancer, environment, mesh -> {
             StorageAnnouncer announcer = new StorageAnnouncer(me, environment.incarnation(), stored.identity(), mesh);
-            host = new ShardHost(me, config, stored, mesh, environment.pool(), environment.clock(), proxy, announcer);
+            host = new ShardHost(me, config, stored, mesh, environment, proxy, announcer);
             BiConsumer<NodeId, ItemEnd> ended = (leader, end) -> {
                 if (leader.equals(me)) {
                     host.ended(me, end);
@@ -73,6 +74,11 @@
         return host.leadsAny();
     }
 
+    /** Leaders whose items this node was told to end, as their connection was gone. */
+    List<NodeId> leadersDropped() {
+        return leadersDropped;
+    }
+
     /** Writes that last a while later, in the order in which they came. */
     private final class LateDisk implements RecordWriter {
         private final Later later;
@@ -105,7 +111,13 @@
     }
 
     /** Items that are done as soon as they are begun. */
-    private record InstantItems(BiConsumer<NodeId, ItemEnd> ended) implements ItemRunner {
+    private final class InstantItems implements ItemRunner {
+        private final BiConsumer<NodeId, ItemEnd> ended;
+
+        InstantItems(BiConsumer<NodeId, ItemEnd> ended) {
+            this.ended = ended;
+        }
+
         @Override
         public void run(NodeId leader, ItemRun run) {
             ended.accept(leader, new ItemEnd(run.id(), ItemOutcome.COMPLETED.code(), run.body()));
@@ -118,7 +130,7 @@
 
         @Override
         public void closed(NodeId leader) {
-            // nothing runs for longer than a call
+            leadersDropped.add(leader);
         }
 
         @Override
