A new connection between storage nodes ends the runs that went over an earlier one

What callers could see: items of a job that are not run again and stay without a result until they are given up, and an engine's work for a run that nobody waits for.

Cause: where a connection takes the place of another one, as after a loss of power that its peers did not notice, nobody is told that the older one is gone. Leaders and executors learnt of lost runs only by that.

Change: opening a connection does on both sides what its loss does: the leader runs the items again, the executor ends their runs. The late end of a replaced connection does not touch what went over the newer one. A run that is ended for its connection is reported as broken, in case its leader asked over the newer connection already; ends are told once, by the run itself.

Tests: two more cases in ItemRunIdsTest, both seen failing on the code before ("job-1 in {total:4,nextToken:2,...} ==> expected: <true>", "expected: <[10.0.0.4:7002]> but was: <[]>"). Run: the tests of storagenode, ArchitectureTest, StorageStartTest, none failed.

--- a/src/main/java/ringspindle/storagenode/ItemDispatcher.java
+++ b/src/main/java/ringspindle/storagenode/ItemDispatcher.java
@@ -179,7 +179,7 @@
         }
     }
 
-    /** What ran at a node that is gone may run elsewhere. */
+    /** The connection to a node is gone, or a newer one stands in its place: what ran there may run elsewhere. */
     void lost(NodeId executor, long nowMs) {
         List<Long> lost = runs.entrySet().stream()
                 .filter(each -> each.getValue().executor().equals(executor))
--- a/src/main/java/ringspindle/storagenode/ItemExecutor.java
+++ b/src/main/java/ringspindle/storagenode/ItemExecutor.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.HttpFields;
@@ -27,13 +28,48 @@
         void ended(NodeId leader, ItemEnd end);
     }
 
-    /** A run, by who asked for it. */
+    /** Identifies a run by who asked for it. */
     private record RunKey(NodeId leader, long id) {}
 
+    /** A run that has not ended. What ends it removes it from the table first, so that its end is told once. */
+    private final class ActiveRun implements ItemClient.Listener {
+        private final RunKey key;
+        private final ItemCall call;
+
+        ActiveRun(RunKey key, ItemClient.Item item) {
+            this.key = key;
+            call = client.create(item, this);
+        }
+
+        void begin() {
+            ActiveRun earlier = runs.put(key, this);
+            if (earlier != null) {
+                earlier.call.cancel();
+            }
+            call.begin();
+        }
+
+        @Override
+        public void onEnded(ItemOutcome outcome, byte[] output) {
+            if (runs.remove(key, this)) {
+                listener.ended(key.leader(), new ItemEnd(key.id(), outcome.code(), output));
+            }
+        }
+
+        /** Ends it without a word to its leader; false if it has ended already. */
+        boolean cancel() {
+            boolean active = runs.remove(key, this);
+            if (active) {
+                call.cancel();
+            }
+            return active;
+        }
+    }
+
     private final ItemClient client;
     private final StorageProxy proxy;
     private final Listener listener;
-    private final Map<RunKey, ItemCall> runs = new ConcurrentHashMap<>();
+    private final Map<RunKey, ActiveRun> runs = new ConcurrentHashMap<>();
 
     ItemExecutor(ItemClient client, StorageProxy proxy, Listener listener) {
         this.client = client;
@@ -55,10 +91,7 @@
         }
         ItemClient.Item item = new ItemClient.Item(
                 run.item(), run.host(), run.path(), run.tenant(), headers(run.headers()), run.body(), route);
-        RunKey key = new RunKey(leader, run.id());
-        ItemCall call = client.create(item, (outcome, text) -> ended(key, outcome, text));
-        runs.put(key, call);
-        call.begin();
+        new ActiveRun(new RunKey(leader, run.id()), item).begin();
     }
 
     @Override
@@ -91,24 +124,21 @@
         return fields;
     }
 
-    private void ended(RunKey key, ItemOutcome outcome, byte[] text) {
-        runs.remove(key);
-        listener.ended(key.leader(), new ItemEnd(key.id(), outcome.code(), text));
-    }
-
     @Override
     public void cancel(NodeId leader, ItemCancel cancel) {
-        ItemCall call = runs.remove(new RunKey(leader, cancel.id()));
-        if (call != null) {
-            call.cancel();
+        ActiveRun run = runs.get(new RunKey(leader, cancel.id()));
+        if (run != null) {
+            run.cancel();
         }
     }
 
+    /** A leader that is connected again by now is told, in case it asked over the newer connection already. */
     @Override
     public void closed(NodeId leader) {
-        runs.keySet().stream()
-                .filter(key -> key.leader().equals(leader))
-                .toList()
-                .forEach(key -> cancel(leader, new ItemCancel(key.id())));
+        for (ActiveRun run : List.copyOf(runs.values())) {
+            if (run.key.leader().equals(leader) && run.cancel()) {
+                listener.ended(leader, new ItemEnd(run.key.id(), ItemOutcome.BROKEN.code(), NO_TEXT));
+            }
+        }
     }
 }
--- a/src/main/java/ringspindle/storagenode/ItemRunner.java
+++ b/src/main/java/ringspindle/storagenode/ItemRunner.java
@@ -12,7 +12,7 @@
     /** A leader does not want a run any more. */
     void cancel(NodeId leader, ItemCancel cancel);
 
-    /** The connection to a leader is gone: all that it asked for ends. */
+    /** The connection to a leader is gone, or a newer one stands in its place: all that it asked for ends. */
     void closed(NodeId leader);
 
     /** Requests that the engines of all batch routes run at a time. */
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -187,9 +187,12 @@
             announcer.introduce(peer.node());
             return;
         }
+        // what came or went over an earlier connection is lost, whether or not its end was noticed
+        items.closed(peer.node());
         long nowMs = clock.nowMs();
         synchronized (lock) {
             callers.opened(peer.node());
+            dispatcher.lost(peer.node(), nowMs);
             for (HostedShard shard : shards) {
                 carryOut(shard, shard.replica().connected(peer.node(), nowMs));
             }
@@ -200,10 +203,11 @@
     public void closed(NodeId peer) {
         items.closed(peer);
         synchronized (lock) {
-            if (!mesh.connected(peer)) {
-                // else a newer connection stands, over which calls may have come already
-                callers.closed(peer);
+            if (mesh.connected(peer)) {
+                // opening the newer connection has ended what went over this one, or is about to
+                return;
             }
+            callers.closed(peer);
             dispatcher.lost(peer, clock.nowMs());
         }
     }
--- a/src/test/java/ringspindle/storagenode/ItemRunIdsTest.java
+++ b/src/test/java/ringspindle/storagenode/ItemRunIdsTest.java
@@ -1,17 +1,23 @@
 package ringspindle.storagenode;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import ringspindle.protocol.BatchMessage.ItemEnd;
 import ringspindle.protocol.BatchMessage.ItemRun;
 import ringspindle.protocol.ItemOutcome;
 
-/** Guards against items with the text of another item: ids of runs began at 1 in each process of a leader. */
+/**
+ * Guards against items with the text of another item, and against items that are never run again: ids of runs began at 1 in each
+ * process of a leader, and a connection that replaced another one without its end being noticed ended no run.
+ */
 class ItemRunIdsTest {
     private static final int ITEMS = 4;
 
@@ -51,4 +57,31 @@
         own.forEach(run -> end(restarted, run, "text of second"));
         assertTrue(restarted.results(3, "second").contains("text of second"));
     }
+
+    @Test
+    void itemsAreRunAgainWhenANewConnectionReplacesTheOneThatTheyWereSentOver() throws Exception {
+        HollowLeader leader = start("job");
+        Set<String> lost = new TreeSet<>();
+        runsAtExecutor(leader).forEach(run -> lost.add(run.item()));
+        assertFalse(lost.isEmpty());
+        leader.mesh().clear();
+
+        leader.executorConnects(2);
+        leader.node().tick();
+        runsAtExecutor(leader).forEach(run -> end(leader, run, "text"));
+        String results = leader.results(2, "job");
+        lost.forEach(item -> assertTrue(results.contains(item), () -> item + " in " + results));
+    }
+
+    @Test
+    void whatALeaderAskedForEndsWhenANewConnectionReplacesItsOldOne() throws Exception {
+        HollowLeader node = start("job");
+        int before = node.node().leadersDropped().size();
+        node.executorConnects(2);
+        assertEquals(
+                List.of(HollowLeader.EXECUTOR),
+                node.node()
+                        .leadersDropped()
+                        .subList(before, node.node().leadersDropped().size()));
+    }
 }
