Keys are needed as long as the configuration has tenants, also without any key

Cause: TenantTable held keys alone; an empty table was taken for a deployment without tenants, and the caller for one that needs no key.

Change: the configuration says whether keys are needed, by having the field tenants, however long the list is. A patch that touches an absent list without adding to it no longer creates it, as an empty list of tenants now means that keys are needed.

Tests: two methods in TenancyTest (keys taken away, tenants taken away, by a whole configuration and by a patch); the three cases were seen failing on the code before ("expected: Identity.Unknown but was: Identity.Anyone").

--- a/src/main/java/ringspindle/config/FleetConfig.java
+++ b/src/main/java/ringspindle/config/FleetConfig.java
@@ -113,6 +113,9 @@
         public static final int DEFAULT_HEADER_MS = 3000;
     }
 
+    /** The field of the document with the list of tenants. */
+    static final String TENANTS = "tenants";
+
     private static final Comparator<Route> LONGEST_PREFIX_FIRST = Comparator.comparingInt(
                     (Route route) -> route.pathPrefix().length())
             .reversed();
@@ -180,7 +183,15 @@
         return limits;
     }
 
-    /** The tenants; without any, whoever asks is served. */
+    /**
+     * True if the configuration has a list of tenants: requests then need a key, also while the list is empty or no tenant has a
+     * key. Without the list whoever asks is served.
+     */
+    public boolean requiresKeys() {
+        return source.containsKey(TENANTS);
+    }
+
+    /** The tenants, none if there is no list of them. */
     public List<Tenant> tenants() {
         return tenants;
     }
--- a/src/main/java/ringspindle/config/FleetConfigParser.java
+++ b/src/main/java/ringspindle/config/FleetConfigParser.java
@@ -68,7 +68,7 @@
         objects(document, "routes").forEach(json -> routes.add(route(json)));
         Limits limits = limits(object(document, "limits"));
         List<Tenant> tenants = new ArrayList<>();
-        objects(document, "tenants").forEach(json -> tenants.add(tenant(json)));
+        objects(document, FleetConfig.TENANTS).forEach(json -> tenants.add(tenant(json)));
         if (!errors.isEmpty()) {
             return new Invalid<>(errors);
         }
--- a/src/main/java/ringspindle/config/FleetConfigPatch.java
+++ b/src/main/java/ringspindle/config/FleetConfigPatch.java
@@ -56,12 +56,17 @@
                 result.add(list, whole);
                 continue;
             }
-            JsonArrayBuilder items = items(source, removals, upserts, list);
+            JsonArray items = items(source, removals, upserts, list);
             String duplicate = duplicateName(upserts, list);
             if (duplicate != null) {
                 return Validated.refused(new ConfigError.SameName(duplicate));
             }
-            result.add(list, items);
+            boolean adds = !items.isEmpty() || source.containsKey(list);
+            if (adds) {
+                // a patch that changes nothing in a list must not bring one where there was none: an empty one may mean
+                // something
+                result.add(list, items);
+            }
         }
         return FleetConfigParser.parse(result.build());
     }
@@ -88,7 +93,7 @@
     }
 
     /** The items of a list after the patch: those that stay in their order, replaced in place, new ones at the end. */
-    private static JsonArrayBuilder items(JsonObject source, JsonObject removals, JsonObject upserts, String list) {
+    private static JsonArray items(JsonObject source, JsonObject removals, JsonObject upserts, String list) {
         Map<String, JsonObject> items = new LinkedHashMap<>();
         objects(source, list).forEach(item -> items.put(name(item), item));
         if (removals.get(list) instanceof JsonArray removed) {
@@ -97,7 +102,7 @@
         objects(upserts, list).forEach(item -> items.put(name(item), item));
         JsonArrayBuilder array = Json.createArrayBuilder();
         items.values().forEach(array::add);
-        return array;
+        return array.build();
     }
 
     private static String name(JsonObject item) {
--- a/src/main/java/ringspindle/proxy/CallerIdentification.java
+++ b/src/main/java/ringspindle/proxy/CallerIdentification.java
@@ -27,7 +27,7 @@
             current = new Tenants(configuration, TenantTable.of(configuration));
             tenants = current;
         }
-        if (current.table().isEmpty()) {
+        if (!current.table().requiresKeys()) {
             return new Identity.Anyone(false);
         }
         List<String> authorization = request.getHeaders().getValuesList(HttpHeader.AUTHORIZATION);
--- a/src/main/java/ringspindle/tenancy/TenantTable.java
+++ b/src/main/java/ringspindle/tenancy/TenantTable.java
@@ -17,19 +17,21 @@
  */
 public final class TenantTable {
     private final Map<HashCode, Tenant> byKey = new HashMap<>();
+    private final boolean requiresKeys;
 
-    private TenantTable(List<Tenant> tenants) {
-        tenants.forEach(tenant -> tenant.keyDigests().forEach(digest -> byKey.put(digest, tenant)));
+    private TenantTable(FleetConfig configuration) {
+        requiresKeys = configuration.requiresKeys();
+        configuration.tenants().forEach(tenant -> tenant.keyDigests().forEach(digest -> byKey.put(digest, tenant)));
     }
 
     /** The tenants of that configuration. */
     public static TenantTable of(FleetConfig configuration) {
-        return new TenantTable(configuration.tenants());
+        return new TenantTable(configuration);
     }
 
-    /** True where nobody needs a key. */
-    public boolean isEmpty() {
-        return byKey.isEmpty();
+    /** False where whoever asks is served; that no tenant has a key left does not make it so. */
+    public boolean requiresKeys() {
+        return requiresKeys;
     }
 
     /**
@@ -39,7 +41,7 @@
      * @param certain what is known of keys is new enough: no key can have been withdrawn for too long
      */
     public Identity identify(FleetConfig.Route route, List<String> authorization, boolean certain) {
-        if (byKey.isEmpty()) {
+        if (!requiresKeys) {
             return new Identity.Anyone(false);
         }
         if (!certain && !route.isPublic()) {
--- a/src/test/java/ringspindle/tenancy/TenancyTest.java
+++ b/src/test/java/ringspindle/tenancy/TenancyTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import jakarta.json.JsonObject;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -78,6 +79,41 @@
         assertInstanceOf(Identity.Known.class, identify("/p/1", true, "Bearer k1"));
     }
 
+    /** Guards against serving everybody, withdrawn keys among them, once the last key or tenant is taken away. */
+    @ParameterizedTest
+    @ValueSource(strings = {"[{\"name\":\"kaje80\",\"apiKeys\":[]},{\"name\":\"vopu11\"}]", "[]"})
+    void withTheLastKeyTakenAwayKeysAreStillNeeded(String tenants) {
+        FleetConfig without = ((Validated.Valid<FleetConfig>) read(tenants)).value();
+        TenantTable emptied = TenantTable.of(without);
+        List<String> withdrawn = List.of("Bearer k1");
+        assertInstanceOf(Identity.Unknown.class, emptied.identify(without.find("h", "/r/1"), withdrawn, true));
+        assertInstanceOf(Identity.Unknown.class, emptied.identify(without.find("h", "/r/1"), List.of(), true));
+        assertInstanceOf(Identity.Uncertain.class, emptied.identify(without.find("h", "/r/1"), withdrawn, false));
+        assertEquals(new Identity.Anyone(true), emptied.identify(without.find("h", "/p/1"), withdrawn, true));
+    }
+
+    /** Guards against the same over a patch, and against a patch that switches keys on where there are no tenants. */
+    @Test
+    void aPatchLeavesItAsItIsWhetherKeysAreNeeded() {
+        JsonObject removal = json("{\"revision\":4,\"removals\":{\"tenants\":[\"kaje80\",\"vopu11\"]}}");
+        FleetConfig emptied = ((Validated.Valid<FleetConfig>) config.patched(removal)).value();
+        FleetConfig open = ((Validated.Valid<FleetConfig>) FleetConfig.check(json("{\"revision\":3,\"routes\":["
+                        + "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/r/\",\"deadlineMs\":9,\"service\":\"s\"}"
+                        + "],\"services\":[{\"name\":\"s\"}]}")))
+                .value();
+        JsonObject nothing = json("{\"revision\":4,\"upserts\":{\"tenants\":[]},\"removals\":{\"tenants\":[]}}");
+        FleetConfig patched = ((Validated.Valid<FleetConfig>) open.patched(nothing)).value();
+        List<String> key = List.of("Bearer k1");
+        assertInstanceOf(
+                Identity.Unknown.class, TenantTable.of(emptied).identify(emptied.find("h", "/r/1"), key, true));
+        assertEquals(
+                new Identity.Anyone(false), TenantTable.of(patched).identify(patched.find("h", "/r/1"), key, false));
+    }
+
+    private static JsonObject json(String text) {
+        return ((Validated.Valid<JsonObject>) FleetConfig.json(text.getBytes(UTF_8))).value();
+    }
+
     @Test
     void whatMayBeOldIsSaidNeitherYesNorNoTo() {
         assertInstanceOf(Identity.Uncertain.class, identify("/r/1", false, "Bearer k1"));
