A refusal of an earlier epoch confirms nothing in the present one

What callers could see: 404 for a job that is there, as a leader took its reads for confirmed by a follower that it had not asked.

Cause: a follower that refuses a message of an earlier epoch answered under the epoch that it follows now, with the round of the refused message. Rounds began at 1 in each epoch, so the round counted as answered in the present one.

Change: such a refusal names no round. Rounds rise over all epochs that a process leads, and a leader passes over rounds that it has not sent in this one, so followers of the version before are safe beside it too.

--- a/src/main/java/ringspindle/protocol/ShardMessage.java
+++ b/src/main/java/ringspindle/protocol/ShardMessage.java
@@ -38,6 +38,7 @@
      * Answer to {@link ShardAppend}, once all is on disk.
      *
      * @param epoch the highest epoch that the replica follows
+     * @param round of the message that this answers; 0 if that was of an earlier epoch
      * @param matched false if the replica lacks the entry that those sent follow
      * @param seq up to which entry its log is the leader's; where it is not matched, from which on it is to be sent anew
      */
--- a/src/main/java/ringspindle/shard/Leadership.java
+++ b/src/main/java/ringspindle/shard/Leadership.java
@@ -40,14 +40,24 @@
 
     private final Map<NodeId, FollowerProgress> followers = new TreeMap<>();
     private final Deque<Confirmation> confirmations = new ArrayDeque<>();
+    /** The round before the first one of this epoch. */
+    private final long roundBefore;
+
     private long round;
     private long wantedRound;
     private boolean established;
 
-    Leadership(ShardAssignment assignment, ShardLog log, int copiesMin) {
+    /**
+     * Starts the leadership of an epoch.
+     *
+     * @param roundBefore the last round that this process sent in earlier epochs, 0 if none
+     */
+    Leadership(ShardAssignment assignment, ShardLog log, int copiesMin, long roundBefore) {
         this.assignment = assignment;
         this.log = log;
         this.copiesMin = copiesMin;
+        this.roundBefore = roundBefore;
+        round = roundBefore;
         inheritedSeq = log.lastSeq();
         add(assignment.members(), true);
         add(assignment.learners(), false);
@@ -69,6 +79,11 @@
         return established;
     }
 
+    /** The last round that was sent. */
+    long lastRound() {
+        return round;
+    }
+
     /** Sends whatever replicas lack and are not being sent. */
     void pump(long nowMs, List<ReplicaOutput> out) {
         for (FollowerProgress follower : followers.values()) {
@@ -100,7 +115,8 @@
 
     void onAck(NodeId from, ShardAck ack) {
         FollowerProgress follower = followers.get(from);
-        if (follower == null || follower.store() != ack.store()) {
+        boolean answersThisEpoch = ack.round() > roundBefore && ack.round() <= round;
+        if (!answersThisEpoch || follower == null || follower.store() != ack.store()) {
             return;
         }
         if (!ack.matched()) {
--- a/src/main/java/ringspindle/shard/ShardReplica.java
+++ b/src/main/java/ringspindle/shard/ShardReplica.java
@@ -36,6 +36,8 @@
     private static final int DISK_STALLED_MS = 900;
 
     private static final long NOTHING_OWED = -1;
+    /** Round of an answer to a leader of an earlier epoch: its rounds are no rounds of the epoch that the answer names. */
+    private static final long NO_ROUND = 0;
 
     /** An answer that is due once a record is on disk. */
     private record PendingAck(long token, NodeId to, ShardAck ack) {}
@@ -63,6 +65,8 @@
     private ShardAssignment assignment;
     /** Null while another replica leads. */
     private Leadership leadership;
+    /** The last round of the leaderships before; rounds rise over all of them. */
+    private long lastRound = NO_ROUND;
 
     /**
      * A replica that holds nothing.
@@ -134,7 +138,10 @@
         }
         promise(newer.epoch(), out);
         Leadership before = leadership;
-        leadership = new Leadership(newer, log, copiesMin);
+        if (before != null) {
+            lastRound = before.lastRound();
+        }
+        leadership = new Leadership(newer, log, copiesMin, lastRound);
         if (before == null) {
             out.add(new ReplicaOutput.Appointed(newer.epoch()));
         } else {
@@ -203,7 +210,7 @@
             return out;
         }
         if (append.epoch() < promisedEpoch) {
-            acknowledge(from, append, false, log.committed(), out);
+            acknowledge(from, NO_ROUND, false, log.committed(), out);
             return out;
         }
         if (append.epoch() > promisedEpoch) {
@@ -213,7 +220,7 @@
         boolean matched =
                 append.previousSeq() <= log.committed() || log.epochAt(append.previousSeq()) == append.previousEpoch();
         if (!matched) {
-            acknowledge(from, append, false, log.committed(), out);
+            acknowledge(from, append.round(), false, log.committed(), out);
             return out;
         }
         long last = append.previousSeq();
@@ -223,7 +230,7 @@
                 append(entry, out);
             }
         }
-        acknowledge(from, append, true, last, out);
+        acknowledge(from, append.round(), true, last, out);
         commit(Math.min(append.committed(), last), out);
         return out;
     }
@@ -232,12 +239,13 @@
     private void resign(List<ReplicaOutput> out) {
         if (leadership != null) {
             out.add(new ReplicaOutput.Deposed(leadership.epoch()));
+            lastRound = leadership.lastRound();
             leadership = null;
         }
     }
 
-    private void acknowledge(NodeId to, ShardAppend append, boolean matched, long seq, List<ReplicaOutput> out) {
-        ShardAck ack = new ShardAck(shard, promisedEpoch, store, append.round(), matched, seq);
+    private void acknowledge(NodeId to, long round, boolean matched, long seq, List<ReplicaOutput> out) {
+        ShardAck ack = new ShardAck(shard, promisedEpoch, store, round, matched, seq);
         if (lastToken <= storedToken) {
             out.add(new ReplicaOutput.Send(to, ack));
         } else {
