A node that relearns its promises takes no answer to the process before

What could happen: a control node that lost its disk twice votes against a promise that it made in between, as an answer to the first process told of the time before that promise.

Cause: Relearned carries the number of its request, but nobody looked at it, and numbers began at 0 in each process.

Change: numbers start at random, and only answers to requests of this process count. Ids of writes and of requests no longer share a counter.

Tests: ChainReplicatedStateTest, a new method, seen failing on the code before ("answers to the process before ==> expected: <true> but was: <false>"). The existing method made up the numbers 1 and 2 for its answers; it now answers the requests that were sent, and asserts all it did.

--- a/src/main/java/ringspindle/consensus/Effects.java
+++ b/src/main/java/ringspindle/consensus/Effects.java
@@ -15,7 +15,4 @@
      * @param whenSynced runs once the records are synced; never if the process ends first
      */
     void append(List<Message> records, Runnable whenSynced);
-
-    /** Returns an id that is unique among the writes and requests of this process. */
-    long nextId();
 }
--- a/src/main/java/ringspindle/consensus/Relearning.java
+++ b/src/main/java/ringspindle/consensus/Relearning.java
@@ -24,19 +24,30 @@
     private final Effects effects;
     private final Random random;
     private final Map<NodeId, Relearned> answers = new TreeMap<>();
+    private final long firstId;
+    private long requests;
     private long nextRequestMs;
 
     /**
      * @param random chooses the peer that a learner asks
+     * @param firstId a random number: an answer to an earlier process may be older than promises that were lost since
      */
-    Relearning(ReplicaContext replica, Effects effects, Random random) {
+    Relearning(ReplicaContext replica, Effects effects, Random random, long firstId) {
         this.replica = replica;
         this.effects = effects;
         this.random = random;
+        this.firstId = firstId;
     }
 
     void sendRelearn(NodeId peer) {
-        effects.send(peer, new Relearn(effects.nextId()));
+        effects.send(peer, new Relearn(firstId + requests));
+        requests++;
+    }
+
+    /** Whether the answer is to a request of this process; any of them came after all promises that were lost. */
+    private boolean isAnswerToThisProcess(Relearned answer) {
+        long number = answer.id() - firstId;
+        return number >= 0 && number < requests;
     }
 
     /** Asks all peers that may know the voter state; called while this node relearns. */
@@ -71,6 +82,9 @@
      * null.
      */
     VoterState onRelearned(NodeId from, Relearned answer) {
+        if (!isAnswerToThisProcess(answer)) {
+            return null;
+        }
         answers.put(from, answer);
         View newest = newestView();
         replica.adoptView(newest);
--- a/src/main/java/ringspindle/consensus/ViewConsensus.java
+++ b/src/main/java/ringspindle/consensus/ViewConsensus.java
@@ -52,9 +52,11 @@
      * Creates a node without durable state: until {@link #restore}, {@link #bootstrap} or the answers of a majority
      * provide it, the node neither votes nor holds state.
      *
+     * @param firstRequestId a random number, so that answers to an earlier process of this node are not mistaken for its own
      * @param localState is first called while an input is processed, not in this constructor
      */
-    public ViewConsensus(Settings settings, Random random, Effects effects, LocalState localState) {
+    public ViewConsensus(
+            Settings settings, Random random, long firstRequestId, Effects effects, LocalState localState) {
         this.effects = effects;
         this.localState = localState;
         replica = new ReplicaContext(settings.self(), settings.seeds());
@@ -62,7 +64,7 @@
         monitor = new ViewMonitor(replica, selection, settings.bootstrap());
         acceptor = new Acceptor(replica, effects, localState::position);
         proposer = new Proposer(replica, effects, random, acceptor, new ViewPlanner(replica, selection), this::learn);
-        relearning = new Relearning(replica, effects, random);
+        relearning = new Relearning(replica, effects, random, firstRequestId);
     }
 
     /** The node's identity, current view and role in it. */
--- a/src/main/java/ringspindle/replication/ChainReplicatedState.java
+++ b/src/main/java/ringspindle/replication/ChainReplicatedState.java
@@ -41,6 +41,8 @@
         consensus = new ViewConsensus(
                 new ViewConsensus.Settings(self, seeds, bootstrap, minVoters),
                 random,
+                // drawn apart, so that the choices of a recorded seed stay as they are
+                new Random(~randomSeed).nextLong(),
                 outputs,
                 new LocalStateAdapter());
         replica = consensus.replica();
--- a/src/main/java/ringspindle/replication/OutputQueue.java
+++ b/src/main/java/ringspindle/replication/OutputQueue.java
@@ -15,7 +15,7 @@
     private final Long2ObjectMap<Runnable> afterSync = new Long2ObjectOpenHashMap<>();
     private final ArrayDeque<Message> toSelf = new ArrayDeque<>();
     private List<ReplicatedState.Output> outputs = new ArrayList<>();
-    private long nextId;
+    private long nextToken;
 
     OutputQueue(NodeId self) {
         this.self = self;
@@ -41,7 +41,7 @@
     }
 
     private void store(List<Message> records, boolean snapshot, Runnable whenSynced) {
-        long token = nextId();
+        long token = nextToken++;
         afterSync.put(token, whenSynced);
         outputs.add(new ReplicatedState.Output.Store(token, records, snapshot));
     }
@@ -54,11 +54,6 @@
         }
     }
 
-    @Override
-    public long nextId() {
-        return nextId++;
-    }
-
     void emit(ReplicatedState.Output output) {
         outputs.add(output);
     }
--- a/src/test/java/ringspindle/replication/ChainReplicatedStateTest.java
+++ b/src/test/java/ringspindle/replication/ChainReplicatedStateTest.java
@@ -319,14 +319,15 @@
     void wipedNodeSaysNothingBeforeAMajorityToldIt() {
         ReplicatedState c = ReplicatedState.create(C, ALL, false, List.of(), 1, 1);
         View one = new View(1, ALL, ALL);
-        assertEquals(2, sent(c.tick(0, TOUCH), Relearn.class).size());
+        List<Message> requests = sent(c.tick(0, TOUCH), Relearn.class);
+        assertEquals(2, requests.size());
         assertEquals(List.of(), sent(synced(c, c.receive(A, new Prepare(2, 1025, one), 5)), Pledge.class));
-        synced(c, c.receive(A, new Relearned(1, 2, 3073, 0, null, one), 10));
+        synced(c, c.receive(A, new Relearned(((Relearn) requests.get(0)).id(), 2, 3073, 0, null, one), 10));
         assertEquals(
                 List.of(),
                 sent(synced(c, c.receive(A, new Prepare(2, 4097, one), 15)), Pledge.class),
                 "one is no majority");
-        synced(c, c.receive(B, new Relearned(2, 0, 0, 0, null, one), 20));
+        synced(c, c.receive(B, new Relearned(((Relearn) requests.get(1)).id(), 0, 0, 0, null, one), 20));
         Pledge p = (Pledge) sent(synced(c, c.receive(A, new Prepare(2, 2049, one), 25)), Pledge.class)
                 .get(0);
         assertFalse(p.granted(), "a pledge made before the disk was lost is broken");
@@ -336,6 +337,22 @@
         assertEquals(-1, q.lineage(), "it claims a state that it lost");
     }
 
+    /** Guards against a vote that forgets a promise: an answer to the process before is older than what that one promised. */
+    @Test
+    void wipedNodeTakesNoAnswerToTheProcessBefore() {
+        View one = new View(1, ALL, ALL);
+        List<Message> earlier =
+                sent(ReplicatedState.create(C, ALL, false, List.of(), 1, 1).tick(0, TOUCH), Relearn.class);
+        ReplicatedState c = ReplicatedState.create(C, ALL, false, List.of(), 2, 1);
+        List<Message> own = sent(c.tick(0, TOUCH), Relearn.class);
+        synced(c, c.receive(A, new Relearned(((Relearn) earlier.get(0)).id(), 0, 0, 0, null, one), 10));
+        synced(c, c.receive(B, new Relearned(((Relearn) earlier.get(1)).id(), 0, 0, 0, null, one), 10));
+        assertTrue(c.relearning(), "answers to the process before");
+        synced(c, c.receive(A, new Relearned(((Relearn) own.get(0)).id(), 0, 0, 0, null, one), 20));
+        synced(c, c.receive(B, new Relearned(((Relearn) own.get(1)).id(), 0, 0, 0, null, one), 20));
+        assertFalse(c.relearning());
+    }
+
     @Test
     void restartedNodeGoesOnFromItsDiskWhateverBootstrapSays() {
         ReplicatedState a = ReplicatedState.create(A, List.of(A), true, List.of(), 1, 1);
