Askings for quota are numbered from a random number on

What could happen: requests of a tenant are admitted on tokens older than they may be, after a data node was restarted.

Cause: a grant is matched by the asking's number alone, which each process of a data node counted from 1; a grant to the process before ended the next one's asking, and counted as fresh.

Change: numbers start at random.

--- a/src/main/java/ringspindle/dataplane/DataPlane.java
+++ b/src/main/java/ringspindle/dataplane/DataPlane.java
@@ -43,7 +43,8 @@
         DataNode node = new DataNode(config, NodeKind.DATA, proxy, loadBalancer, environment, mesh -> {
             JobCaller jobs =
                     new JobCaller(mesh, pool, clock, environment.random().getAsLong());
-            QuotaCaller quotas = new QuotaCaller(me, mesh, pool, clock);
+            QuotaCaller quotas =
+                    new QuotaCaller(me, mesh, pool, clock, environment.random().getAsLong());
             proxy.services().setJobs(jobs);
             proxy.services().setQuotas(quotas);
             UsageReporter usage = new UsageReporter(
--- a/src/main/java/ringspindle/dataplane/QuotaCaller.java
+++ b/src/main/java/ringspindle/dataplane/QuotaCaller.java
@@ -24,10 +24,16 @@
     private final Mesh mesh;
     private final Executor pool;
     private final MonotonicClock clock;
-    private final TenantTokens<AdmissionListener> tokens = new TenantTokens<>();
+    private final TenantTokens<AdmissionListener> tokens;
     private final ControlPeers controlNodes = new ControlPeers();
 
-    QuotaCaller(NodeId me, Mesh mesh, Executor pool, MonotonicClock clock) {
+    /**
+     * Creates a caller without tokens at hand.
+     *
+     * @param startSeq as for {@link TenantTokens}
+     */
+    QuotaCaller(NodeId me, Mesh mesh, Executor pool, MonotonicClock clock, long startSeq) {
+        tokens = new TenantTokens<>(startSeq);
         this.me = me;
         this.mesh = mesh;
         this.pool = pool;
--- a/src/main/java/ringspindle/protocol/TenantMessage.java
+++ b/src/main/java/ringspindle/protocol/TenantMessage.java
@@ -16,7 +16,7 @@
      * A data node asks the head of the view for leave to admit requests; other control nodes pass it on.
      *
      * @param origin the data node
-     * @param seq the number of the asking, which rises
+     * @param seq the number of the asking, which rises from a random number on in each process of the data node
      */
     record QuotaAsk(NodeId origin, long seq, List<QuotaNeed> rows) implements TenantMessage {}
 
--- a/src/main/java/ringspindle/quota/TenantTokens.java
+++ b/src/main/java/ringspindle/quota/TenantTokens.java
@@ -55,6 +55,16 @@
     /** When the asking under way was sent, below 0 if none is. */
     private long askedMs = -1;
 
+    /**
+     * No tokens at hand.
+     *
+     * @param startSeq a random number: a grant is matched by its number alone, and one for an earlier process at this address may
+     *     come late
+     */
+    public TenantTokens(long startSeq) {
+        seq = startSeq;
+    }
+
     /** Takes a token if there is one at hand; else the request waits, and is told by another call. */
     public boolean take(String tenant, W waiter, long nowMs) {
         Purse<W> purse = purses.computeIfAbsent(tenant, name -> new Purse<>());
--- a/src/test/java/ringspindle/quota/QuotaWorldTest.java
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -52,7 +52,7 @@
             seenByFirst.observe(epoch, headOf(epoch), nowMs);
             head = new TenantBuckets(seenByFirst);
             for (int node = 0; node < NODES; node++) {
-                nodes.add(new TenantTokens<>());
+                nodes.add(new TenantTokens<>(0));
             }
         }
 
@@ -272,7 +272,7 @@
 
     @Test
     void whatIsOverTheLimitIsToldSo() {
-        TenantTokens<String> tokens = new TenantTokens<>();
+        TenantTokens<String> tokens = new TenantTokens<>(0);
         HeadChanges first = new HeadChanges(true);
         first.observe(1, headOf(1), 0);
         TenantBuckets buckets = new TenantBuckets(first);
@@ -293,7 +293,7 @@
 
     @Test
     void withoutAnAnswerARequestIsToldThatNobodyKnows() {
-        TenantTokens<String> tokens = new TenantTokens<>();
+        TenantTokens<String> tokens = new TenantTokens<>(0);
         tokens.take(TENANT, "r", 0);
         tokens.ask(0);
         assertEquals(List.of(), tokens.tick(650));
