A tenant that the configuration does not have is granted no quota

What could happen: for as long as data nodes hold the configuration before, a tenant that was just removed is admitted without limit (QUOTA). Found by going through the places that read an empty table; not seen in a deployment.

Cause: the head kept the limits of limited tenants alone, and granted up to 1,000 requests at each asking to a tenant that was missing there.

Change: the head knows all tenants of the configuration (TenantLimits).

Tests: QuotaWorldTest, a new method, seen failing with the earlier rule put in place of the new one ("expected: <0> but was: <30>").

--- a/src/main/java/ringspindle/controlplane/QuotaHandler.java
+++ b/src/main/java/ringspindle/controlplane/QuotaHandler.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import ringspindle.config.FleetConfig;
 import ringspindle.config.Tenant;
 import ringspindle.config.Validated;
@@ -14,10 +15,10 @@
 import ringspindle.protocol.TenantMessage.QuotaAsk;
 import ringspindle.protocol.TenantMessage.QuotaGrant;
 import ringspindle.protocol.TenantMessage.QuotaLeave;
-import ringspindle.protocol.TenantMessage.QuotaNeed;
 import ringspindle.quota.HeadChanges;
 import ringspindle.quota.TenantBuckets;
 import ringspindle.quota.TenantLimit;
+import ringspindle.quota.TenantLimits;
 
 /**
  * Grants data nodes quota for requests of tenants while this node is the proven head of the view. On other nodes it
@@ -25,19 +26,13 @@
  * lock; no other lock is acquired while that lock is held.
  */
 final class QuotaHandler {
-    /**
-     * Maximum grant, in requests, for a tenant without a limit or one whose key was just removed from the
-     * configuration.
-     */
-    private static final int MAX_UNLIMITED_GRANT = 1000;
-
     private final Object lock = new Object();
     private final NodeContext context;
     private final ReplicationDriver replication;
     private final ServingState serving;
     private final HeadChanges headChanges;
     private final TenantBuckets buckets;
-    private final Map<String, TenantLimit> limits = new HashMap<>();
+    private final TenantLimits limits = new TenantLimits();
     private long limitsRevision = -1;
 
     /**
@@ -86,33 +81,29 @@
             refreshLimits(committed);
             headChanges.observe(view.epoch(), view.head(), nowMs);
             buckets.lead();
-            ask.rows().forEach(row -> grants.add(grant(row, nowMs)));
+            ask.rows().forEach(row -> grants.add(limits.grant(row, buckets, nowMs)));
         }
         context.mesh().send(from, new QuotaGrant(ask.origin(), ask.seq(), grants));
     }
 
-    private QuotaLeave grant(QuotaNeed request, long nowMs) {
-        TenantLimit limit = limits.get(request.tenant());
-        return limit == null
-                ? new QuotaLeave(request.tenant(), Math.min(MAX_UNLIMITED_GRANT, request.need()), 0)
-                : buckets.grant(request, limit, nowMs);
-    }
-
     private void refreshLimits(State committed) {
         if (committed.revision() == limitsRevision) {
             return;
         }
         limitsRevision = committed.revision();
-        limits.clear();
+        Map<String, Optional<TenantLimit>> byTenant = new HashMap<>();
         if (committed.config().length > 0
                 && FleetConfig.read(FleetConfig.unpack(committed.config()))
                         instanceof Validated.Valid<FleetConfig> configuration) {
-            for (Tenant tenant : configuration.value().tenants()) {
-                if (tenant.isLimited()) {
-                    limits.put(tenant.name(), new TenantLimit(tenant.ratePerS(), tenant.burstSize()));
-                }
-            }
+            configuration.value().tenants().forEach(tenant -> byTenant.put(tenant.name(), limitOf(tenant)));
         }
+        limits.update(byTenant);
+    }
+
+    private static Optional<TenantLimit> limitOf(Tenant tenant) {
+        return tenant.isLimited()
+                ? Optional.of(new TenantLimit(tenant.ratePerS(), tenant.burstSize()))
+                : Optional.empty();
     }
 
     /** Forwards the reply of the head to the data node that sent its request through this node. */
--- a/src/test/java/ringspindle/quota/QuotaWorldTest.java
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.function.LongToIntFunction;
 import org.junit.jupiter.api.Test;
@@ -300,4 +302,21 @@
         assertTrue(tokens.isAskDue(), "the next is asked");
         assertEquals(TenantTokens.Verdict.UNKNOWN, tokens.tick(750).get(0).verdict());
     }
+
+    /** Guards against a flood of a tenant that was just removed: one that the configuration does not have passed for unlimited. */
+    @Test
+    void aTenantThatTheConfigurationDoesNotHaveIsGrantedNothing() {
+        HeadChanges first = new HeadChanges(true);
+        first.observe(1, headOf(1), 0);
+        TenantBuckets buckets = new TenantBuckets(first);
+        buckets.lead();
+        TenantLimits limits = new TenantLimits();
+        QuotaNeed need = new QuotaNeed(TENANT, 30, 0);
+        limits.update(Map.of(TENANT, Optional.empty()));
+        assertEquals(30, limits.grant(need, buckets, 0).granted(), "it has no limit");
+        limits.update(Map.of(TENANT, Optional.of(new TenantLimit(1, 0))));
+        assertEquals(15, limits.grant(need, buckets, 0).granted());
+        limits.update(Map.of());
+        assertEquals(0, limits.grant(need, buckets, 0).granted());
+    }
 }
