Heartbeats are numbered from a random number on

What could happen: a data node that was restarted takes its knowledge of keys for newer than it is, as an echo that a control node made for the process before is sent over the new connection.

Cause: each process counted its heartbeats from 1, and an echo is matched by its number.

Change: numbers start at random, below 2^40 as versions of facts are made of them; an echo of a number that was not sent yet is passed over. CallIdsTest echoes the heartbeats that were sent in place of the numbers 1 and 2.

Tests: SessionTableTest, a new method.

--- a/src/main/java/ringspindle/controlplane/ControlNode.java
+++ b/src/main/java/ringspindle/controlplane/ControlNode.java
@@ -79,7 +79,7 @@
                 environment.meshFactory().apply(localHello),
                 environment.pool());
         serving = new ServingState(context.clock(), quorum);
-        fleet = new FleetState(context, localHello);
+        fleet = new FleetState(context, localHello, environment.random().getAsLong());
         CommittedFactPublisher factPublisher = new CommittedFactPublisher(context.executor(), fleet, serving);
         List<Message> loadedRecords = storage.replication().load();
         ReplicatedState state = replicatedState(nodeId, environment, loadedRecords);
--- a/src/main/java/ringspindle/controlplane/fleet/FleetState.java
+++ b/src/main/java/ringspindle/controlplane/fleet/FleetState.java
@@ -37,12 +37,13 @@
      * Creates the state of a node that knows no other nodes yet.
      *
      * @param hello the greeting that this node sends to its peers
+     * @param startNumber as for {@link SessionTable#forControl}
      */
-    public FleetState(NodeContext context, Hello hello) {
+    public FleetState(NodeContext context, Hello hello, long startNumber) {
         NodeId self = context.self();
         NodeConfig config = context.config();
         Mesh mesh = context.mesh();
-        sessions = SessionTable.forControl(self);
+        sessions = SessionTable.forControl(self, startNumber);
         facts = new FleetFacts(config, context.clock());
         dataNodes = new DataNodeDirectory(self, sessions, facts);
         frontends = new FrontendResolver(dataNodes);
--- a/src/main/java/ringspindle/dataplane/DataNode.java
+++ b/src/main/java/ringspindle/dataplane/DataNode.java
@@ -57,7 +57,7 @@
         me = identity(config, kind);
         mesh = environment.meshFactory().apply(greeting(me, kind, config, environment.incarnation()));
         NodeComponent part = component.apply(mesh);
-        gossip = new GossipState(me);
+        gossip = new GossipState(me, environment.random().getAsLong());
         heartbeats = new HeartbeatSender(clock, mesh, gossip, proxy);
         dialer = new PeerDialer(me, kind, this::config, mesh, gossip);
         dialer.addSeeds(config);
--- a/src/main/java/ringspindle/dataplane/GossipState.java
+++ b/src/main/java/ringspindle/dataplane/GossipState.java
@@ -23,8 +23,13 @@
     private final FactStore facts = FactStore.create();
     private final DecodedFacts<DataNodeFact> nodes = new DecodedFacts<>(facts, FactKind.NODE, DataNodeFact::of);
 
-    GossipState(NodeId me) {
-        sessions = SessionTable.forData(me);
+    /**
+     * Knows nothing yet.
+     *
+     * @param startNumber as for {@link SessionTable#forData}
+     */
+    GossipState(NodeId me, long startNumber) {
+        sessions = SessionTable.forData(me, startNumber);
     }
 
     /** Sessions with peers; the lock is held. */
--- a/src/main/java/ringspindle/membership/EchoedContact.java
+++ b/src/main/java/ringspindle/membership/EchoedContact.java
@@ -25,6 +25,10 @@
 
     /** The peer says that the heartbeat of that number was the last one it got. */
     void echoed(long number) {
+        if (inFlight.isEmpty() || number > inFlight.peekLast().number()) {
+            // meant for an earlier process of this node
+            return;
+        }
         while (!inFlight.isEmpty() && inFlight.peek().number() <= number) {
             Sent sent = inFlight.poll();
             if (sent.number() == number) {
--- a/src/main/java/ringspindle/membership/HeartbeatSessionTable.java
+++ b/src/main/java/ringspindle/membership/HeartbeatSessionTable.java
@@ -34,6 +34,9 @@
     /** Every so many heartbeats to a data node name the control nodes in touch. */
     private static final int NAMES_EVERY = 8;
 
+    /** Where numbers begin: below 2^40, as versions of facts are made of them; 0 says that no heartbeat came yet. */
+    private static final long START_MASK = (1L << 40) - 1;
+
     private static final Heartbeat NONE = new Heartbeat(0, 0, NodeFlags.NONE, 0, 0, 0, List.of());
 
     /** The session with one peer, over one connection. */
@@ -112,9 +115,10 @@
 
     private long lastSent;
 
-    HeartbeatSessionTable(NodeId self, NodeKind ownKind) {
+    HeartbeatSessionTable(NodeId self, NodeKind ownKind, long startNumber) {
         this.self = self;
         this.ownKind = ownKind;
+        lastSent = startNumber & START_MASK;
     }
 
     /** After a stall of this node the silence of others is counted anew; their contact is not. */
--- a/src/main/java/ringspindle/membership/SessionTable.java
+++ b/src/main/java/ringspindle/membership/SessionTable.java
@@ -73,13 +73,18 @@
     /** True while both heard each other, as far as this node can tell; one of them may be this node. */
     boolean linked(NodeId one, NodeId other);
 
-    /** Sessions of a control node. */
-    static SessionTable forControl(NodeId self) {
-        return new HeartbeatSessionTable(self, NodeKind.CONTROL);
+    /**
+     * Sessions of a control node.
+     *
+     * @param startNumber a random number: an echo is matched by its number, and may have been meant for an earlier process of this
+     *     node
+     */
+    static SessionTable forControl(NodeId self, long startNumber) {
+        return new HeartbeatSessionTable(self, NodeKind.CONTROL, startNumber);
     }
 
     /** Sessions of a data node, which have fewer heartbeats. */
-    static SessionTable forData(NodeId self) {
-        return new HeartbeatSessionTable(self, NodeKind.DATA);
+    static SessionTable forData(NodeId self, long startNumber) {
+        return new HeartbeatSessionTable(self, NodeKind.DATA, startNumber);
     }
 }
--- a/src/test/java/ringspindle/controlplane/CallIdsTest.java
+++ b/src/test/java/ringspindle/controlplane/CallIdsTest.java
@@ -64,9 +64,9 @@
                 (delayMs, task) -> {});
         for (NodeId node : List.of(HEAD, THIRD)) {
             mesh.listener().opened(new Hello(node, 1, 0, node.bits(), node.toString(), "z", "r"));
-            // the node sends one heartbeat when a connection opens, which these echo
-            mesh.listener()
-                    .received(node, new Heartbeat(1, node.equals(HEAD) ? 1 : 2, NodeFlags.READY, 1, 0, 0, List.of()));
+            // the node sends one heartbeat when a connection opens, which this echoes
+            long number = mesh.sentTo(node, Heartbeat.class).get(0).n();
+            mesh.listener().received(node, new Heartbeat(1, number, NodeFlags.READY, 1, 0, 0, List.of()));
         }
         control.tick();
     }
--- a/src/test/java/ringspindle/controlplane/fleet/DataNodeDirectoryTest.java
+++ b/src/test/java/ringspindle/controlplane/fleet/DataNodeDirectoryTest.java
@@ -39,7 +39,7 @@
 
     @BeforeEach
     void create() {
-        sessions = SessionTable.forControl(SELF);
+        sessions = SessionTable.forControl(SELF, 0);
         facts = new FleetFacts(ControlNodeSettings.create(), () -> nowMs);
         directory = new DataNodeDirectory(SELF, sessions, facts);
         resolver = new FrontendResolver(directory);
--- a/src/test/java/ringspindle/controlplane/fleet/QuotaLeaseIssuerTest.java
+++ b/src/test/java/ringspindle/controlplane/fleet/QuotaLeaseIssuerTest.java
@@ -33,7 +33,8 @@
     @BeforeEach
     void create() {
         facts = new FleetFacts(ControlNodeSettings.create(), () -> nowMs);
-        issuer = new QuotaLeaseIssuer(SELF, facts, new DataNodeDirectory(SELF, SessionTable.forControl(SELF), facts));
+        issuer =
+                new QuotaLeaseIssuer(SELF, facts, new DataNodeDirectory(SELF, SessionTable.forControl(SELF, 0), facts));
         NodeId node = NodeId.of("10.1.0.1:7000");
         Hello hello = new Hello(node, 1, NodeKind.DATA, node.bits(), "d", "za", "a");
         facts.merge(List.of(new Fact(
--- a/src/test/java/ringspindle/controlplane/fleet/ResolutionHistoryTest.java
+++ b/src/test/java/ringspindle/controlplane/fleet/ResolutionHistoryTest.java
@@ -52,7 +52,7 @@
 
     /** One control node and its state; a restart replaces it by a new one. */
     private static final class Node {
-        private final SessionTable sessions = SessionTable.forControl(SELF);
+        private final SessionTable sessions = SessionTable.forControl(SELF, 0);
         private final FleetFacts facts;
         private final DataNodeDirectory directory;
         private final FrontendResolver resolver;
--- a/src/test/java/ringspindle/dataplane/MessageDispatcherTest.java
+++ b/src/test/java/ringspindle/dataplane/MessageDispatcherTest.java
@@ -47,7 +47,7 @@
         settings.putAll(Map.of("listen.frontend", ME.ip() + ":80", "listen.inner", "7720,7735"));
         settings.putAll(Map.of("seeds", "10.1.0.9:1", "zone.z", "r"));
         NodeConfig config = ((Validated.Valid<NodeConfig>) NodeConfig.check(settings)).value();
-        gossip = new GossipState(ME);
+        gossip = new GossipState(ME, 0);
         Mesh mesh = standIn(
                 Mesh.class, (self, method, arguments) -> method.getName().equals("connected") ? connected : null);
         Proxy proxy = standIn(Proxy.class, (self, method, arguments) -> called(method.getName(), arguments));
--- a/src/test/java/ringspindle/dataplane/PeerDialerTest.java
+++ b/src/test/java/ringspindle/dataplane/PeerDialerTest.java
@@ -38,7 +38,7 @@
 
     private final Set<NodeId> down = new TreeSet<>();
     private final Set<NodeId> connected = new TreeSet<>();
-    private final GossipState gossip = new GossipState(ME);
+    private final GossipState gossip = new GossipState(ME, 0);
     private final PeerDialer dialer;
     private long nowMs = 1_000;
     private long heartbeats;
@@ -115,7 +115,7 @@
     /** As a control node does it: those near this data node are named first. */
     private void exchangeHeartbeats(NodeId control) {
         Heartbeat sent = gossip.sessions().nextHeartbeat(control, NodeFlags.NONE, 0, 0, 0, nowMs);
-        SessionTable table = SessionTable.forControl(control);
+        SessionTable table = SessionTable.forControl(control, 0);
         controlNodes.forEach((node, hello) -> {
             if (!node.equals(control) && !down.contains(node)) {
                 table.opened(hello, nowMs);
--- a/src/test/java/ringspindle/membership/SessionTableTest.java
+++ b/src/test/java/ringspindle/membership/SessionTableTest.java
@@ -63,8 +63,8 @@
         long oldestMs;
 
         Pair(int kindOfB, int everyMs, int delayMs, int phaseMs) {
-            a = SessionTable.forControl(A);
-            b = kindOfB == DATA ? SessionTable.forData(B) : SessionTable.forControl(B);
+            a = SessionTable.forControl(A, 0);
+            b = kindOfB == DATA ? SessionTable.forData(B, 0) : SessionTable.forControl(B, 0);
             this.everyMs = everyMs;
             this.delayMs = delayMs;
             this.phaseMs = phaseMs;
@@ -208,7 +208,7 @@
 
     @Test
     void afterAFreezeNobodyIsInTouchBeforeAnEchoOfAHeartbeatSentSince() {
-        SessionTable a = SessionTable.forControl(A);
+        SessionTable a = SessionTable.forControl(A, 0);
         a.opened(hello(B), 0);
         Heartbeat before = sent(a, B, 0);
         a.received(B, echo(1, before), 50);
@@ -231,7 +231,7 @@
 
     @Test
     void afterAFreezeASilentPeerIsDroppedInTheEnd() {
-        SessionTable a = SessionTable.forControl(A);
+        SessionTable a = SessionTable.forControl(A, 0);
         a.opened(hello(B), 0);
         a.received(B, echo(1, sent(a, B, 0)), 50);
         a.peersToDrop(100);
@@ -247,7 +247,7 @@
 
     @Test
     void aConnectionThatCarriesOnlyOldEchoesIsDropped() {
-        SessionTable a = SessionTable.forControl(A);
+        SessionTable a = SessionTable.forControl(A, 0);
         a.opened(hello(B), 0);
         Heartbeat first = sent(a, B, 0);
         long n = 1;
@@ -261,7 +261,7 @@
 
     @Test
     void anEchoOfANumberThatWasNeverSentThereProvesNothing() {
-        SessionTable a = SessionTable.forControl(A);
+        SessionTable a = SessionTable.forControl(A, 0);
         a.opened(hello(B), 0);
         a.opened(hello(C), 0);
         Heartbeat toC = sent(a, C, 0);
@@ -279,6 +279,21 @@
         assertFalse(a.linked(A, B), "its sending time is forgotten");
     }
 
+    /** Guards against knowledge of keys that passes for newer than it is: an echo made for the process before was taken for proof. */
+    @Test
+    void anEchoMeantForTheProcessBeforeProvesNothing() {
+        SessionTable before = SessionTable.forData(A, 7_000_000_007L);
+        before.opened(hello(B), 0);
+        Heartbeat ofBefore = sent(before, B, 0);
+        SessionTable restarted = SessionTable.forData(A, 5);
+        restarted.opened(hello(B), 1000);
+        Heartbeat own = sent(restarted, B, 1000);
+        restarted.received(B, echo(1, ofBefore), 1010);
+        assertEquals(SessionTable.NEVER_MS, restarted.peer(B).contactMs());
+        restarted.received(B, echo(2, own), 1020);
+        assertEquals(1000, restarted.peer(B).contactMs(), "nor does it spoil the next proof");
+    }
+
     @Test
     void aQuietDayHasNoMoreHeartbeatsThanBefore() {
         Pair p = new Pair(CONTROL, 200, 40, 130);
@@ -290,7 +305,7 @@
 
     @Test
     void othersLinksAreKnownFromTheirHeartbeats() {
-        SessionTable a = SessionTable.forControl(A);
+        SessionTable a = SessionTable.forControl(A, 0);
         a.opened(hello(B), 0);
         a.opened(hello(C), 0);
         Heartbeat p = sent(a, B, 0);
