What still comes over the connection of an ended process is not handed on

What could happen: a control node takes the heartbeat of a process that is gone for one of the next process at that address, and publishes facts of it that the next one's do not supersede until its numbers are higher. Since numbers start at random that could be never; before, as long as the earlier process had lived.

Cause: a dialled and an accepted connection are read by two threads; frames of the older one that are read already were handed on after the newer one was admitted.

Change: messages of a connection are dropped once one of a later process stands, or the connection is closed, as the contract of the mesh says of what was on its way.

--- a/src/main/java/ringspindle/peering/ConnectionTable.java
+++ b/src/main/java/ringspindle/peering/ConnectionTable.java
@@ -133,6 +133,19 @@
         return stood ? Optional.of(entry.peer.node()) : Optional.empty();
     }
 
+    /**
+     * True if the connection of a later process of its peer stands, or the connection is closed: what still comes over it is of a
+     * process that is gone.
+     */
+    public synchronized boolean isOutlived(C connection) {
+        Entry entry = open.get(connection);
+        if (entry == null) {
+            return true;
+        }
+        Entry stood = entry.peer == null ? null : open.get(standing.get(entry.peer.node()));
+        return stood != null && stood.peer.life() > entry.peer.life();
+    }
+
     /** The connection that stands for the peer, null if there is none. */
     public synchronized C get(NodeId peer) {
         return standing.get(peer);
--- a/src/main/java/ringspindle/transport/FrameConnection.java
+++ b/src/main/java/ringspindle/transport/FrameConnection.java
@@ -40,7 +40,7 @@
         void greeted(FrameConnection connection, Message.Hello peer);
 
         /** A message of a peer that was admitted. */
-        void received(NodeId from, Message message);
+        void received(FrameConnection connection, Message message);
 
         /** What came is no message; the connection is closed after this. */
         void refused(FrameConnection connection, FrameException reason);
@@ -159,7 +159,7 @@
                     && heartbeat.flags().has(NodeFlags.FRAGMENTS)) {
                 writer.allowFragments();
             }
-            owner.received(from, message);
+            owner.received(this, message);
         } else if (message instanceof Message.Hello greeting) {
             owner.greeted(this, greeting);
         } else {
--- a/src/main/java/ringspindle/transport/JettyMesh.java
+++ b/src/main/java/ringspindle/transport/JettyMesh.java
@@ -213,8 +213,11 @@
         }
 
         @Override
-        public void received(NodeId from, Message message) {
-            listener.received(from, message);
+        public void received(FrameConnection connection, Message message) {
+            // two connections are read by two threads, so the listener may know of the later process already
+            if (!connections.isOutlived(connection)) {
+                listener.received(connection.peerNode(), message);
+            }
         }
 
         @Override
