Requests of a tenant that the configuration does not have are refused, not held

Found by reading the change again.

Change: the wait is one second, beyond what requests wait for, so they get 429 and nothing is asked again for them.

Tests: QuotaWorldTest, a new method, seen failing on the code before ("asks again 2 ms after the first asking"). Run: quota, controlplane, ArchitectureTest: none failed.

--- a/src/main/java/ringspindle/quota/TenantLimits.java
+++ b/src/main/java/ringspindle/quota/TenantLimits.java
@@ -14,8 +14,8 @@
 public final class TenantLimits {
     /** Maximum grant, in requests, for a tenant without a limit. */
     private static final int MAX_UNLIMITED_GRANT = 1000;
-    /** A data node asks again for an unknown tenant after so long; short enough that its requests wait. */
-    private static final int UNKNOWN_WAIT_MS = 100;
+    /** What a data node is told to wait for an unknown tenant; so long that its requests are refused and do not wait and ask again. */
+    private static final int UNKNOWN_WAIT_MS = 1000;
 
     /** By tenant; empty for one without a limit. */
     private final Map<String, Optional<TenantLimit>> limits = new HashMap<>();
--- a/src/test/java/ringspindle/quota/QuotaWorldTest.java
+++ b/src/test/java/ringspindle/quota/QuotaWorldTest.java
@@ -1,6 +1,7 @@
 package ringspindle.quota;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayDeque;
@@ -319,4 +320,15 @@
         limits.update(Map.of());
         assertEquals(0, limits.grant(need, buckets, 0).granted());
     }
+
+    /** Guards against a data node that asks again with each answer, for as long as it holds the configuration before. */
+    @Test
+    void aRequestOfATenantThatTheConfigurationDoesNotHaveIsRefusedAndNothingIsAskedAgain() {
+        TenantTokens<String> tokens = new TenantTokens<>(0);
+        tokens.take(TENANT, "r", 0);
+        QuotaLeave leave = new TenantLimits().grant(tokens.ask(0).get(0), new TenantBuckets(new HeadChanges(true)), 10);
+        List<TenantTokens.Told<String>> told = tokens.granted(tokens.seq(), List.of(leave), 20);
+        assertFalse(tokens.isAskDue());
+        assertEquals(TenantTokens.Verdict.OVER_QUOTA, told.get(0).verdict());
+    }
 }
