A held reply is not sent to the next process before its leader is told of it

Between the moment in which the connection of the next process stands and that in which the leader is told, a reply that was held for the process before went out over the new connection. New data nodes pass over it, as ids are random; one of an older version, whose ids start at 1, could take it for its own.

Change: the mesh can send to a process of a node and not to another one at its address (Mesh.send with the incarnation); replies to calls about jobs go that way. A call whose connection is gone when it is read gets no reply.

Tests: JobReplyTest, a new case, seen failing on the code before ("expected: <[]> but was: <[1]>"); ConnectionTableTest. Run: storagenode, peering, transport, dataplane, StorageStartTest, ArchitectureTest: none failed.

--- a/src/main/java/ringspindle/peering/ConnectionTable.java
+++ b/src/main/java/ringspindle/peering/ConnectionTable.java
@@ -150,4 +150,10 @@
     public synchronized C get(NodeId peer) {
         return standing.get(peer);
     }
+
+    /** The connection that stands for that process of the peer, null if there is none. */
+    public synchronized C get(NodeId peer, long life) {
+        C stood = standing.get(peer);
+        return stood != null && open.get(stood).peer.life() == life ? stood : null;
+    }
 }
--- a/src/main/java/ringspindle/storagenode/JobCallers.java
+++ b/src/main/java/ringspindle/storagenode/JobCallers.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import ringspindle.protocol.BatchMessage.JobReply;
 import ringspindle.protocol.JobStatus;
+import ringspindle.protocol.Message.Hello;
 import ringspindle.protocol.NodeId;
 import ringspindle.transport.Mesh;
 
@@ -14,7 +15,14 @@
 final class JobCallers {
     /** One connection of a caller. */
     private static final class CallerConnection {
+        /** The process behind it. */
+        final long life;
+
         boolean open = true;
+
+        CallerConnection(long life) {
+            this.life = life;
+        }
     }
 
     /** The reply to one call; dropped if the call's connection is gone. */
@@ -23,6 +31,7 @@
         private final CallerConnection connection;
         private final long callId;
 
+        /** {@code connection} is null if it is gone already. */
         ConnectionReply(NodeId caller, CallerConnection connection, long callId) {
             this.caller = caller;
             this.connection = connection;
@@ -31,14 +40,15 @@
 
         @Override
         public void send(JobStatus status, byte[] body) {
-            if (connection.open) {
-                mesh.send(caller, new JobReply(callId, status.code(), body));
+            if (isWanted()) {
+                // a later process may be connected already, before this table was told
+                mesh.send(caller, connection.life, new JobReply(callId, status.code(), body));
             }
         }
 
         @Override
         public boolean isWanted() {
-            return connection.open;
+            return connection != null && connection.open;
         }
     }
 
@@ -49,10 +59,10 @@
         this.mesh = mesh;
     }
 
-    /** A new connection to that node stands; an earlier one is over. */
-    void opened(NodeId caller) {
-        closed(caller);
-        connections.put(caller, new CallerConnection());
+    /** A new connection to that process stands; an earlier one is over. */
+    void opened(Hello caller) {
+        closed(caller.node());
+        connections.put(caller.node(), new CallerConnection(caller.life()));
     }
 
     /** The connection to that node is gone. */
@@ -63,9 +73,8 @@
         }
     }
 
-    /** The reply to a call that came over the connection that stands now. */
+    /** The reply to a call that came over the connection that stands now; nobody wants it if none does. */
     HostedShard.Reply reply(NodeId caller, long callId) {
-        CallerConnection connection = connections.computeIfAbsent(caller, unknown -> new CallerConnection());
-        return new ConnectionReply(caller, connection, callId);
+        return new ConnectionReply(caller, connections.get(caller), callId);
     }
 }
--- a/src/main/java/ringspindle/storagenode/ShardHost.java
+++ b/src/main/java/ringspindle/storagenode/ShardHost.java
@@ -191,7 +191,7 @@
         items.closed(peer.node());
         long nowMs = clock.nowMs();
         synchronized (lock) {
-            callers.opened(peer.node());
+            callers.opened(peer);
             dispatcher.lost(peer.node(), nowMs);
             for (HostedShard shard : shards) {
                 carryOut(shard, shard.replica().connected(peer.node(), nowMs));
--- a/src/main/java/ringspindle/transport/JettyMesh.java
+++ b/src/main/java/ringspindle/transport/JettyMesh.java
@@ -127,7 +127,15 @@
 
     @Override
     public void send(NodeId peer, Message message) {
-        FrameConnection connection = connections.get(peer);
+        send(connections.get(peer), message);
+    }
+
+    @Override
+    public void send(NodeId peer, long life, Message message) {
+        send(connections.get(peer, life), message);
+    }
+
+    private void send(FrameConnection connection, Message message) {
         if (connection != null) {
             connection.send(message, encoded(message));
         }
--- a/src/main/java/ringspindle/transport/Mesh.java
+++ b/src/main/java/ringspindle/transport/Mesh.java
@@ -36,6 +36,14 @@
     /** Sends if a connection stands, else drops the message. */
     void send(NodeId peer, Message message);
 
+    /**
+     * Sends if the connection to that process of the node stands, else drops the message: for an answer that a later process at the
+     * address must not get.
+     *
+     * @param life the incarnation of the process, as in its greeting
+     */
+    void send(NodeId peer, long life, Message message);
+
     /** Bytes that wait to be sent to that node, 0 without a connection; what is large is better not sent again meanwhile. */
     int pendingBytes(NodeId peer);
 
--- a/src/test/java/ringspindle/dataplane/PeerDialerTest.java
+++ b/src/test/java/ringspindle/dataplane/PeerDialerTest.java
@@ -77,6 +77,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public void send(NodeId peer, long life, Message message) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public int pendingBytes(NodeId peer) {
             return 0;
--- a/src/test/java/ringspindle/peering/ConnectionTableTest.java
+++ b/src/test/java/ringspindle/peering/ConnectionTableTest.java
@@ -1,6 +1,8 @@
 package ringspindle.peering;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -30,6 +32,15 @@
         assertFalse(table.isOutlived("of the next process"));
     }
 
+    @Test
+    void aConnectionIsFoundByTheProcessBehindIt() {
+        admit("first", 1);
+        assertEquals("first", table.get(PEER, 1));
+        admit("of the next process", 2);
+        assertNull(table.get(PEER, 1));
+        assertEquals("of the next process", table.get(PEER, 2));
+    }
+
     @Test
     void aClosedConnectionIsOutlived() {
         admit("only", 1);
--- a/src/test/java/ringspindle/scale/SimulatedMesh.java
+++ b/src/test/java/ringspindle/scale/SimulatedMesh.java
@@ -319,11 +319,18 @@
 
     @Override
     public void send(NodeId peer, Message message) {
-        End end = table.get(peer);
-        if (end == null || !running) {
-            return;
+        send(table.get(peer), peer, message);
+    }
+
+    @Override
+    public void send(NodeId peer, long life, Message message) {
+        send(table.get(peer, life), peer, message);
+    }
+
+    private void send(End end, NodeId peer, Message message) {
+        if (end != null && running) {
+            end.send(message, network.interference().fate(self.node(), peer, message));
         }
-        end.send(message, network.interference().fate(self.node(), peer, message));
     }
 
     @Override
--- a/src/test/java/ringspindle/storagenode/HollowLeader.java
+++ b/src/test/java/ringspindle/storagenode/HollowLeader.java
@@ -102,7 +102,9 @@
         }
     }
 
+    /** The mesh admits the connection of a data node, and tells the node of it. */
     void dataNodeConnects(long life) {
+        mesh.admit(DATA, life);
         mesh.listener().opened(hello(DATA, NodeKind.DATA, life));
     }
 
--- a/src/test/java/ringspindle/storagenode/JobReplyTest.java
+++ b/src/test/java/ringspindle/storagenode/JobReplyTest.java
@@ -34,6 +34,16 @@
         assertEquals(List.of(FIRST_CALL), leader.answered());
     }
 
+    /** The connection of the next process stands a moment before the leader is told of it. */
+    @Test
+    void whatWasHeldIsNotSentToTheNextProcessBeforeTheLeaderIsToldOfIt() {
+        leader.dataNodeConnects(1);
+        leader.submit(FIRST_CALL, "job-of-the-killed-process", 1);
+        leader.mesh().admit(HollowLeader.DATA, 2);
+        leader.sync();
+        assertEquals(List.of(), leader.answered());
+    }
+
     @Test
     void aConnectionThatStandsGetsWhatWasHeld() {
         leader.dataNodeConnects(1);
--- a/src/test/java/ringspindle/transport/RecordingMesh.java
+++ b/src/test/java/ringspindle/transport/RecordingMesh.java
@@ -1,7 +1,9 @@
 package ringspindle.transport;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import ringspindle.protocol.Message;
 import ringspindle.protocol.NodeId;
 
@@ -11,6 +13,7 @@
     public record Sent(NodeId to, Message message) {}
 
     private final List<Sent> sent = new ArrayList<>();
+    private final Map<NodeId, Long> lives = new HashMap<>();
     private Listener listener;
 
     /** The node's listener, to which a test tells what peers do. */
@@ -26,6 +29,11 @@
                 .toList();
     }
 
+    /** The connection to that process stands from now on, whether or not the listener was told. */
+    public void admit(NodeId peer, long life) {
+        lives.put(peer, life);
+    }
+
     /** Forgets what was sent. */
     public void clear() {
         sent.clear();
@@ -46,6 +54,13 @@
         sent.add(new Sent(peer, message));
     }
 
+    @Override
+    public void send(NodeId peer, long life, Message message) {
+        if (lives.getOrDefault(peer, life) == life) {
+            send(peer, message);
+        }
+    }
+
     @Override
     public int pendingBytes(NodeId peer) {
         return 0;
